--- /dev/null
+++ b/crates/core/src/gateway/attempt.rs
@@ -0,0 +1,76 @@
+//! What became of a request's sends, and what may follow.
+//!
+//! This is the one place that decides whether a caller may be told that its
+//! request has not run.
+
+/// What became of one send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fate {
+    /// No byte of it left this process.
+    NotSent,
+    /// The endpoint says that it has not run it and will not.
+    Refused,
+    /// It was sent, and no answer says what became of it.
+    Lost,
+    /// The endpoint ran it and answered with a failure.
+    Failed,
+}
+
+/// What a caller may be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Promise {
+    /// It has not run and never will.
+    NotRun,
+    /// Nothing is promised.
+    Nothing,
+}
+
+/// What follows a send that brought no success.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Next {
+    /// It may be sent to another endpoint.
+    Retry,
+    /// The caller is told the final answer.
+    End(Promise),
+}
+
+/// The sends of one request so far.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+// Invariant: `may_have_run` never goes back to false.
+pub struct History {
+    sends: u32,
+    may_have_run: bool,
+}
+
+impl History {
+    /// How many endpoints it went to.
+    #[must_use]
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Takes in what became of a send.
+    pub fn record(&mut self, fate: Fate) {
+        if fate != Fate::NotSent {
+            self.sends += 1;
+        }
+        self.may_have_run |= matches!(fate, Fate::Lost | Fate::Failed);
+    }
+
+    /// What a caller may be told if nothing more is sent.
+    #[must_use]
+    pub fn promise(&self) -> Promise {
+        if self.may_have_run { Promise::Nothing } else { Promise::NotRun }
+    }
+
+    /// What may follow; `affordable` says whether time and budget allow another send.
+    #[must_use]
+    pub fn next(&self, repeatable: bool, most: u32, affordable: bool) -> Next {
+        let allowed = repeatable || !self.may_have_run;
+        if allowed && affordable && self.sends < most.max(1) {
+            Next::Retry
+        } else {
+            Next::End(self.promise())
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/directory.rs
@@ -0,0 +1,174 @@
+//! The endpoints that the platform lists.
+//!
+//! The list says who is there and who leaves. While the platform is away,
+//! entries lapse although their endpoints live; those that are back soon after
+//! its return are kept until then.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::fact::Revision;
+use super::name::{Endpoint, Model, Service, Zone};
+use super::rollout::Version;
+
+/// How long after the platform's return an entry that lapsed may still be missing.
+///
+/// Endpoints renew their entries about every second; a lapsed one is back
+/// within two seconds, and the rest is for the way here.
+pub const SETTLE: Duration = Duration::from_millis(2500);
+
+/// Whether an endpoint takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Leaving,
+}
+
+/// An endpoint as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its service.
+    pub service: Service,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// How many requests it handles at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: State,
+    /// The models that it holds whole, with their versions.
+    pub models: Vec<(Model, Version)>,
+    /// Whether it held a model's layers, in whole or in part, when it wrote this.
+    pub reports_models: bool,
+}
+
+/// The list at a revision.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Directory {
+    /// The endpoints, by name.
+    pub entries: BTreeMap<Endpoint, Entry>,
+}
+
+/// A change of one entry.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// The entry is now this.
+    Put(Endpoint, Entry),
+    /// There is no such entry any more.
+    Removed(Endpoint),
+}
+
+/// Keeps the list of endpoints across outages of the platform.
+#[derive(Debug, Default)]
+pub struct Keeper {
+    directory: Directory,
+    revision: Revision,
+    // Entries that lapsed around an outage, kept until they are back or the time is up.
+    missing: BTreeMap<Endpoint, ()>,
+    // Until when lapsed entries are kept.
+    settling: Option<Duration>,
+}
+
+impl Keeper {
+    /// The list now.
+    #[must_use]
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// The revision of the list.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Takes in that the platform answers again after it had been away.
+    pub fn returned(&mut self, now: Duration) {
+        self.settling = Some(now + SETTLE);
+    }
+
+    /// Takes in the whole list; true when anything changed.
+    pub fn replace(&mut self, revision: Revision, listed: Directory, now: Duration) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let gone: Vec<_> = self
+            .directory
+            .entries
+            .keys()
+            .filter(|name| !listed.entries.contains_key(*name))
+            .cloned()
+            .collect();
+        let mut changes: Vec<_> = gone.into_iter().map(Change::Removed).collect();
+        changes.extend(listed.entries.into_iter().map(|(name, entry)| Change::Put(name, entry)));
+        self.apply(revision, changes, now)
+    }
+
+    /// Takes in changes up to a revision; true when anything changed.
+    pub fn apply(&mut self, revision: Revision, changes: Vec<Change>, now: Duration) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        let settling = self.settling.is_some_and(|until| now < until);
+        let mut changed = false;
+        for change in changes {
+            changed |= self.apply_one(change, settling);
+        }
+        changed
+    }
+
+    fn apply_one(&mut self, change: Change, settling: bool) -> bool {
+        match change {
+            Change::Put(name, entry) => {
+                self.missing.remove(&name);
+                // An address belongs to one endpoint: whoever had it before is gone.
+                let address = entry.address;
+                let before = self.directory.entries.len();
+                self.directory
+                    .entries
+                    .retain(|other, known| *other == name || known.address != address);
+                let replaced = self.directory.entries.len() != before;
+                let old = self.directory.entries.insert(name, entry.clone());
+                replaced || old.as_ref() != Some(&entry)
+            }
+            Change::Removed(name) => {
+                let ready = self
+                    .directory
+                    .entries
+                    .get(&name)
+                    .is_some_and(|entry| entry.state == State::Ready);
+                if settling && ready {
+                    self.missing.insert(name, ());
+                    return false;
+                }
+                self.missing.remove(&name);
+                self.directory.entries.remove(&name).is_some()
+            }
+        }
+    }
+
+    /// Gives up entries that are not back in time; true when any was.
+    pub fn settle(&mut self, now: Duration) -> bool {
+        if self.settling.is_none_or(|until| now < until) {
+            return false;
+        }
+        self.settling = None;
+        let missing = std::mem::take(&mut self.missing);
+        missing
+            .into_keys()
+            .fold(false, |any, name| any | self.directory.entries.remove(&name).is_some())
+    }
+
+    /// When [`Self::settle`] has something to do.
+    #[must_use]
+    pub fn settles_at(&self) -> Option<Duration> {
+        self.settling
+    }
+}
--- /dev/null
+++ b/crates/core/src/gateway/event.rs
@@ -0,0 +1,92 @@
+//! Cutting a stream of server-sent events into whole ones.
+
+/// Where an event ends: an empty line.
+const END: &[u8] = b"\n\n";
+
+/// The field that numbers an event.
+const ID: &[u8] = b"id:";
+
+/// The most bytes that an event may have.
+pub const MAX_EVENT: usize = 256 << 10;
+
+/// Whole events and the number of the last of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Whole {
+    /// Their bytes.
+    pub bytes: Vec<u8>,
+    /// How many they are.
+    pub count: usize,
+    /// The number of the last one that has one.
+    pub last: Option<u64>,
+}
+
+/// Collects bytes until they make up whole events.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    // What has come of an event that is not whole yet.
+    rest: Vec<u8>,
+}
+
+/// A stream's events cannot be told apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// an event has more bytes than are allowed
+    TooLong,
+}
+
+impl std::error::Error for Error {}
+
+impl Splitter {
+    /// Takes in bytes; gives the whole events that they complete, if any.
+    ///
+    /// # Errors
+    ///
+    /// When an event does not end.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Whole>, Error> {
+        self.rest.extend_from_slice(bytes);
+        let Some(end) = last_end(&self.rest) else {
+            return if self.rest.len() > MAX_EVENT { Err(Error::TooLong) } else { Ok(None) };
+        };
+        let rest = self.rest.split_off(end);
+        let whole = std::mem::replace(&mut self.rest, rest);
+        let events = events(&whole);
+        let count = events.len();
+        let last = events.iter().rev().find_map(|event| id(event));
+        Ok(Some(Whole { bytes: whole, count, last }))
+    }
+
+    /// Whether an event has begun that is not whole.
+    #[must_use]
+    pub fn is_torn(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    /// Forgets the event that is not whole.
+    pub fn clear(&mut self) {
+        self.rest.clear();
+    }
+}
+
+fn events(bytes: &[u8]) -> Vec<&[u8]> {
+    let mut events = Vec::new();
+    let mut start = 0;
+    while let Some(length) = find(&bytes[start..], END) {
+        events.push(&bytes[start..start + length]);
+        start += length + END.len();
+    }
+    events
+}
+
+fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes.windows(wanted.len()).position(|window| window == wanted)
+}
+
+fn last_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(END.len()).rposition(|window| window == END).map(|at| at + END.len())
+}
+
+/// The number of an event.
+fn id(event: &[u8]) -> Option<u64> {
+    let line = event.split(|byte| *byte == b'\n').find(|line| line.starts_with(ID))?;
+    std::str::from_utf8(&line[ID.len()..]).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/core/src/gateway/load.rs
@@ -0,0 +1,162 @@
+//! What an endpoint is busy with, and when it would answer one more request.
+//!
+//! An endpoint's agent reports often; what this gateway has sent since the last
+//! report comes on top. Engines read prompts and write tokens in turns, so a
+//! first token waits mostly for the prompt tokens ahead of it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::call::Size;
+use super::catalog::Engine;
+use super::rollout::Version;
+
+/// A report older than this says nothing: agents report several times a second.
+pub const FRESH: Duration = Duration::from_millis(1200);
+
+/// What a report is older than when it arrives: asking the engine and the way here.
+const REPORT_AGE: Duration = Duration::from_millis(10);
+
+/// How many passes of the engine a first token waits besides reading.
+const PASSES: f64 = 1.5;
+
+/// What an endpoint's agent says of it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests that write tokens.
+    pub running: u32,
+    /// Requests that wait for their first token.
+    pub queued: u32,
+    /// Tokens in memory that cannot give way.
+    pub used: u64,
+    /// Tokens that fit into memory.
+    pub total: u64,
+    /// How much slower than declared it is; 1 is as declared.
+    pub pace: f32,
+    /// The version of the weights with which it answers; none while it has none whole.
+    pub version: Option<Version>,
+    /// Whether it takes new requests; not while it changes weights.
+    pub open: bool,
+}
+
+/// A request that this gateway has sent.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    at: Duration,
+    prompt: u32,
+    begun: bool,
+}
+
+/// One endpoint, as this gateway sees it.
+#[derive(Debug, Default)]
+pub struct Load {
+    report: Option<(Duration, Report)>,
+    sent: BTreeMap<u64, Sent>,
+    // Requests of this gateway that ended since the last report.
+    ended: u32,
+}
+
+/// What an endpoint is taken to be busy with.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Estimate {
+    /// Requests that it has, those that wait among them.
+    pub requests: f64,
+    /// Requests that wait for their first token.
+    pub waiting: f64,
+    /// Prompt tokens to be read before another request's.
+    pub unread: f64,
+    /// How much slower than declared it is.
+    pub pace: f64,
+}
+
+impl Load {
+    /// Takes in a report that has just come.
+    pub fn reported(&mut self, report: Report, now: Duration) {
+        self.report = Some((now.saturating_sub(REPORT_AGE), report));
+        self.ended = 0;
+    }
+
+    /// The last report, if it is fresh.
+    #[must_use]
+    pub fn report(&self, now: Duration) -> Option<&Report> {
+        let (at, report) = self.report.as_ref()?;
+        (at.saturating_add(FRESH) >= now).then_some(report)
+    }
+
+    /// Takes in that a request was sent.
+    pub fn sent(&mut self, number: u64, prompt: u32, now: Duration) {
+        self.sent.insert(number, Sent { at: now, prompt, begun: false });
+    }
+
+    /// Takes in that a request has its first token.
+    pub fn begun(&mut self, number: u64) {
+        if let Some(sent) = self.sent.get_mut(&number) {
+            sent.begun = true;
+        }
+    }
+
+    /// Takes in that a request has ended, however it did.
+    pub fn ended(&mut self, number: u64) {
+        if let Some(sent) = self.sent.remove(&number)
+            && self.report.as_ref().is_some_and(|(at, _)| sent.at < *at)
+        {
+            self.ended += 1;
+        }
+    }
+
+    /// How many of this gateway's requests it has.
+    #[must_use]
+    pub fn own(&self) -> usize {
+        self.sent.len()
+    }
+
+    /// What it is taken to be busy with, where so many gateways send alike.
+    #[must_use]
+    pub fn estimate(&self, engine: Option<&Engine>, gateways: usize, now: Duration) -> Estimate {
+        let usual = f64::from(engine.map_or(0, |engine| engine.usual_prompt));
+        let unread = |sent: &Sent| if sent.begun { 0.0 } else { f64::from(sent.prompt) };
+        let Some(report) = self.report(now) else {
+            let gateways = gateways.max(1) as f64;
+            let waiting = self.sent.values().filter(|sent| !sent.begun).count() as f64;
+            return Estimate {
+                requests: self.sent.len() as f64 * gateways,
+                waiting: waiting * gateways,
+                unread: self.sent.values().map(unread).sum::<f64>() * gateways,
+                pace: 1.0,
+            };
+        };
+        let at = self.report.as_ref().map_or(Duration::ZERO, |(at, _)| *at);
+        let since = self.sent.values().filter(|sent| sent.at >= at);
+        let (count, tokens) =
+            since.fold((0.0, 0.0), |(count, tokens), sent| (count + 1.0, tokens + unread(sent)));
+        let reported = f64::from(report.running + report.queued);
+        Estimate {
+            requests: (reported - f64::from(self.ended)).max(0.0) + count,
+            waiting: f64::from(report.queued) + count,
+            unread: f64::from(report.queued) * usual + tokens,
+            pace: f64::from(report.pace).max(1.0),
+        }
+    }
+}
+
+/// The time until another request would have its first token.
+#[must_use]
+pub fn first_token(engine: &Engine, estimate: &Estimate, size: Size) -> Duration {
+    let running = (estimate.requests - estimate.waiting).clamp(0.0, f64::from(engine.slots));
+    let context = running * f64::from(engine.usual_prompt + engine.usual_answer / 2) / 1000.0;
+    let step = engine.step_ms + engine.per_request_ms * running + engine.per_context_ms * context;
+    let prompt = f64::from(size.prompt);
+    let tokens = estimate.unread + prompt;
+    let pairs = prompt * prompt / 2.0 / 1e6 * engine.per_pairs_ms;
+    let reading = tokens / engine.read_per_s.max(1.0) * 1000.0 + pairs;
+    let passes = if running >= 1.0 { PASSES * f64::from(engine.stride.max(1)) } else { 1.0 };
+    let slots = f64::from(engine.slots.max(1));
+    let excess = (estimate.requests + 1.0 - slots).max(0.0);
+    // Half of an engine's time goes into reading when it is full.
+    let slot_time = f64::from(engine.usual_answer) * step * 2.0;
+    let turn = excess * slot_time / slots;
+    let total = (reading + passes * step + turn) * estimate.pace.max(1.0);
+    Duration::from_secs_f64(total.clamp(0.0, 600_000.0) / 1000.0)
+}
--- /dev/null
+++ b/crates/core/src/gateway/mod.rs
@@ -0,0 +1,24 @@
+//! Decisions of a gateway: an entry instance that forwards opaque requests
+//! straight to endpoints.
+//!
+//! - What is known: [`catalog`] holds the configuration in force, [`directory`]
+//!   the endpoints as the platform lists them, [`rollout`] the versions that
+//!   models are to have. Each is a [`fact`] that only a newer one replaces.
+//! - Where a request goes: [`load`] estimates what endpoints are busy with,
+//!   [`pick`] chooses one or refuses, [`health`] leaves out those that fail.
+//! - What may be repeated: [`attempt`] knows what became of each send, and
+//!   [`budget`] bounds sends beyond the first.
+//! - [`event`] cuts a stream into whole events, so that it can be resumed.
+
+pub mod attempt;
+pub mod budget;
+pub mod call;
+pub mod catalog;
+pub mod directory;
+pub mod event;
+pub mod fact;
+pub mod health;
+pub mod load;
+pub mod name;
+pub mod pick;
+pub mod rollout;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,7 +14,8 @@
 //!   [`change`] decides what becomes of an operator's change.
 //! - How weights get there: [`manifest`], [`swarm`] and [`transfer`] decide
 //!   which chunk is drawn from whom; [`replica`] turns orders into steps.
-//! - How requests are answered: [`admission`], [`route`] and [`outcome`].
+//! - How requests are answered: [`admission`], [`route`] and [`outcome`]; on a
+//!   platform that keeps configuration and versions, by a [`gateway`].
 
 pub mod admission;
 pub mod bitmap;
@@ -22,6 +23,7 @@
 pub mod configuration;
 pub mod coordinator;
 pub mod document;
+pub mod gateway;
 pub mod lease;
 pub mod manifest;
 pub mod member;
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -6,6 +6,7 @@
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::size::Bytes;
 use displaydoc::Display;
+use sha2::{Digest as _, Sha256};
 
 /// A manifest whose digest and layout have been checked.
 // Invariants: `digest` is the digest of `raw`, and `raw` lists exactly the
@@ -14,6 +15,27 @@
 pub struct Manifest {
     digest: Digest,
     raw: control::Manifest,
+    algorithm: Algorithm,
+}
+
+/// How chunks are hashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Algorithm {
+    /// As in our own manifests; the whole is hashed in one piece.
+    Blake3,
+    /// As origins list chunks; the whole is the list of its chunks' hashes.
+    Sha256,
+}
+
+impl Algorithm {
+    /// The digest of a chunk.
+    #[must_use]
+    pub fn chunk(self, bytes: &[u8]) -> Digest {
+        match self {
+            Self::Blake3 => Digest::of(bytes),
+            Self::Sha256 => Digest::new(Sha256::digest(bytes).into()),
+        }
+    }
 }
 
 /// Why a manifest is refused.
@@ -51,7 +73,7 @@
             chunks: weights.chunks(chunk_size.as_usize()).map(Digest::of).collect(),
             whole: Digest::of(weights),
         };
-        Self { digest: digest(&raw), raw }
+        Self { digest: digest(&raw), raw, algorithm: Algorithm::Blake3 }
     }
 
     /// Checks a manifest that came from elsewhere against the digest that names it.
@@ -71,7 +93,23 @@
         if raw.chunks.len() as u64 != chunks {
             return Err(Error::Layout { listed: raw.chunks.len(), wanted: chunks });
         }
-        Ok(Self { digest: found, raw })
+        Ok(Self { digest: found, raw, algorithm: Algorithm::Blake3 })
+    }
+
+    /// The manifest of weights whose chunks are listed by their SHA-256.
+    #[must_use]
+    pub fn listed(chunk_size: Bytes, chunks: Vec<Digest>) -> Self {
+        let size = Bytes::new(chunk_size.as_u64().saturating_mul(chunks.len() as u64));
+        let mut hasher = Hasher::new(Algorithm::Sha256);
+        chunks.iter().for_each(|chunk| hasher.add_hash(chunk));
+        let raw = control::Manifest { size, chunk_size, chunks, whole: hasher.finish() };
+        Self { digest: digest(&raw), raw, algorithm: Algorithm::Sha256 }
+    }
+
+    /// How chunks are hashed.
+    #[must_use]
+    pub fn algorithm(&self) -> Algorithm {
+        self.algorithm
     }
 
     /// The digest that names the version.
@@ -129,19 +167,37 @@
     Digest::of(&bytes)
 }
 
-/// Hashes weights piece by piece.
-#[derive(Debug, Default)]
-pub struct Hasher(blake3::Hasher);
+/// Hashes weights chunk by chunk.
+#[derive(Debug)]
+pub struct Hasher {
+    algorithm: Algorithm,
+    state: blake3::Hasher,
+}
 
 impl Hasher {
-    /// Takes in the next piece.
-    pub fn add(&mut self, bytes: &[u8]) {
-        self.0.update(bytes);
+    /// Hashes as a manifest's whole is hashed.
+    #[must_use]
+    pub fn new(algorithm: Algorithm) -> Self {
+        Self { algorithm, state: blake3::Hasher::new() }
+    }
+
+    /// Takes in the next chunk.
+    pub fn add(&mut self, chunk: &[u8]) {
+        match self.algorithm {
+            Algorithm::Blake3 => {
+                self.state.update(chunk);
+            }
+            Algorithm::Sha256 => self.add_hash(&self.algorithm.chunk(chunk)),
+        }
+    }
+
+    fn add_hash(&mut self, chunk: &Digest) {
+        self.state.update(chunk.as_bytes());
     }
 
-    /// The digest of all pieces together.
+    /// The digest of all chunks together.
     #[must_use]
     pub fn finish(&self) -> Digest {
-        Digest::new(*self.0.finalize().as_bytes())
+        Digest::new(*self.state.finalize().as_bytes())
     }
 }
--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -337,7 +337,9 @@
         if !self.origin_is_open(now) {
             return None;
         }
-        let own = |chunk: &usize| self.state.roles[*chunk].draws;
+        // Whoever joins late finds chunks nearby that were drawn long ago.
+        let near = |chunk: &usize| self.holders(*chunk, now).next().is_some();
+        let own = |chunk: &usize| self.state.roles[*chunk].draws && !near(chunk);
         self.missing().find(own).map(|chunk| (chunk, Source::Origin))
     }
 
--- a/src/cinderspoke/platform/http.rs
+++ b/crates/ports/src/http.rs
@@ -29,8 +29,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Error, Expect, Listed, Listing, LiveList, Object, ObjectStore, Origin, WeightStore};
-use crate::util::http::{self as client, Call, Client};
-use crate::util::metrics::PLATFORM;
+use crate::client::{self, Call, Client};
+
+/// Calls to the platform, by kind and result.
+pub const PLATFORM: &str = "cinderspoke_platform_calls_total";
 
 /// How much longer than a watch waits its answer may take.
 const WATCH_MARGIN: Duration = Duration::from_secs(5);
--- a/src/cinderspoke/platform/mod.rs
+++ b/crates/ports/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! Another published format for one of these costs one new adapter.
 
+pub mod client;
+pub mod gateway;
 pub mod http;
 
 use std::ops::Range;
--- a/crates/schema/src/text.rs
+++ b/crates/schema/src/text.rs
@@ -24,6 +24,12 @@
     of_definition(SETTINGS, "Agent")
 }
 
+/// The schema of the settings of a process on a platform that keeps the configuration.
+#[must_use]
+pub fn node_settings() -> Value {
+    of_definition(SETTINGS, "Node")
+}
+
 fn of_definition(schema: &str, definition: &str) -> Value {
     let mut definitions = definitions_of(NAMES);
     merge(&mut definitions, definitions_of(schema));
--- a/crates/test-support/src/fleet/machine.rs
+++ b/crates/test-support/src/fleet/machine.rs
@@ -6,7 +6,7 @@
 use cinderspoke::agent::{self, Agent};
 use cinderspoke::endpoint::http::Endpoint;
 use cinderspoke::entry::{self, Entry};
-use cinderspoke::platform::http::{Platform as PlatformClient, Weights as WeightsClient};
+use cinderspoke::ports::http::{Platform as PlatformClient, Weights as WeightsClient};
 use cinderspoke_core::transfer::Policy;
 use cinderspoke_schema::control::Phase;
 use cinderspoke_schema::settings;
--- a/src/bin/agent/main.rs
+++ b/src/bin/agent/main.rs
@@ -3,15 +3,18 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use cinderspoke::agent::{Agent, Endpoint, Parts};
 use cinderspoke::endpoint::http::Endpoint as HttpEndpoint;
-use cinderspoke::platform::http::Weights;
+use cinderspoke::ports::http::Weights;
+use cinderspoke::stager::{self, Stager};
 use cinderspoke::util::http::Client;
-use cinderspoke::util::program::{Threads, cli, exit, settings_path};
+use cinderspoke::util::program::{Threads, cli, exit, run_alone, runs_on_platform, settings_path};
 use cinderspoke::util::{log, metrics, settings, stop};
 use cinderspoke_core::transfer::Policy;
-use cinderspoke_schema::settings::{Agent as Settings, EndpointKind};
+use cinderspoke_platform::engine::LocalEngine;
+use cinderspoke_platform::origin::RemoteOrigin;
+use cinderspoke_schema::settings::{Agent as Settings, EndpointKind, Node};
 use cinderspoke_schema::text;
 
 fn main() -> ExitCode {
@@ -20,6 +23,37 @@
 }
 
 fn run(matches: &clap::ArgMatches) -> Result<()> {
+    if runs_on_platform(matches) { on_platform(matches) } else { on_own(matches) }
+}
+
+/// Runs beside a model engine of a platform that names the versions.
+fn on_platform(matches: &clap::ArgMatches) -> Result<()> {
+    let settings: Node = settings::open(&settings_path(matches), &text::node_settings())?;
+    if matches.get_flag("check") {
+        return Ok(());
+    }
+    run_alone(async {
+        let _log = log::open_bounded(&settings.log)?;
+        let client = Client::new();
+        let beside = settings.beside.as_ref().context("the settings name no engine beside")?;
+        let to_origin = client.clone();
+        let parts = stager::Parts {
+            engine: Arc::new(LocalEngine::new(client.clone(), beside.address)),
+            open_origin: Arc::new(move |address| {
+                Arc::new(RemoteOrigin::new(to_origin.clone(), address))
+            }),
+            client,
+            metrics: Some(metrics::open()?),
+        };
+        let stager = Stager::bind(&settings, parts).await?;
+        stop::requested().await?;
+        stager.stop();
+        Ok(())
+    })
+}
+
+/// Runs with orders from entry instances.
+fn on_own(matches: &clap::ArgMatches) -> Result<()> {
     let settings: Settings = settings::open(&settings_path(matches), &text::agent_settings())?;
     if matches.get_flag("check") {
         return Ok(());
--- a/src/bin/entry/main.rs
+++ b/src/bin/entry/main.rs
@@ -5,11 +5,14 @@
 
 use anyhow::Result;
 use cinderspoke::entry::{Entry, Parts};
-use cinderspoke::platform::http::Platform;
+use cinderspoke::gateway::{self, Gateway};
+use cinderspoke::ports::http::Platform;
 use cinderspoke::util::http::Client;
-use cinderspoke::util::program::{Threads, cli, exit, settings_path};
+use cinderspoke::util::program::{Threads, cli, exit, run_alone, runs_on_platform, settings_path};
 use cinderspoke::util::{log, metrics, settings, stop};
-use cinderspoke_schema::settings::Entry as Settings;
+use cinderspoke_platform::dialect::Headers;
+use cinderspoke_platform::store::Store;
+use cinderspoke_schema::settings::{Entry as Settings, Node};
 use cinderspoke_schema::text;
 
 fn main() -> ExitCode {
@@ -18,6 +21,33 @@
 }
 
 fn run(matches: &clap::ArgMatches) -> Result<()> {
+    if runs_on_platform(matches) { on_platform(matches) } else { on_own(matches) }
+}
+
+/// Runs behind a platform that keeps configuration, versions and endpoints.
+fn on_platform(matches: &clap::ArgMatches) -> Result<()> {
+    let settings: Node = settings::open(&settings_path(matches), &text::node_settings())?;
+    if matches.get_flag("check") {
+        return Ok(());
+    }
+    run_alone(async {
+        let _log = log::open_bounded(&settings.log)?;
+        let client = Client::new();
+        let parts = gateway::Parts {
+            registry: Arc::new(Store::new(client.clone(), settings.store)),
+            dialect: Arc::new(Headers),
+            client,
+            metrics: Some(metrics::open()?),
+        };
+        let gateway = Gateway::bind(&settings, parts).await?;
+        stop::requested().await?;
+        gateway.stop().await;
+        Ok(())
+    })
+}
+
+/// Runs with a configuration of its own behind the object API.
+fn on_own(matches: &clap::ArgMatches) -> Result<()> {
     let settings: Settings = settings::open(&settings_path(matches), &text::entry_settings())?;
     if matches.get_flag("check") {
         return Ok(());
--- a/src/cinderspoke/agent/control.rs
+++ b/src/cinderspoke/agent/control.rs
@@ -21,6 +21,7 @@
 use super::transfer::{self, Members};
 use super::{Endpoint, Shared};
 use crate::endpoint::{Error, LoadOrder};
+use crate::ports::WeightStore;
 use crate::util::{rpc, stop};
 
 /// How many messages may wait for the control task.
@@ -58,6 +59,8 @@
     pub shared: Arc<Shared>,
     /// What transfers need.
     pub transfers: Arc<transfer::Context>,
+    /// Where manifests come from.
+    pub weight_store: Arc<dyn WeightStore>,
     /// Control addresses of the zone's entry instances.
     pub entries: Vec<std::net::SocketAddr>,
     /// How often to send a heartbeat.
@@ -316,8 +319,9 @@
         let members = self.members_of(self.roster.as_ref().unwrap_or(&empty), manifest);
         let (members, receiver) = watch::channel(members);
         let (context, sender) = (Arc::clone(&self.parts.transfers), self.sender.clone());
+        let store = Arc::clone(&self.parts.weight_store);
         let task = tokio::spawn(async move {
-            let message = match transfer::run(context, manifest, receiver).await {
+            let message = match transfer::run(context, store, manifest, receiver).await {
                 Ok(verified) => Message::Verified(verified.manifest().digest()),
                 Err(error) => {
                     tracing::warn!(error = format!("{error:#}"), "weights were not verified");
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -28,13 +28,12 @@
 use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::runtime;
-use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::endpoint::{Error, ModelEngine, PlainService};
 use crate::entry::{listen, serve};
-use crate::platform::{Origin, WeightStore};
+use crate::ports::{Origin, WeightStore};
 use crate::util::clock::{Clock, incarnation};
 use crate::util::http::Client;
 use crate::util::pace::Pacer;
@@ -80,8 +79,8 @@
     pub serving: Arc<serving::Table>,
     /// What keeps transfers below the link's rate.
     pub pacer: Arc<Pacer>,
-    /// One permit for each chunk that may be given at once.
-    pub uploads: Semaphore,
+    /// What gives chunks to peers.
+    pub giver: Arc<peers::Giver>,
 }
 
 impl Shared {
@@ -124,22 +123,22 @@
     pub fn open(settings: &settings::Agent, parts: Parts) -> Self {
         let tokens = || CancellationToken::new();
         let (leaving, closing, stop) = (tokens(), tokens(), tokens());
-        let shared = Arc::new(Shared {
-            endpoint: parts.endpoint,
-            shelf: Arc::new(shelf::Shelf::new(settings.chunk_memory)),
-            serving: Arc::default(),
-            pacer: Arc::new(Pacer::new(settings.link_rate)),
-            uploads: Semaphore::new(settings.uploads.get() as usize),
-        });
+        let shelf = Arc::new(shelf::Shelf::new(settings.chunk_memory));
+        let pacer = Arc::new(Pacer::new(settings.link_rate));
+        let uploads = settings.uploads.get() as usize;
+        let giver = Arc::new(peers::Giver::new(Arc::clone(&shelf), Arc::clone(&pacer), uploads));
+        let endpoint = parts.endpoint;
+        let serving = Arc::default();
+        let shared = Arc::new(Shared { endpoint, shelf, serving, pacer, giver });
         let transfers = Arc::new(transfer::Context {
             shelf: Arc::clone(&shared.shelf),
-            weight_store: parts.weight_store,
             origin: parts.origin,
             client: parts.client,
             pacer: Arc::clone(&shared.pacer),
             policy: parts.policy,
             link_rate: settings.link_rate,
             limit: settings.downloads.get() as usize,
+            introduction: Duration::ZERO,
             clock: Clock::start(),
         });
         let heartbeat = Duration::from_millis(settings.heartbeat_ms);
@@ -149,6 +148,7 @@
                 identity: identity(settings),
                 shared: Arc::clone(&shared),
                 transfers,
+                weight_store: parts.weight_store,
                 entries: settings.entries.clone(),
                 heartbeat,
                 leaving: leaving.clone(),
@@ -236,13 +236,13 @@
 }
 
 fn app(shared: Arc<Shared>) -> Router {
+    let peers = peers::app(Arc::clone(&shared.giver));
     Router::new()
-        .route("/v1/chunks/{digest}", get(peers::chunk))
-        .route("/v1/holdings/{manifest}", get(peers::holdings))
         .route("/v1/requests/{service}/{*path}", any(requests::answer))
         // The entry instance that passes a request on has limited its size.
         .layer(DefaultBodyLimit::disable())
         .with_state(shared)
+        .merge(peers)
 }
 
 fn admin_app(leaving: CancellationToken, metrics: Option<PrometheusHandle>) -> Router {
--- a/src/cinderspoke/agent/peers.rs
+++ b/src/cinderspoke/agent/peers.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::Json;
 use axum::extract::{Path, Query, State};
+use axum::routing::get;
+use axum::{Json, Router};
 use bytes::Bytes;
 use cinderspoke_schema::control::Holdings;
 use cinderspoke_types::digest::Digest;
@@ -12,14 +13,41 @@
 use http::StatusCode;
 use metrics::counter;
 use serde::Deserialize;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-use super::Shared;
+use super::shelf::Shelf;
 use crate::util::metrics::GIVEN;
+use crate::util::pace::Pacer;
 
 /// The longest that a peer may wait for more chunks.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
+/// What gives chunks to peers.
+#[derive(Debug)]
+pub struct Giver {
+    shelf: Arc<Shelf>,
+    pacer: Arc<Pacer>,
+    // One permit for each chunk that may be given at once.
+    uploads: Semaphore,
+}
+
+impl Giver {
+    /// Gives chunks of a shelf, so many at once.
+    #[must_use]
+    pub fn new(shelf: Arc<Shelf>, pacer: Arc<Pacer>, uploads: usize) -> Self {
+        Self { shelf, pacer, uploads: Semaphore::new(uploads) }
+    }
+}
+
+/// What peers may ask.
+pub fn app(giver: Arc<Giver>) -> Router {
+    Router::new()
+        .route("/v1/chunks/{digest}", get(chunk))
+        .route("/v1/holdings/{manifest}", get(holdings))
+        .with_state(giver)
+}
+
 /// How long a peer waits for a chunk that is not held yet.
 #[derive(Debug, Deserialize)]
 pub struct Patience {
@@ -28,26 +56,25 @@
 
 /// Gives a chunk; 503 says that others are being given at the moment.
 pub async fn chunk(
-    State(shared): State<Arc<Shared>>,
+    State(giver): State<Arc<Giver>>,
     Path(digest): Path<Digest>,
     Query(patience): Query<Patience>,
 ) -> Result<Bytes, StatusCode> {
     if let Some(wait) = patience.wait_ms {
         let wait = Duration::from_millis(wait).min(MAX_WAIT);
         // When the wait is over, the chunk is not found below.
-        let _ = timeout(wait, shared.shelf.wait_for(digest)).await;
-        let _upload =
-            shared.uploads.acquire().await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-        return give(&shared, digest).await;
+        let _ = timeout(wait, giver.shelf.wait_for(digest)).await;
+        let _upload = giver.uploads.acquire().await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+        return give(&giver, digest).await;
     }
-    let _upload = shared.uploads.try_acquire().map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    give(&shared, digest).await
+    let _upload = giver.uploads.try_acquire().map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    give(&giver, digest).await
 }
 
-async fn give(shared: &Shared, digest: Digest) -> Result<Bytes, StatusCode> {
-    let bytes = shared.shelf.give(digest).ok_or(StatusCode::NOT_FOUND)?;
+async fn give(giver: &Giver, digest: Digest) -> Result<Bytes, StatusCode> {
+    let bytes = giver.shelf.give(digest).ok_or(StatusCode::NOT_FOUND)?;
     let length = bytes.len() as u64;
-    shared.pacer.carry(size::Bytes::new(length)).await;
+    giver.pacer.carry(size::Bytes::new(length)).await;
     counter!(GIVEN).increment(length);
     Ok(bytes)
 }
@@ -61,17 +88,17 @@
 
 /// Tells which chunks of a version are held, as soon as there are newer ones.
 pub async fn holdings(
-    State(shared): State<Arc<Shared>>,
+    State(giver): State<Arc<Giver>>,
     Path(manifest): Path<Digest>,
     Query(known): Query<Known>,
 ) -> Result<Json<Holdings>, StatusCode> {
-    let (holdings, mut revision) = shared.shelf.holdings(manifest).ok_or(StatusCode::NOT_FOUND)?;
+    let (holdings, mut revision) = giver.shelf.holdings(manifest).ok_or(StatusCode::NOT_FOUND)?;
     if holdings.revision != known.after {
         return Ok(Json(holdings));
     }
     let wait = Duration::from_millis(known.wait_ms).min(MAX_WAIT);
     // Whether it changed or the wait is over, the newest holdings are told.
     let _ = timeout(wait, revision.changed()).await;
-    let (holdings, _) = shared.shelf.holdings(manifest).ok_or(StatusCode::NOT_FOUND)?;
+    let (holdings, _) = giver.shelf.holdings(manifest).ok_or(StatusCode::NOT_FOUND)?;
     Ok(Json(holdings))
 }
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -8,7 +8,7 @@
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
 use cinderspoke_core::bitmap::Bitmap;
-use cinderspoke_core::manifest::{Hasher, Manifest};
+use cinderspoke_core::manifest::{Algorithm, Hasher, Manifest};
 use cinderspoke_core::swarm::Swarm;
 use cinderspoke_core::transfer::{
     Arrival, Fetching, Limits, Policy, Source, Step, Transfer, Verified,
@@ -24,7 +24,7 @@
 use tokio::time::{interval, sleep};
 
 use super::shelf::Shelf;
-use crate::platform::{Error, Origin, WeightStore};
+use crate::ports::{Error, Origin, WeightStore};
 use crate::util::clock::Clock;
 use crate::util::http::{Call, Client};
 use crate::util::metrics::{CORRUPT, DRAWN};
@@ -64,8 +64,6 @@
 pub struct Context {
     /// Where chunks are kept.
     pub shelf: Arc<Shelf>,
-    /// Where manifests come from.
-    pub weight_store: Arc<dyn WeightStore>,
     /// Where chunks come from at first.
     pub origin: Arc<dyn Origin>,
     /// How peers are reached.
@@ -78,6 +76,8 @@
     pub link_rate: Option<ByteRate>,
     /// The most chunks drawn at once.
     pub limit: usize,
+    /// How long neighbours have to say what they hold before anything is drawn.
+    pub introduction: Duration,
     /// The agent's clock.
     pub clock: Clock,
 }
@@ -108,10 +108,25 @@
 /// When every chunk is right but the whole is not.
 pub async fn run(
     context: Arc<Context>,
+    store: Arc<dyn WeightStore>,
     manifest: Digest,
+    members: watch::Receiver<Members>,
+) -> Result<Transfer<Verified>> {
+    let manifest = read_manifest(store.as_ref(), manifest).await;
+    collect(context, manifest, members).await
+}
+
+/// Draws the weights of a manifest whole and verifies them, as [`run`] does.
+///
+/// # Errors
+///
+/// As [`run`].
+pub async fn collect(
+    context: Arc<Context>,
+    manifest: Manifest,
     mut members: watch::Receiver<Members>,
 ) -> Result<Transfer<Verified>> {
-    let manifest = read_manifest(context.weight_store.as_ref(), manifest).await;
+    let algorithm = manifest.algorithm();
     let swarm = members.borrow_and_update().swarm(manifest.digest());
     let held = context.shelf.open(&manifest);
     let now = context.clock.now();
@@ -122,7 +137,7 @@
     draw(&context, &mut transfer, members).await;
     let manifest = transfer.manifest().digest();
     let chunks = context.shelf.whole(manifest).context("chunks were dropped before loading")?;
-    let whole = digest_of(&chunks).await;
+    let whole = digest_of(algorithm, &chunks).await;
     Ok(transfer.verify(whole)?)
 }
 
@@ -153,8 +168,8 @@
 }
 
 /// Hashes the whole, and lets other tasks run between chunks.
-async fn digest_of(chunks: &[Bytes]) -> Digest {
-    let mut hasher = Hasher::default();
+async fn digest_of(algorithm: Algorithm, chunks: &[Bytes]) -> Digest {
+    let mut hasher = Hasher::new(algorithm);
     for chunk in chunks {
         hasher.add(chunk);
         tokio::task::yield_now().await;
@@ -180,6 +195,7 @@
     let mut followers =
         Followers { context: Arc::clone(context), sender, running: BTreeMap::new() };
     followers.follow(transfer);
+    introduce(context, transfer, &mut holdings).await;
     loop {
         loop {
             match transfer.step(context.clock.now()) {
@@ -208,6 +224,23 @@
     }
 }
 
+/// Lets neighbours say what they hold, so that nothing is drawn from afar that is near.
+async fn introduce(
+    context: &Context,
+    transfer: &mut Transfer<Fetching>,
+    holdings: &mut mpsc::Receiver<(Instance, Bitmap, u64)>,
+) {
+    let neighbours = transfer.neighbours().len();
+    let heard = async {
+        for _ in 0..neighbours {
+            let Some((peer, held, given)) = holdings.recv().await else { return };
+            transfer.peer_holds(&peer, &held, given);
+        }
+    };
+    // Those that say nothing in time are heard later.
+    let _ = tokio::time::timeout(context.introduction, heard).await;
+}
+
 /// Takes in a chunk that came, or that it did not.
 fn take(context: &Context, transfer: &mut Transfer<Fetching>, drawn: Drawn) {
     let Drawn { chunk, source, result } = drawn;
@@ -244,6 +277,7 @@
 ) -> impl Future<Output = Drawn> + use<> {
     let manifest = transfer.manifest();
     let (digest, range, whole) = (manifest.chunk(chunk), manifest.range(chunk), manifest.digest());
+    let algorithm = manifest.algorithm();
     let mut peers = transfer.swarm().peers();
     let address = match &source {
         Source::Origin => None,
@@ -270,7 +304,7 @@
                 }
             }
         };
-        let result = bytes.await.map(|bytes| (Digest::of(&bytes), bytes));
+        let result = bytes.await.map(|bytes| (algorithm.chunk(&bytes), bytes));
         Drawn { chunk, source, result }
     }
 }
--- a/src/cinderspoke/entry/admin.rs
+++ b/src/cinderspoke/entry/admin.rs
@@ -28,7 +28,7 @@
 use super::apply::{self, Refusal};
 use super::control::Handle;
 use super::status;
-use crate::platform::ObjectStore;
+use crate::ports::ObjectStore;
 
 /// The largest set of files, in bytes.
 const MAX_FILES: usize = 64 << 20;
--- a/src/cinderspoke/entry/apply.rs
+++ b/src/cinderspoke/entry/apply.rs
@@ -10,7 +10,7 @@
 use cinderspoke_types::counter::Generation;
 use displaydoc::Display;
 
-use crate::platform::{Error, ObjectStore};
+use crate::ports::{Error, ObjectStore};
 use crate::util::clock::unix_ms;
 
 /// How often a write whose answer was lost is looked into.
--- a/src/cinderspoke/entry/callers/mod.rs
+++ b/src/cinderspoke/entry/callers/mod.rs
@@ -30,7 +30,7 @@
 use super::control::Handle;
 use super::once::{Attempt, Verdict};
 use super::view::{Route, View};
-use crate::platform::ObjectStore;
+use crate::ports::ObjectStore;
 use crate::util::clock::{Clock, incarnation};
 use crate::util::http::Client;
 use crate::util::metrics::{FIRST_BYTE, REQUESTS};
--- a/src/cinderspoke/entry/control.rs
+++ b/src/cinderspoke/entry/control.rs
@@ -20,7 +20,7 @@
 
 use super::once;
 use super::view::{InFlight, Place, View};
-use crate::platform::{Error, LiveList, ObjectStore};
+use crate::ports::{Error, LiveList, ObjectStore};
 use crate::util::clock::Clock;
 use crate::util::http::Client;
 use crate::util::metrics::GENERATION;
--- a/src/cinderspoke/entry/mod.rs
+++ b/src/cinderspoke/entry/mod.rs
@@ -28,7 +28,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::platform::{LiveList, ObjectStore};
+use crate::ports::{LiveList, ObjectStore};
 use crate::util::http::Client;
 
 /// How long an entry instance that stops still takes new requests, so that
--- a/src/cinderspoke/entry/once.rs
+++ b/src/cinderspoke/entry/once.rs
@@ -12,7 +12,7 @@
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::id::{Instance, Service, Team};
 
-use crate::platform::{Error, Expect, ObjectStore};
+use crate::ports::{Error, Expect, ObjectStore};
 use crate::util::clock::unix_ms;
 
 /// How often a claim whose reply was lost is looked into.
--- /dev/null
+++ b/src/cinderspoke/gateway/follow.rs
@@ -0,0 +1,224 @@
+//! Learning from the platform's store, one task for each kind of fact.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_ports::Error;
+use cinderspoke_ports::gateway::{Registry, Seen};
+use cinderspoke_schema::settings;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::knowledge::Knowledge;
+use crate::util::settings::inner_address;
+use crate::util::stop;
+
+/// How long a watch waits; each one is paid for, so they are long.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// How long to stay away after a failure, at first.
+const FIRST_BACKOFF: Duration = Duration::from_millis(120);
+
+/// How long to stay away after a failure, at most: news must not come late once
+/// the platform is back.
+const LAST_BACKOFF: Duration = Duration::from_millis(900);
+
+/// How many failures in a row mean that the platform was away.
+const AWAY: u32 = 2;
+
+/// How a kind of fact is read.
+#[async_trait]
+trait Source: Send + Sync {
+    /// Its name, for logs.
+    fn name(&self) -> &'static str;
+
+    /// Reads all of it; gives the revision from which to watch.
+    async fn read(&self) -> Result<Revision, Error>;
+
+    /// Waits for news after a revision; none when it has to be read anew.
+    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error>;
+}
+
+struct Shared {
+    knowledge: Arc<Knowledge>,
+    registry: Arc<dyn Registry>,
+}
+
+struct Configuration(Shared);
+struct Versions(Shared);
+struct Endpoints(Shared);
+
+const STORE: &str = "store";
+
+impl Configuration {
+    fn take(&self, fact: Fact<Option<cinderspoke_core::gateway::catalog::Declared>>) -> Revision {
+        let Fact { revision, value } = fact;
+        if let Some(declared) = value {
+            self.0.knowledge.configured(Fact::new(revision, declared), STORE);
+        }
+        revision
+    }
+}
+
+#[async_trait]
+impl Source for Configuration {
+    fn name(&self) -> &'static str {
+        "configuration"
+    }
+
+    async fn read(&self) -> Result<Revision, Error> {
+        Ok(self.take(self.0.registry.configuration().await?))
+    }
+
+    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
+        Ok(match self.0.registry.watch_configuration(after, WAIT).await? {
+            Seen::News(fact) => Some(self.take(fact)),
+            Seen::Forgotten => None,
+        })
+    }
+}
+
+#[async_trait]
+impl Source for Versions {
+    fn name(&self) -> &'static str {
+        "versions"
+    }
+
+    async fn read(&self) -> Result<Revision, Error> {
+        let fact = self.0.registry.rollout().await?;
+        let revision = fact.revision;
+        self.0.knowledge.named(fact, STORE);
+        Ok(revision)
+    }
+
+    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
+        Ok(match self.0.registry.watch_rollout(after, WAIT).await? {
+            Seen::News(fact) => {
+                let revision = fact.revision;
+                self.0.knowledge.named(fact, STORE);
+                Some(revision)
+            }
+            Seen::Forgotten => None,
+        })
+    }
+}
+
+#[async_trait]
+impl Source for Endpoints {
+    fn name(&self) -> &'static str {
+        "endpoints"
+    }
+
+    async fn read(&self) -> Result<Revision, Error> {
+        let fact = self.0.registry.endpoints().await?;
+        let revision = fact.revision;
+        self.0.knowledge.listed(fact, STORE);
+        Ok(revision)
+    }
+
+    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
+        Ok(match self.0.registry.watch_endpoints(after, WAIT).await? {
+            Seen::News(fact) => {
+                let revision = fact.revision;
+                self.0.knowledge.changed(fact, STORE);
+                Some(revision)
+            }
+            Seen::Forgotten => None,
+        })
+    }
+}
+
+/// Starts the tasks that follow the store.
+pub fn spawn(
+    knowledge: &Arc<Knowledge>,
+    registry: &Arc<dyn Registry>,
+    settings: &settings::Node,
+    token: CancellationToken,
+) {
+    let shared = || Shared { knowledge: Arc::clone(knowledge), registry: Arc::clone(registry) };
+    let sources: [Box<dyn Source>; 3] = [
+        Box::new(Configuration(shared())),
+        Box::new(Versions(shared())),
+        Box::new(Endpoints(shared())),
+    ];
+    for source in sources {
+        let knowledge = Arc::clone(knowledge);
+        tokio::spawn(stop::until(token.clone(), follow(source, knowledge)));
+    }
+    let own = inner_address(settings);
+    let meet = meet(shared(), settings.instance.to_string(), own);
+    tokio::spawn(stop::until(token, meet));
+}
+
+/// Reads a kind of fact and then watches it, whatever fails.
+async fn follow(source: Box<dyn Source>, knowledge: Arc<Knowledge>) {
+    let mut revision = None;
+    let mut failures = 0_u32;
+    loop {
+        let result = match revision {
+            None => source.read().await.map(Some),
+            Some(after) => source.watch(after).await,
+        };
+        match result {
+            Ok(next) => {
+                if failures >= AWAY {
+                    tracing::info!(kind = source.name(), failures, "store answers again");
+                    knowledge.platform_returned();
+                    settle_later(&knowledge);
+                }
+                failures = 0;
+                revision = next;
+            }
+            Err(error) => {
+                failures += 1;
+                if failures == AWAY {
+                    tracing::warn!(kind = source.name(), %error, "store lost");
+                }
+                sleep(backoff(&error, failures)).await;
+            }
+        }
+    }
+}
+
+/// Gives up entries that lapsed during an outage once they had time to be back.
+fn settle_later(knowledge: &Arc<Knowledge>) {
+    let knowledge = Arc::clone(knowledge);
+    tokio::spawn(async move {
+        sleep(cinderspoke_core::gateway::directory::SETTLE).await;
+        knowledge.settle();
+    });
+}
+
+fn backoff(error: &Error, failures: u32) -> Duration {
+    let wait = FIRST_BACKOFF.saturating_mul(1 << failures.min(4)).min(LAST_BACKOFF);
+    let wait = match error {
+        Error::Limited(limited) => wait.max(*limited),
+        _ => wait,
+    };
+    wait.mul_f64(rand::random_range(0.7..1.3))
+}
+
+/// Tells the store that this gateway is there, and learns of the others once.
+async fn meet(shared: Shared, name: String, own: std::net::SocketAddr) {
+    let mut failures = 0;
+    loop {
+        let met = async {
+            shared.registry.announce(&name, own).await?;
+            shared.registry.gateways().await
+        };
+        match met.await {
+            Ok(gateways) => {
+                let others = gateways.into_iter().filter(|gateway| *gateway != own);
+                others.for_each(|gateway| shared.knowledge.met(gateway, false));
+                return;
+            }
+            Err(error) => {
+                failures += 1;
+                tracing::debug!(%error, "the store does not know of this gateway yet");
+                sleep(backoff(&error, failures)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cinderspoke/gateway/mod.rs
@@ -0,0 +1,132 @@
+//! The program on an entry instance of a platform that keeps configuration,
+//! versions and the list of endpoints.
+//!
+//! - [`knowledge`] holds what is known; [`follow`] learns it from the platform,
+//!   [`relay`] from other gateways, and tells them.
+//! - [`serve`] takes callers' requests, [`forward`] brings them to endpoints
+//!   over the connections of a [`pool`], [`answer`] passes streams back.
+
+pub mod answer;
+pub mod follow;
+pub mod forward;
+pub mod knowledge;
+pub mod pool;
+pub mod record;
+pub mod relay;
+pub mod serve;
+pub mod target;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use cinderspoke_ports::gateway::{Dialect, Registry};
+use cinderspoke_schema::settings;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_util::sync::CancellationToken;
+
+use self::knowledge::{Knowledge, Terms};
+use crate::util::clock::Clock;
+use crate::util::http::Client;
+use crate::util::settings::inner_address;
+
+/// How long after it says that it is not ready a gateway still gets new
+/// connections: the balancer asks each second and believes the second answer.
+const UNNOTICED: Duration = Duration::from_millis(2600);
+
+/// How long a gateway that stops waits for requests after its last connection closed.
+const QUIET: Duration = Duration::from_millis(400);
+
+/// What is left of the time to stop when the process ends by itself.
+const MARGIN: Duration = Duration::from_millis(300);
+
+/// How often a gateway that stops looks whether requests are in progress.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What a gateway is made of besides its settings.
+pub struct Parts {
+    /// The platform's store.
+    pub registry: Arc<dyn Registry>,
+    /// How requests are spelled.
+    pub dialect: Arc<dyn Dialect>,
+    /// How other processes of the system are reached.
+    pub client: Client,
+    /// Where the process's metrics are collected, if they are.
+    pub metrics: Option<PrometheusHandle>,
+}
+
+/// A running gateway; dropping it ends its tasks.
+pub struct Gateway {
+    context: Arc<forward::Context>,
+    stop: CancellationToken,
+    grace: Duration,
+}
+
+impl Gateway {
+    /// Starts a gateway and listens on the addresses of its settings.
+    ///
+    /// # Errors
+    ///
+    /// When it is no gateway by its settings, or cannot listen to an address.
+    pub async fn bind(settings: &settings::Node, parts: Parts) -> Result<Self> {
+        let listen = settings.listen.as_ref().context("the settings name no place to listen")?;
+        let clock = Clock::start();
+        let terms = Terms::new(settings);
+        let knowledge = Arc::new(Knowledge::new(settings, terms, clock));
+        let stop = CancellationToken::new();
+        let context = Arc::new(forward::Context::new(Arc::clone(&knowledge), parts.dialect, clock));
+        let callers = open(listen.callers).await?;
+        let ready = open(listen.ready).await?;
+        let control = open(listen.control).await?;
+        let inner = open(inner_address(settings)).await?;
+        let socket = UdpSocket::bind(inner_address(settings)).await;
+        let socket = socket.context("binding the port for datagrams")?;
+        tokio::spawn(serve::callers(callers, Arc::clone(&context), stop.clone()));
+        for listener in [ready, control] {
+            let app = serve::admin(Arc::clone(&context), parts.metrics.clone());
+            tokio::spawn(serve::router(listener, app, stop.clone()));
+        }
+        let relay = relay::Relay::new(settings, Arc::clone(&knowledge), parts.client, socket);
+        let relay = Arc::new(relay);
+        tokio::spawn(serve::router(inner, relay.app(), stop.clone()));
+        relay.spawn(stop.clone());
+        follow::spawn(&knowledge, &parts.registry, settings, stop.clone());
+        tracing::info!(instance = %*settings.instance, callers = %listen.callers, "gateway started");
+        Ok(Self { context, stop, grace: Duration::from_secs_f64(settings.bounds.grace_s) })
+    }
+
+    /// Stops in order: no request in progress is cut off.
+    pub async fn stop(self) {
+        let began = Instant::now();
+        let end = began + self.grace.saturating_sub(MARGIN);
+        tracing::info!(in_progress = self.context.in_progress(), "stopping");
+        self.context.leave();
+        sleep(UNNOTICED.min(self.grace / 2)).await;
+        self.context.close_connections();
+        let quiet = async {
+            sleep(QUIET).await;
+            while self.context.in_progress() > 0 {
+                sleep(LOOK).await;
+            }
+        };
+        tokio::select! {
+            () = quiet => {}
+            () = sleep_until(end) => {}
+        }
+        let in_progress = self.context.in_progress();
+        let took_ms = began.elapsed().as_millis() as u64;
+        tracing::info!(in_progress, took_ms, "stopped");
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn open(address: std::net::SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.with_context(|| format!("listening to {address}"))
+}
--- /dev/null
+++ b/src/cinderspoke/gateway/pool.rs
@@ -0,0 +1,113 @@
+//! Connections to one endpoint, each for one request at a time.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+/// How long connecting may take: some round trips on a link that is not harmed.
+const CONNECT: Duration = Duration::from_millis(400);
+
+/// After how long without an acknowledgement a connection is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2000);
+
+/// How long a connection may rest when the endpoint does not say.
+const REST: Duration = Duration::from_secs(4);
+
+/// The part of the time that an endpoint gives after which a connection is not
+/// used again: a request and the endpoint's close must not cross.
+const REST_PART: f64 = 0.6;
+
+/// The most connections that rest.
+const MOST_RESTING: usize = 32;
+
+/// A connection that can carry a request.
+pub type Connection = SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+struct Resting {
+    connection: Connection,
+    until: Instant,
+}
+
+/// The connections to an endpoint.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    resting: Mutex<Vec<Resting>>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, resting: Mutex::default() }
+    }
+
+    /// Where the endpoint answers.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Resting>> {
+        self.resting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A connection that rested, the newest first, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// When the endpoint cannot be reached; nothing was sent then.
+    pub async fn take(&self) -> Result<Connection> {
+        if let Some(connection) = self.rested() {
+            return Ok(connection);
+        }
+        let connected = timeout(CONNECT, connect(self.address)).await;
+        connected.context("connecting took too long")?
+    }
+
+    fn rested(&self) -> Option<Connection> {
+        let now = Instant::now();
+        let mut resting = self.lock();
+        resting.retain(|resting| now < resting.until && !resting.connection.is_closed());
+        let ready = resting.iter().rposition(|resting| resting.connection.is_ready())?;
+        Some(resting.remove(ready).connection)
+    }
+
+    /// Keeps a connection whose request and answer have both ended.
+    pub fn keep(&self, connection: Connection, rest: Option<Duration>) {
+        let rest = rest.map_or(REST, |rest| rest.mul_f64(REST_PART).min(REST));
+        let mut resting = self.lock();
+        if resting.len() < MOST_RESTING && !connection.is_closed() {
+            resting.push(Resting { connection, until: Instant::now() + rest });
+        }
+    }
+
+    /// Closes all connections that rest.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Connection> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(async move {
+        // Whoever uses the connection learns of its end by its own request.
+        if let Err(error) = connection.await {
+            tracing::debug!(%address, %error, "connection to an endpoint ended");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/src/cinderspoke/gateway/record.rs
@@ -0,0 +1,175 @@
+//! What is logged and counted of one request.
+
+use std::time::Duration;
+
+use cinderspoke_core::gateway::attempt::Fate;
+use cinderspoke_core::gateway::name::{Endpoint, Request};
+use http::StatusCode;
+use metrics::{counter, histogram};
+use tokio::time::Instant;
+
+use super::forward::InProgress;
+use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, REQUESTS};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// Its caller left, or the process ended, before anything else.
+    Left,
+    /// An endpoint's answer was passed on whole.
+    Answered,
+    /// An endpoint's answer broke off on the way to the caller.
+    Broken,
+    /// We answered ourselves.
+    Refused,
+}
+
+impl Outcome {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Left => "left",
+            Self::Answered => "answered",
+            Self::Broken => "broken",
+            Self::Refused => "refused",
+        }
+    }
+}
+
+/// One request's record; it is logged when it is dropped.
+pub struct Record {
+    id: Request,
+    arrived: Instant,
+    /// The version of the configuration that decided.
+    pub version: u64,
+    /// The name of its route.
+    pub route: String,
+    /// Whether its caller was refused before.
+    pub returning: bool,
+    endpoint: Option<Endpoint>,
+    predicted: Option<Duration>,
+    candidates: usize,
+    sends: u32,
+    resumes: u32,
+    first: Option<Duration>,
+    status: Option<StatusCode>,
+    why: &'static str,
+    outcome: Outcome,
+    _in_progress: InProgress,
+}
+
+impl Record {
+    /// A record of a request that has just arrived.
+    #[must_use]
+    pub fn new(id: Request, arrived: Instant, in_progress: InProgress) -> Self {
+        Self {
+            id,
+            arrived,
+            version: 0,
+            route: String::new(),
+            returning: false,
+            endpoint: None,
+            predicted: None,
+            candidates: 0,
+            sends: 0,
+            resumes: 0,
+            first: None,
+            status: None,
+            why: "",
+            outcome: Outcome::Left,
+            _in_progress: in_progress,
+        }
+    }
+
+    /// Takes in that an endpoint was chosen.
+    pub fn chose(&mut self, endpoint: &Endpoint, first: Duration, candidates: usize) {
+        self.endpoint = Some(endpoint.clone());
+        self.predicted = Some(first);
+        self.candidates = candidates;
+        self.sends += 1;
+    }
+
+    /// Takes in that no endpoint was chosen.
+    pub fn found_none(&mut self, members: usize, candidates: usize, best: Option<Duration>) {
+        self.candidates = candidates;
+        self.predicted = best;
+        tracing::info!(
+            id = %self.id,
+            members,
+            candidates,
+            best_ms = best.map(|best| best.as_millis() as u64),
+            "no endpoint for a request"
+        );
+    }
+
+    /// Takes in that a send brought no success.
+    pub fn failed_send(&mut self, endpoint: &Endpoint, fate: Fate) {
+        let label = match fate {
+            Fate::NotSent => "not-sent",
+            Fate::Refused => "refused",
+            Fate::Lost => "lost",
+            Fate::Failed => "failed",
+        };
+        counter!(ATTEMPTS, "result" => label).increment(1);
+        let after_ms = self.arrived.elapsed().as_millis() as u64;
+        tracing::info!(id = %self.id, %endpoint, fate = label, after_ms, "a send failed");
+    }
+
+    /// Takes in that the first byte or event of an answer is there.
+    pub fn began(&mut self) {
+        if self.first.is_none() {
+            let first = self.arrived.elapsed();
+            histogram!(FIRST_BYTE).record(first.as_secs_f64());
+            self.first = Some(first);
+        }
+    }
+
+    /// Takes in that a stream goes on at another endpoint.
+    pub fn resumed(&mut self) {
+        self.resumes += 1;
+    }
+
+    /// Takes in that an endpoint's answer was passed on whole.
+    pub fn answered(&mut self, status: StatusCode) {
+        self.began();
+        self.status = Some(status);
+        self.outcome = Outcome::Answered;
+    }
+
+    /// Takes in that a stream broke off.
+    pub fn broken(&mut self, why: &'static str) {
+        self.why = why;
+        self.outcome = Outcome::Broken;
+    }
+
+    /// Takes in that we answered ourselves.
+    pub fn refused(&mut self, status: StatusCode, why: &'static str) {
+        self.status = Some(status);
+        self.why = why;
+        self.outcome = Outcome::Refused;
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let outcome = self.outcome.as_str();
+        counter!(REQUESTS, "outcome" => outcome).increment(1);
+        let ms = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
+        tracing::info!(
+            id = %self.id,
+            outcome,
+            status = self.status.map(|status| status.as_u16()),
+            why = self.why,
+            route = self.route,
+            configuration = self.version,
+            returning = self.returning,
+            endpoint = self.endpoint.as_ref().map(Endpoint::as_str),
+            candidates = self.candidates,
+            predicted_ms = ms(self.predicted),
+            first_ms = ms(self.first),
+            total_ms = self.arrived.elapsed().as_millis() as u64,
+            sends = self.sends,
+            resumes = self.resumes,
+            "request"
+        );
+    }
+}
--- /dev/null
+++ b/src/cinderspoke/gateway/target.rs
@@ -0,0 +1,53 @@
+//! Endpoints as a gateway deals with them.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cinderspoke_core::gateway::directory::Entry;
+use cinderspoke_core::gateway::health::{Health, Sign};
+use cinderspoke_core::gateway::load::Load;
+use cinderspoke_core::gateway::name::Endpoint;
+
+use super::pool::Pool;
+
+/// What changes with each request.
+#[derive(Debug, Default)]
+pub struct Tracking {
+    /// What it is busy with.
+    pub load: Load,
+    /// Whether it answers as it should.
+    pub health: Health,
+    /// Until when it is left alone after it refused a request.
+    pub rests_until: Duration,
+}
+
+/// An endpoint with its connections, kept from one view to the next.
+#[derive(Debug)]
+pub struct Target {
+    /// Its name.
+    pub name: Endpoint,
+    /// Connections to it.
+    pub pool: Pool,
+    tracking: Mutex<Tracking>,
+}
+
+impl Target {
+    /// An endpoint of which nothing is known but its entry.
+    #[must_use]
+    pub fn new(name: Endpoint, entry: &Entry) -> Self {
+        Self { name, pool: Pool::new(entry.address), tracking: Mutex::default() }
+    }
+
+    /// What changes with each request.
+    pub fn tracking(&self) -> MutexGuard<'_, Tracking> {
+        self.tracking.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in how a request ended.
+    pub fn sign(&self, sign: Sign, now: Duration) {
+        if self.tracking().health.record(sign, now) {
+            tracing::info!(endpoint = %self.name, ?sign, "endpoint left out for a while");
+            self.pool.clear();
+        }
+    }
+}
--- a/src/cinderspoke/lib.rs
+++ b/src/cinderspoke/lib.rs
@@ -8,13 +8,18 @@
 //!   operators' changes and relays configuration and membership in its zone.
 //! - [`agent`]: the program beside each endpoint. It collects and gives chunks
 //!   of weights, gives its endpoint orders and passes requests on.
+//! - [`gateway`] and [`stager`]: the same two programs on a platform that keeps
+//!   configuration, versions and the list of endpoints.
 //! - [`ops`]: what the operator's commands do.
-//! - [`platform`] and [`endpoint`]: what we do not own, behind narrow traits.
+//! - [`ports`] and [`endpoint`]: what we do not own, behind narrow traits.
 //! - [`util`]: what the programs share.
 
 pub mod agent;
 pub mod endpoint;
 pub mod entry;
+pub mod gateway;
 pub mod ops;
-pub mod platform;
+pub mod stager;
 pub mod util;
+
+pub use cinderspoke_ports as ports;
--- /dev/null
+++ b/src/cinderspoke/stager/mod.rs
@@ -0,0 +1,133 @@
+//! The program beside a model engine of a platform that names the versions.
+//!
+//! - [`report`] asks the engine what it does, often and free of charge, tells
+//!   gateways of it, and learns from them what is wanted.
+//! - [`bring`] collects the weights that are wanted, stages them whole and
+//!   checked, and has the engine go over to them in its turn.
+
+pub mod bring;
+pub mod plan;
+pub mod report;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use axum::Router;
+use axum::routing::get;
+use cinderspoke_core::transfer::Policy;
+use cinderspoke_ports::gateway::{Engine, Origin};
+use cinderspoke_schema::settings;
+use cinderspoke_types::size::Bytes;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio_util::sync::CancellationToken;
+
+use self::plan::Plans;
+use crate::agent::peers::{self, Giver};
+use crate::agent::shelf::Shelf;
+use crate::gateway::serve;
+use crate::util::clock::Clock;
+use crate::util::http::Client;
+use crate::util::pace::Pacer;
+use crate::util::settings::inner_address;
+use crate::util::stop;
+
+/// The versions whose chunks are kept in memory: the one that runs, the one
+/// that comes, and one that was given up for it.
+const KEPT_VERSIONS: u64 = 3;
+
+/// Memory for a version's chunks; larger ones are kept all the same, alone.
+const VERSION_MEMORY: u64 = 8 << 20;
+
+/// How many chunks are given at once: more would hold up the engine's own
+/// answers, which go over the same link.
+const UPLOADS: usize = 3;
+
+/// How many chunks are drawn at once.
+const DOWNLOADS: usize = 6;
+
+/// How long neighbours have to say what they hold.
+const INTRODUCTION: Duration = Duration::from_millis(40);
+
+/// How an origin is reached, by its address.
+pub type OpenOrigin = Arc<dyn Fn(std::net::SocketAddr) -> Arc<dyn Origin> + Send + Sync>;
+
+/// What the program is made of besides its settings.
+pub struct Parts {
+    /// The engine on this instance.
+    pub engine: Arc<dyn Engine>,
+    /// How origins are reached.
+    pub open_origin: OpenOrigin,
+    /// How other processes of the system are reached.
+    pub client: Client,
+    /// Where the process's metrics are collected, if they are.
+    pub metrics: Option<PrometheusHandle>,
+}
+
+/// The running program; dropping it ends its tasks.
+pub struct Stager {
+    stop: CancellationToken,
+}
+
+impl Stager {
+    /// Starts the program and listens on the addresses of its settings.
+    ///
+    /// # Errors
+    ///
+    /// When no engine is beside it by its settings, or an address cannot be listened to.
+    pub async fn bind(settings: &settings::Node, parts: Parts) -> Result<Self> {
+        let beside = settings.beside.as_ref().context("the settings name no engine beside")?;
+        let own = inner_address(settings);
+        let listener =
+            TcpListener::bind(own).await.with_context(|| format!("listening to {own}"))?;
+        let socket = UdpSocket::bind(own).await.context("binding the port for datagrams")?;
+        let shelf = Arc::new(Shelf::new(Bytes::new(KEPT_VERSIONS * VERSION_MEMORY)));
+        let pacer = Arc::new(Pacer::new(None));
+        let giver = Arc::new(Giver::new(Arc::clone(&shelf), Arc::clone(&pacer), UPLOADS));
+        let stop = CancellationToken::new();
+        let metrics = parts.metrics.clone();
+        let scrape = || async move { metrics.map(|metrics| metrics.render()).unwrap_or_default() };
+        let app = peers::app(giver).merge(Router::new().route("/metrics", get(scrape)));
+        tokio::spawn(serve::router(listener, app, stop.clone()));
+        let plans =
+            Arc::new(Plans::new(settings, beside.service.as_str().into(), parts.client.clone()));
+        let transfers = crate::agent::transfer::Context {
+            shelf: Arc::clone(&shelf),
+            origin: Arc::new(bring::NoOrigin),
+            client: parts.client.clone(),
+            pacer,
+            policy: Policy::default(),
+            link_rate: None,
+            limit: DOWNLOADS,
+            introduction: INTRODUCTION,
+            clock: Clock::start(),
+        };
+        let reporter = report::Reporter::new(
+            own,
+            beside,
+            Arc::clone(&plans),
+            Arc::clone(&parts.engine),
+            socket,
+        );
+        let reporter = Arc::new(reporter);
+        let bringer =
+            bring::Bringer::new(settings, own, Arc::clone(&reporter), plans, transfers, parts);
+        tokio::spawn(stop::until(stop.clone(), Arc::clone(&reporter).report()));
+        tokio::spawn(stop::until(stop.clone(), reporter.listen()));
+        tokio::spawn(stop::until(stop.clone(), bringer.run()));
+        tracing::info!(instance = %*settings.instance, engine = %beside.address, "agent started");
+        Ok(Self { stop })
+    }
+
+    /// Stops: nothing waits on an agent, since peers find chunks elsewhere.
+    pub fn stop(self) {
+        tracing::info!("stopped");
+    }
+}
+
+impl Drop for Stager {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
--- /dev/null
+++ b/src/cinderspoke/stager/plan.rs
@@ -0,0 +1,115 @@
+//! What gateways want of the service's engines.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use cinderspoke_core::gateway::name::{Model, Service};
+use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_schema::settings;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::gateway::relay::{Plan, inner_addresses};
+use crate::util::http::{Call, Client};
+
+/// How long a gateway may take to tell the plan.
+const TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// A model's version that is wanted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wanted {
+    /// The model.
+    pub model: Model,
+    /// The version.
+    pub version: Version,
+    /// When it became known here.
+    pub since: Instant,
+}
+
+/// The newest plan, merged from what gateways tell.
+pub struct Plans {
+    service: Service,
+    client: Client,
+    seeds: Vec<SocketAddr>,
+    plan: watch::Sender<Plan>,
+    wanted: Mutex<Option<Wanted>>,
+}
+
+impl Plans {
+    /// No plan is known yet.
+    #[must_use]
+    pub fn new(settings: &settings::Node, service: Service, client: Client) -> Self {
+        let plan = watch::Sender::new(Plan::default());
+        Self { service, client, seeds: inner_addresses(settings), plan, wanted: Mutex::default() }
+    }
+
+    /// The service of the engine.
+    #[must_use]
+    pub fn service(&self) -> &Service {
+        &self.service
+    }
+
+    /// The newest plan.
+    #[must_use]
+    pub fn newest(&self) -> Plan {
+        self.plan.borrow().clone()
+    }
+
+    /// A way to wait for a new plan.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<Plan> {
+        self.plan.subscribe()
+    }
+
+    /// The gateways, as far as they are known.
+    #[must_use]
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        let plan = self.plan.borrow();
+        if plan.gateways.is_empty() { self.seeds.clone() } else { plan.gateways.clone() }
+    }
+
+    /// The version that is wanted, once a plan is known.
+    #[must_use]
+    pub fn wanted(&self) -> Option<Wanted> {
+        self.wanted.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Reads the plan of a gateway.
+    ///
+    /// # Errors
+    ///
+    /// When it does not tell it.
+    pub async fn fetch(&self, gateway: SocketAddr) -> Result<()> {
+        let path = format!("/v1/plan?service={}", self.service);
+        let answer = self.client.fetch(Call::get(gateway, path).timeout(TIMEOUT)).await?;
+        self.take(postcard::from_bytes(&answer).context("reading a plan")?);
+        Ok(())
+    }
+
+    /// Takes in a plan: versions never go back, and the newest list of peers counts.
+    fn take(&self, plan: Plan) {
+        self.plan.send_if_modified(|known| {
+            let mut rollout = known.rollout.clone();
+            let news = rollout.merge(&plan.rollout);
+            let newer = plan.revision >= known.revision;
+            if newer {
+                *known = plan;
+            }
+            known.rollout = rollout;
+            news || newer
+        });
+        let plan = self.plan.borrow();
+        let Some(model) = plan.models.first().map(|model| Model::from(model.as_str())) else {
+            return;
+        };
+        let version = plan.rollout.version(&model);
+        let mut wanted = self.wanted.lock().unwrap_or_else(PoisonError::into_inner);
+        if wanted.as_ref().is_none_or(|known| known.model != model || known.version < version) {
+            tracing::info!(%model, %version, peers = plan.peers.len(), "version wanted");
+            *wanted = Some(Wanted { model, version, since: Instant::now() });
+        }
+    }
+}
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -23,9 +23,6 @@
 /// The generation of the configuration in force.
 pub const GENERATION: &str = "cinderspoke_generation";
 
-/// Calls to the platform, by kind and result.
-pub const PLATFORM: &str = "cinderspoke_platform_calls_total";
-
 /// Collects the process's metrics; the handle gives the text that scrapes read.
 ///
 /// # Errors
--- a/src/cinderspoke/util/mod.rs
+++ b/src/cinderspoke/util/mod.rs
@@ -1,7 +1,6 @@
 //! Small things that the programs share.
 
 pub mod clock;
-pub mod http;
 pub mod log;
 pub mod metrics;
 pub mod pace;
@@ -10,3 +9,5 @@
 pub mod settings;
 pub mod signal;
 pub mod stop;
+
+pub use cinderspoke_ports::client as http;
--- a/src/cinderspoke/util/program.rs
+++ b/src/cinderspoke/util/program.rs
@@ -24,6 +24,12 @@
         .long("check")
         .help("Only check the settings")
         .action(clap::ArgAction::SetTrue);
+    let adapter = Arg::new("adapter")
+        .long("adapter")
+        .value_name("ADAPTER")
+        .help("What the process runs on")
+        .value_parser(["own", PLATFORM])
+        .default_value("own");
     let help =
         "Exit codes: 0 after an orderly stop, 1 on failure, 2 when the settings cannot be used.";
     Command::new(name)
@@ -31,9 +37,29 @@
         .version(env!("CARGO_PKG_VERSION"))
         .arg(settings)
         .arg(check)
+        .arg(adapter)
         .after_help(help)
 }
 
+/// The adapter to a platform that keeps configuration, versions and endpoints.
+const PLATFORM: &str = "platform";
+
+/// Whether the process runs on such a platform.
+#[must_use]
+pub fn runs_on_platform(matches: &ArgMatches) -> bool {
+    matches.get_one::<String>("adapter").is_some_and(|adapter| adapter == PLATFORM)
+}
+
+/// Runs a program's main task, with the process's only thread for it.
+///
+/// # Errors
+///
+/// When the system gives no runtime, or as the task.
+pub fn run_alone(main: impl Future<Output = Result<()>>) -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.context("starting the runtime")?.block_on(main)
+}
+
 /// The path of the settings file that was given.
 #[must_use]
 pub fn settings_path(matches: &ArgMatches) -> PathBuf {
--- a/src/cinderspoke/util/settings.rs
+++ b/src/cinderspoke/util/settings.rs
@@ -1,10 +1,12 @@
 //! Reading a program's settings, with every finding at once.
 
+use std::net::SocketAddr;
 use std::path::Path;
 
 use anyhow::{Context, Result};
 use cinderspoke_core::document::Document;
 use cinderspoke_schema::control::Finding;
+use cinderspoke_schema::settings::Node;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -38,3 +40,9 @@
     });
     lines.collect::<Vec<_>>().join("\n")
 }
+
+/// Where a process on a platform is reached by the system's other processes.
+#[must_use]
+pub fn inner_address(settings: &Node) -> SocketAddr {
+    SocketAddr::new(*settings.address, settings.ports.first.get())
+}
--- a/tests/testsuite/memory.rs
+++ b/tests/testsuite/memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cinderspoke::platform::Listed;
+use cinderspoke::ports::Listed;
 use cinderspoke_schema::control::State;
 use cinderspoke_test_support::caller::{Answer, Caller};
 use cinderspoke_test_support::fleet::{AgentMachine, Fleet, Options, check, replaced};
