--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -22,8 +22,9 @@
 /// The most chunks drawn from one peer at once.
 const PER_PEER: usize = 2;
 
-/// The most chunks drawn from the origin at once.
-const PER_ORIGIN: usize = 4;
+/// The most chunks drawn from the origin at once where it does not say how many
+/// connections it takes.
+pub const PER_ORIGIN: usize = 4;
 
 /// The most chunks that are waited for at once, to bring them into a place.
 const IMPORTS: usize = 16;
@@ -117,6 +118,8 @@
 pub struct Limits {
     /// The most chunks drawn at once.
     pub downloads: usize,
+    /// The most chunks drawn from the origin at once.
+    pub origin: usize,
     /// How long to wait for those that come first before stepping in.
     pub patience: Duration,
 }
@@ -357,7 +360,7 @@
     }
 
     fn origin_is_open(&self, now: Duration) -> bool {
-        now >= self.state.origin_rests_until && self.drawn_from(&Source::Origin) < PER_ORIGIN
+        now >= self.state.origin_rests_until && self.drawn_from(&Source::Origin) < self.state.limits.origin
     }
 
     /// A chunk that a neighbour can give, sparing those that have given nearly a
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -20,7 +20,7 @@
 use axum::extract::DefaultBodyLimit;
 use axum::extract::State;
 use axum::routing::{any, get};
-use cinderspoke_core::transfer::Policy;
+use cinderspoke_core::transfer::{PER_ORIGIN, Policy};
 use cinderspoke_schema::control::{Kind, Peer};
 use cinderspoke_schema::settings;
 use cinderspoke_types::digest::Digest;
@@ -138,6 +138,7 @@
             policy: parts.policy,
             link_rate: settings.link_rate,
             limit: settings.downloads.get() as usize,
+            origin_limit: PER_ORIGIN,
             introduction: Duration::ZERO,
             clock: Clock::start(),
         });
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -76,6 +76,8 @@
     pub link_rate: Option<ByteRate>,
     /// The most chunks drawn at once.
     pub limit: usize,
+    /// The most chunks drawn from the origin at once.
+    pub origin_limit: usize,
     /// How long neighbours have to say what they hold before anything is drawn.
     pub introduction: Duration,
     /// The agent's clock.
@@ -131,7 +133,7 @@
     let held = context.shelf.open(&manifest);
     let now = context.clock.now();
     let patience = patience(&context, &manifest, members.borrow().origin_weight);
-    let limits = Limits { downloads: context.limit, patience };
+    let limits = Limits { downloads: context.limit, origin: context.origin_limit, patience };
     let mut transfer = Transfer::new(manifest, swarm, context.policy, limits, now);
     (0..held.len()).filter(|chunk| held.contains(*chunk)).for_each(|chunk| transfer.has(chunk));
     draw(&context, &mut transfer, members).await;
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -47,6 +47,10 @@
 /// How many chunks are drawn at once.
 const DOWNLOADS: usize = 6;
 
+/// How many chunks are drawn from the origin at once: it takes few connections,
+/// and one after the other they come to peers sooner than all together.
+const ORIGIN_DRAWS: usize = 1;
+
 /// How long neighbours have to say what they hold.
 const INTRODUCTION: Duration = Duration::from_millis(40);
 
@@ -100,6 +104,7 @@
             policy: Policy::default(),
             link_rate: None,
             limit: DOWNLOADS,
+            origin_limit: ORIGIN_DRAWS,
             introduction: INTRODUCTION,
             clock: Clock::start(),
         };
