Chunks leave at 0.88 of the link; versions named while running are not old

Cause 1: a gateway took the first version that it ever heard of for one named long ago, and sent nothing to the former one (563 refusals without candidates). Cause 2: a giver's permit ended when its answer began, so any number of chunks left at once and the engine's events waited behind them for over 120 ms (half of the answers late while weights spread). Ruled out: the engines' load (first tokens were as predicted).

--- a/crates/core/src/gateway/rollout.rs
+++ b/crates/core/src/gateway/rollout.rs
@@ -48,6 +48,9 @@
     }
 }
 
+/// How long after its start a process takes versions to be older than its knowledge.
+const FOUND: Duration = Duration::from_secs(2);
+
 /// When versions became known here, to tell how long an older one may still answer.
 #[derive(Debug, Default)]
 // Invariant: the versions of a model are in rising order.
@@ -56,16 +59,16 @@
 }
 
 impl Timeline {
-    /// Takes in what is known now. A version that was there when the process
-    /// started may have been named `head_start` earlier.
+    /// Takes in what is known now. A version that is found soon after the
+    /// process has started may have been named `head_start` earlier.
     pub fn learn(&mut self, rollout: &Rollout, now: Duration, head_start: Duration) {
         for (model, version) in &rollout.0 {
-            let first = !self.known.contains_key(model);
+            let found = now < FOUND;
             let versions = self.known.entry(model.clone()).or_default();
             if versions.last().is_some_and(|(last, _)| last >= version) {
                 continue;
             }
-            let since = if first { now.saturating_sub(head_start) } else { now };
+            let since = if found { now.saturating_sub(head_start) } else { now };
             versions.push((*version, since));
         }
     }
--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -360,7 +360,8 @@
     }
 
     fn origin_is_open(&self, now: Duration) -> bool {
-        now >= self.state.origin_rests_until && self.drawn_from(&Source::Origin) < self.state.limits.origin
+        now >= self.state.origin_rests_until
+            && self.drawn_from(&Source::Origin) < self.state.limits.origin
     }
 
     /// A chunk that a neighbour can give, sparing those that have given nearly a
--- a/crates/test-support/src/engine.rs
+++ b/crates/test-support/src/engine.rs
@@ -220,7 +220,8 @@
         state.record.load_orders += 1;
         check_fence(&mut state, query.fence)?;
     }
-    let (mut hasher, mut length, mut body) = (Hasher::new(cinderspoke_core::manifest::Algorithm::Blake3), 0, body);
+    let (mut hasher, mut length, mut body) =
+        (Hasher::new(cinderspoke_core::manifest::Algorithm::Blake3), 0, body);
     while let Some(frame) = body.frame().await {
         let data = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data().unwrap_or_default();
         length += data.len() as u64;
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -126,7 +126,12 @@
         let shelf = Arc::new(shelf::Shelf::new(settings.chunk_memory));
         let pacer = Arc::new(Pacer::new(settings.link_rate));
         let uploads = settings.uploads.get() as usize;
-        let giver = Arc::new(peers::Giver::new(Arc::clone(&shelf), Arc::clone(&pacer), uploads));
+        let giver = Arc::new(peers::Giver::new(
+            Arc::clone(&shelf),
+            Arc::clone(&pacer),
+            uploads,
+            Duration::ZERO,
+        ));
         let endpoint = parts.endpoint;
         let serving = Arc::default();
         let shared = Arc::new(Shared { endpoint, shelf, serving, pacer, giver });
--- a/src/cinderspoke/agent/peers.rs
+++ b/src/cinderspoke/agent/peers.rs
@@ -13,7 +13,7 @@
 use http::StatusCode;
 use metrics::counter;
 use serde::Deserialize;
-use tokio::sync::Semaphore;
+use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 
 use super::shelf::Shelf;
@@ -30,13 +30,23 @@
     pacer: Arc<Pacer>,
     // One permit for each chunk that may be given at once.
     uploads: Semaphore,
+    // How long a peer waits for a permit before it is sent elsewhere.
+    queue: Duration,
 }
 
 impl Giver {
-    /// Gives chunks of a shelf, so many at once.
+    /// Gives chunks of a shelf, so many at once; others wait so long.
     #[must_use]
-    pub fn new(shelf: Arc<Shelf>, pacer: Arc<Pacer>, uploads: usize) -> Self {
-        Self { shelf, pacer, uploads: Semaphore::new(uploads) }
+    pub fn new(shelf: Arc<Shelf>, pacer: Arc<Pacer>, uploads: usize, queue: Duration) -> Self {
+        Self { shelf, pacer, uploads: Semaphore::new(uploads), queue }
+    }
+
+    /// A permit to give a chunk; none when others take too long.
+    async fn permit(&self) -> Option<SemaphorePermit<'_>> {
+        if self.queue.is_zero() {
+            return self.uploads.try_acquire().ok();
+        }
+        timeout(self.queue, self.uploads.acquire()).await.ok()?.ok()
     }
 }
 
@@ -67,7 +77,7 @@
         let _upload = giver.uploads.acquire().await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
         return give(&giver, digest).await;
     }
-    let _upload = giver.uploads.try_acquire().map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
+    let _upload = giver.permit().await.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     give(&giver, digest).await
 }
 
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -18,6 +18,7 @@
 use cinderspoke_core::transfer::Policy;
 use cinderspoke_ports::gateway::{Engine, Origin};
 use cinderspoke_schema::settings;
+use cinderspoke_types::rate::ByteRate;
 use cinderspoke_types::size::Bytes;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, UdpSocket};
@@ -42,7 +43,14 @@
 
 /// How many chunks are given at once: more would hold up the engine's own
 /// answers, which go over the same link.
-const UPLOADS: usize = 3;
+const UPLOADS: usize = 2;
+
+/// How long a peer may wait until other chunks have been given.
+const QUEUE: Duration = Duration::from_millis(400);
+
+/// The part of the link that chunks may take on their way out: the engine's
+/// events go over it too, and must not queue behind them.
+const UPLOAD_PART: f64 = 0.88;
 
 /// How many chunks are drawn at once.
 const DOWNLOADS: usize = 6;
@@ -87,8 +95,8 @@
             TcpListener::bind(own).await.with_context(|| format!("listening to {own}"))?;
         let socket = UdpSocket::bind(own).await.context("binding the port for datagrams")?;
         let shelf = Arc::new(Shelf::new(Bytes::new(KEPT_VERSIONS * VERSION_MEMORY)));
-        let pacer = Arc::new(Pacer::new(None));
-        let giver = Arc::new(Giver::new(Arc::clone(&shelf), Arc::clone(&pacer), UPLOADS));
+        let out = Arc::new(Pacer::new(upload_rate(settings)));
+        let giver = Arc::new(Giver::new(Arc::clone(&shelf), out, UPLOADS, QUEUE));
         let stop = CancellationToken::new();
         let metrics = parts.metrics.clone();
         let scrape = || async move { metrics.map(|metrics| metrics.render()).unwrap_or_default() };
@@ -100,7 +108,8 @@
             shelf: Arc::clone(&shelf),
             origin: Arc::new(bring::NoOrigin),
             client: parts.client.clone(),
-            pacer,
+            // The givers hold back, and both ways of a link are apart.
+            pacer: Arc::new(Pacer::new(None)),
             policy: Policy::default(),
             link_rate: None,
             limit: DOWNLOADS,
@@ -131,6 +140,14 @@
     }
 }
 
+/// What chunks may take of the link on their way out.
+fn upload_rate(settings: &settings::Node) -> Option<ByteRate> {
+    const BITS: f64 = 8.0;
+    const MEGA: f64 = 1e6;
+    let bytes = settings.limits.link_mbps * MEGA / BITS * UPLOAD_PART;
+    ByteRate::new(Bytes::new(bytes as u64))
+}
+
 impl Drop for Stager {
     fn drop(&mut self) {
         self.stop.cancel();
