--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -127,6 +127,15 @@
     pub load: Duration,
 }
 
+/// Where weights come from at first.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Origin {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Bytes a second that its link carries; zero if that is not known.
+    pub rate: f64,
+}
+
 /// What stands behind routes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Backend {
@@ -135,7 +144,7 @@
     /// The most connections that each of its endpoints takes.
     pub connections: u32,
     /// Where it gives weights, if it is an origin of them.
-    pub origin: Option<SocketAddr>,
+    pub origin: Option<Origin>,
     /// How its endpoints spend their time, if they are model engines.
     pub engine: Option<Engine>,
 }
@@ -265,7 +274,7 @@
     }
 
     /// The services that give weights.
-    pub fn origins(&self) -> impl Iterator<Item = SocketAddr> {
+    pub fn origins(&self) -> impl Iterator<Item = Origin> {
         self.declared.backends.iter().filter_map(|backend| backend.origin)
     }
 }
--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -110,6 +110,7 @@
     origin_rests_until: Duration,
     // When a chunk last arrived.
     progress: Duration,
+    started: Duration,
     own: Key,
 }
 
@@ -120,6 +121,9 @@
     pub downloads: usize,
     /// The most chunks drawn from the origin at once.
     pub origin: usize,
+    /// The time that the origin's link takes for a chunk: each is drawn in its
+    /// turn, so that the first ones come to peers early. Zero for no turns.
+    pub spacing: Duration,
     /// How long to wait for those that come first before stepping in.
     pub patience: Duration,
 }
@@ -182,6 +186,7 @@
             peers: BTreeMap::new(),
             origin_rests_until: Duration::ZERO,
             progress: now,
+            started: now,
         };
         let mut transfer = Self { manifest, state };
         transfer.join(swarm);
@@ -342,10 +347,18 @@
         }
         // Whoever joins late finds chunks nearby that were drawn long ago.
         let near = |chunk: &usize| self.holders(*chunk, now).next().is_some();
-        let own = |chunk: &usize| self.state.roles[*chunk].draws && !near(chunk);
+        let turn = |chunk: &usize| self.is_due(*chunk, now);
+        let own =
+            |chunk: &usize| self.state.roles[*chunk].draws && turn(chunk) && !near(chunk);
         self.missing().find(own).map(|chunk| (chunk, Source::Origin))
     }
 
+    /// Whether it is a chunk's turn to be drawn from the origin.
+    fn is_due(&self, chunk: usize, now: Duration) -> bool {
+        let turn = u32::try_from(chunk).unwrap_or(u32::MAX);
+        now >= self.state.started + self.state.limits.spacing.saturating_mul(turn)
+    }
+
     /// A chunk that has stayed away so long that the reserve steps in.
     fn reserve_draw(&self, now: Duration) -> Option<(usize, Source)> {
         if !self.origin_is_open(now) {
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -144,6 +144,7 @@
             link_rate: settings.link_rate,
             limit: settings.downloads.get() as usize,
             origin_limit: PER_ORIGIN,
+            origin_spacing: Duration::ZERO,
             introduction: Duration::ZERO,
             clock: Clock::start(),
         });
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -33,6 +33,9 @@
 /// How often a transfer that waits looks again.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How often one looks whose draws from the origin have turns.
+const TURN_TICK: Duration = Duration::from_millis(20);
+
 /// How long to stay away from a weight store that did not answer, at first.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -78,6 +81,8 @@
     pub limit: usize,
     /// The most chunks drawn from the origin at once.
     pub origin_limit: usize,
+    /// The time that the origin's link takes for a chunk; zero where draws need no turns.
+    pub origin_spacing: Duration,
     /// How long neighbours have to say what they hold before anything is drawn.
     pub introduction: Duration,
     /// The agent's clock.
@@ -133,7 +138,12 @@
     let held = context.shelf.open(&manifest);
     let now = context.clock.now();
     let patience = patience(&context, &manifest, members.borrow().origin_weight);
-    let limits = Limits { downloads: context.limit, origin: context.origin_limit, patience };
+    let limits = Limits {
+        downloads: context.limit,
+        origin: context.origin_limit,
+        spacing: context.origin_spacing,
+        patience,
+    };
     let mut transfer = Transfer::new(manifest, swarm, context.policy, limits, now);
     (0..held.len()).filter(|chunk| held.contains(*chunk)).for_each(|chunk| transfer.has(chunk));
     draw(&context, &mut transfer, members).await;
@@ -192,7 +202,8 @@
     mut members: watch::Receiver<Members>,
 ) {
     let mut fetches = JoinSet::new();
-    let mut ticks = interval(TICK);
+    let turns = !context.origin_spacing.is_zero();
+    let mut ticks = interval(if turns { TURN_TICK } else { TICK });
     let (sender, mut holdings) = mpsc::channel(64);
     let mut followers =
         Followers { context: Arc::clone(context), sender, running: BTreeMap::new() };
@@ -259,6 +270,7 @@
         }
     };
     counter!(DRAWN, "source" => label).increment(bytes.len() as u64);
+    tracing::debug!(chunk, ?source, "chunk arrived");
     match transfer.arrived(chunk, digest, now) {
         Arrival::Accepted => context.shelf.put(digest, bytes),
         Arrival::Unwanted => {}
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -16,7 +16,7 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
-use cinderspoke_core::gateway::catalog::Declared;
+use cinderspoke_core::gateway::catalog::{Declared, Origin};
 use cinderspoke_core::gateway::directory::{self, Directory};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::load::Report;
@@ -134,7 +134,7 @@
     /// The models of the service.
     pub models: Vec<String>,
     /// Where weights come from at first.
-    pub origins: Vec<SocketAddr>,
+    pub origins: Vec<Origin>,
     /// The engines of the service.
     pub peers: Vec<Peer>,
     /// The gateways.
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -35,9 +35,16 @@
 /// How long to wait after something failed.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// How long gateways have to learn that the engine takes nothing new.
+/// How often the engine is asked whether anything still waits in it.
 const NOTICE: Duration = Duration::from_millis(15);
 
+/// So many times in a row nothing may wait: what was on its way has come then,
+/// also after a lost datagram.
+const QUIET_REPORTS: u32 = 8;
+
+/// How long requests may keep coming before the order is given all the same.
+const LONGEST_DRAIN: Duration = Duration::from_millis(1500);
+
 /// In how many waves engines go over to a new version.
 const WAVES: u64 = 2;
 
@@ -172,7 +179,7 @@
         if let Some(manifest) = self.manifests.get(&key) {
             return Ok(manifest.clone());
         }
-        let origin = self.origin()?;
+        let (origin, _) = self.origin()?;
         let listing = origin.listing(&wanted.model, wanted.version).await?;
         let digests = listing.digests.into_iter().map(Digest::new).collect();
         let manifest = Manifest::listed(size::Bytes::new(listing.chunk_bytes), digests);
@@ -181,10 +188,11 @@
         Ok(manifest)
     }
 
-    fn origin(&self) -> Result<Arc<dyn Origin>> {
+    /// The origin, and the bytes a second that its link carries.
+    fn origin(&self) -> Result<(Arc<dyn Origin>, f64)> {
         let plan = self.plans.newest();
-        let address = plan.origins.first().context("no origin is known")?;
-        Ok((self.open_origin)(*address))
+        let origin = plan.origins.first().context("no origin is known")?;
+        Ok(((self.open_origin)(origin.address), origin.rate))
     }
 
     /// Takes in what is staged already: it outlives the agent and the engine.
@@ -208,18 +216,18 @@
 
     /// Collects all chunks from peers and the origin.
     async fn collect(&self, wanted: &Wanted, manifest: &Manifest) -> Result<()> {
-        let source = VersionSource {
-            origin: self.origin()?,
-            model: wanted.model.clone(),
-            version: wanted.version,
-            chunk_bytes: manifest.as_raw().chunk_size.as_u64(),
-        };
+        let (origin, rate) = self.origin()?;
+        let chunk_bytes = manifest.as_raw().chunk_size.as_u64();
+        let spacing = if rate > 0.0 { chunk_bytes as f64 / rate } else { 0.0 };
+        let (model, version) = (wanted.model.clone(), wanted.version);
+        let source = VersionSource { origin, model, version, chunk_bytes };
         let transfers = &self.transfers;
         let context = transfer::Context {
             shelf: Arc::clone(&transfers.shelf),
             origin: Arc::new(source),
             client: transfers.client.clone(),
             pacer: Arc::clone(&transfers.pacer),
+            origin_spacing: Duration::from_secs_f64(spacing.min(1.0)),
             ..*transfers
         };
         let mut plans = self.plans.subscribe();
@@ -290,12 +298,7 @@
             self.engine.stage(&wanted.model, number, bytes).await?;
         }
         self.check_staged(wanted, manifest).await?;
-        self.reporter.set_open(false).await;
-        sleep(NOTICE).await;
-        let report = self.engine.report().await?;
-        if report.busy {
-            bail!("the engine is under another order");
-        }
+        let report = self.close_and_drain().await?;
         let began = Instant::now();
         let Wanted { model, version, .. } = wanted;
         match self.engine.start(model, *version, Switch::Finish, report.orders).await? {
@@ -314,6 +317,28 @@
         Ok(())
     }
 
+    /// Has gateways send nothing new, and waits until all that was sent has its
+    /// first token.
+    ///
+    /// What the engine has not begun when it takes the order it begins later on
+    /// the old version; should the instance stand still, much too late.
+    async fn close_and_drain(&self) -> Result<EngineReport> {
+        let since = Instant::now();
+        self.reporter.set_open(false).await;
+        let mut quiet = 0;
+        loop {
+            sleep(NOTICE).await;
+            let report = self.engine.report().await?;
+            if report.busy {
+                bail!("the engine is under another order");
+            }
+            quiet = if report.load.queued == 0 { quiet + 1 } else { 0 };
+            if quiet >= QUIET_REPORTS || since.elapsed() >= LONGEST_DRAIN {
+                return Ok(report);
+            }
+        }
+    }
+
     /// Reads back what was staged: it may have turned bad since.
     async fn check_staged(&self, wanted: &Wanted, manifest: &Manifest) -> Result<()> {
         for chunk in 0..manifest.chunks() {
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -55,8 +55,7 @@
 /// How many chunks are drawn at once.
 const DOWNLOADS: usize = 6;
 
-/// How many chunks are drawn from the origin at once: it takes few connections,
-/// and one after the other they come to peers sooner than all together.
+/// How many chunks are drawn from the origin at once: it takes few connections.
 const ORIGIN_DRAWS: usize = 1;
 
 /// How long neighbours have to say what they hold.
@@ -114,6 +113,7 @@
             link_rate: None,
             limit: DOWNLOADS,
             origin_limit: ORIGIN_DRAWS,
+            origin_spacing: Duration::ZERO,
             introduction: INTRODUCTION,
             clock: Clock::start(),
         };
