Engines go over in two waves; streams that are broken off go on elsewhere

Cause: waiting for the longest stream left half of the engines idle for 2.5 s, and a version named 4 s after another was collected while the first was thrown away, so that no engine could answer from 6.5 s after the first one on.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -36,12 +36,16 @@
 
 /// The sends of one request so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
-// Invariant: `may_have_run` never goes back to false.
+// Invariant: `runs` never falls, so what may have run never counts as not run.
 pub struct History {
     sends: u32,
-    may_have_run: bool,
+    // Sends that may have run.
+    runs: u32,
 }
 
+/// The most sends of one request, refused ones among them.
+const MOST_SENDS: u32 = 4;
+
 impl History {
     /// How many endpoints it went to.
     #[must_use]
@@ -54,23 +58,23 @@
         if fate != Fate::NotSent {
             self.sends += 1;
         }
-        self.may_have_run |= matches!(fate, Fate::Lost | Fate::Failed);
+        if matches!(fate, Fate::Lost | Fate::Failed) {
+            self.runs += 1;
+        }
     }
 
     /// What a caller may be told if nothing more is sent.
     #[must_use]
     pub fn promise(&self) -> Promise {
-        if self.may_have_run { Promise::Nothing } else { Promise::NotRun }
+        if self.runs > 0 { Promise::Nothing } else { Promise::NotRun }
     }
 
-    /// What may follow; `affordable` says whether time and budget allow another send.
+    /// What may follow, where a request may run on so many endpoints at most;
+    /// `affordable` says whether time and budget allow another send.
     #[must_use]
     pub fn next(&self, repeatable: bool, most: u32, affordable: bool) -> Next {
-        let allowed = repeatable || !self.may_have_run;
-        if allowed && affordable && self.sends < most.max(1) {
-            Next::Retry
-        } else {
-            Next::End(self.promise())
-        }
+        let allowed = repeatable || self.runs == 0;
+        let few = self.runs < most.max(1) && self.sends < MOST_SENDS;
+        if allowed && affordable && few { Next::Retry } else { Next::End(self.promise()) }
     }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //!   models are to have. Each is a [`fact`] that only a newer one replaces.
 //! - Where a request goes: [`load`] estimates what endpoints are busy with,
 //!   [`pick`] chooses one or refuses, [`health`] leaves out those that fail.
+//! - How engines change weights: [`changeover`] says when each does.
 //! - What may be repeated: [`attempt`] knows what became of each send, and
 //!   [`budget`] bounds sends beyond the first.
 //! - [`event`] cuts a stream into whole events, so that it can be resumed.
@@ -14,6 +15,7 @@
 pub mod budget;
 pub mod call;
 pub mod catalog;
+pub mod changeover;
 pub mod directory;
 pub mod event;
 pub mod fact;
--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -348,8 +348,7 @@
         // Whoever joins late finds chunks nearby that were drawn long ago.
         let near = |chunk: &usize| self.holders(*chunk, now).next().is_some();
         let turn = |chunk: &usize| self.is_due(*chunk, now);
-        let own =
-            |chunk: &usize| self.state.roles[*chunk].draws && turn(chunk) && !near(chunk);
+        let own = |chunk: &usize| self.state.roles[*chunk].draws && turn(chunk) && !near(chunk);
         self.missing().find(own).map(|chunk| (chunk, Source::Origin))
     }
 
--- a/src/cinderspoke/agent/shelf.rs
+++ b/src/cinderspoke/agent/shelf.rs
@@ -64,6 +64,10 @@
     /// Versions that the engine has loaded make room for it where they must.
     pub fn open(&self, manifest: &Manifest) -> Bitmap {
         let mut state = self.lock();
+        if let Some(version) = state.versions.get(&manifest.digest()) {
+            // Peers wait for its next chunk: it has to stay the same one.
+            return version.held.clone();
+        }
         state.make_room(self.limit, manifest);
         let mut positions: HashMap<Digest, Vec<usize>> = HashMap::new();
         for (position, chunk) in manifest.as_raw().chunks.iter().enumerate() {
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -9,7 +9,6 @@
 use cinderspoke_core::gateway::catalog::Kind;
 use cinderspoke_core::gateway::event::{Splitter, Whole};
 use cinderspoke_core::gateway::health::Sign;
-use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_ports::gateway::Sending;
 use futures::stream;
 use http::{HeaderMap, Request, Response, StatusCode, header, response};
@@ -64,7 +63,6 @@
     connection: Connection,
     keep: Option<Duration>,
     splitter: Splitter,
-    version: Option<Version>,
     // Whole events that are to be passed on.
     ready: Option<Whole>,
     // Whether the endpoint has ended the stream.
@@ -115,7 +113,6 @@
             connection,
             keep,
             splitter: Splitter::default(),
-            version: answer.version,
             ready: None,
             ended: false,
         };
@@ -407,7 +404,6 @@
         let Some(live) = self.live.take() else { return };
         live.sent.target.sign(Sign::Silence, self.context.clock.now());
         self.record.failed_send(&live.sent.target.name, Fate::Lost);
-        let version = live.version;
         drop(live);
         // Without a number there is nothing to go on after.
         let Some(last) = self.last else { return };
@@ -422,7 +418,7 @@
                 return;
             };
             self.sends.tried.push(chosen.target.name.clone());
-            match self.go_on(&chosen, last, version).await {
+            match self.go_on(&chosen, last).await {
                 Ok(live) => {
                     self.sends.record(Fate::Lost);
                     self.record.resumed();
@@ -437,15 +433,7 @@
         }
     }
 
-    async fn go_on(
-        &self,
-        chosen: &Chosen,
-        last: u64,
-        version: Option<Version>,
-    ) -> Result<Box<Live>, Fate> {
-        if chosen.version.is_some() && chosen.version != version {
-            return Err(Fate::NotSent);
-        }
+    async fn go_on(&self, chosen: &Chosen, last: u64) -> Result<Box<Live>, Fate> {
         let until = (Instant::now() + SILENCE).min(self.asked.end);
         let (head, body, connection, sent) =
             send(&self.context, &self.asked, chosen, Some(last), until).await?;
@@ -468,7 +456,6 @@
             connection,
             keep,
             splitter: Splitter::default(),
-            version: answer.version,
             ready: None,
             ended: false,
         }))
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -521,9 +521,6 @@
                         None => listed.map(|(_, version)| *version),
                     };
                     let Some(version) = version else { continue };
-                    if !context.knowledge.allows(model, version) {
-                        continue;
-                    }
                     Some(version)
                 }
                 _ => None,
@@ -533,6 +530,11 @@
                 Some(engine) => first_token(engine, &estimate, asked.call.size),
                 None => PLAIN_TURN.saturating_mul(tracking.load.own() as u32),
             };
+            if let (Some(model), Some(version)) = (&asked.call.model, version)
+                && !context.knowledge.allows(model, version, first)
+            {
+                continue;
+            }
             let trial = state == health::State::Trial;
             let distance = member.distance;
             options.push((Candidate { number, distance, first, trial }, version));
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -22,9 +22,9 @@
 use crate::util::clock::Clock;
 use crate::util::signal::{Receiver, Signal};
 
-/// How long before the end of the overlap of versions nothing more is sent to
-/// the older one: a request may wait for its first token.
-const OVERLAP_MARGIN: Duration = Duration::from_millis(1500);
+/// How long before the end of the overlap of versions a request has to be
+/// expected to begin on the older one: estimates err.
+const OVERLAP_MARGIN: Duration = Duration::from_millis(800);
 
 /// How long a gateway that was not heard of counts as one that takes requests.
 const GATEWAY_AGE: Duration = Duration::from_secs(5);
@@ -287,11 +287,12 @@
         Fact::new(state.keeper.revision(), state.keeper.directory().clone())
     }
 
-    /// Whether a model's version may answer a request now.
+    /// Whether a model's version may answer a request that begins after some time.
     #[must_use]
-    pub fn allows(&self, model: &Model, version: Version) -> bool {
+    pub fn allows(&self, model: &Model, version: Version, first: Duration) -> bool {
         let state = self.lock();
-        state.timeline.allows(model, version, self.clock.now(), self.terms.overlap)
+        let begins = self.clock.now() + first;
+        state.timeline.allows(model, version, begins, self.terms.overlap)
     }
 
     /// Makes what is known visible to requests.
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -3,25 +3,27 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::ops::Range;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, bail};
 use async_trait::async_trait;
 use bytes::Bytes;
+use cinderspoke_core::gateway::changeover::{Changeover, wave};
 use cinderspoke_core::gateway::name::Model;
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::manifest::Manifest;
-use cinderspoke_core::rendezvous::{Key, weight};
-use cinderspoke_ports::gateway::{Engine, EngineReport, Ordered, Origin, Switch};
+use cinderspoke_core::rendezvous::Key;
+use cinderspoke_ports::gateway::{Engine, EngineReport, Origin};
 use cinderspoke_ports::{Error, Origin as Source};
 use cinderspoke_schema::control::Peer;
 use cinderspoke_schema::settings;
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::size;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::sleep;
 
+use super::load::Load;
 use super::plan::{Plans, Wanted};
 use super::report::Reporter;
 use super::{OpenOrigin, Parts};
@@ -35,24 +37,23 @@
 /// How long to wait after something failed.
 const RETRY: Duration = Duration::from_millis(200);
 
-/// How often the engine is asked whether anything still waits in it.
-const NOTICE: Duration = Duration::from_millis(15);
+/// The part of a version that has to be there for it to be finished although a
+/// newer one is wanted.
+const WORTH_FINISHING: f64 = 0.65;
 
-/// So many times in a row nothing may wait: what was on its way has come then,
-/// also after a lost datagram.
-const QUIET_REPORTS: u32 = 8;
+/// How long such a version may take to be finished: what is left of its spread,
+/// and the changeover.
+const FINISH: Duration = Duration::from_millis(3800);
 
-/// How long requests may keep coming before the order is given all the same.
-const LONGEST_DRAIN: Duration = Duration::from_millis(1500);
+/// The part of a version's chunks at which the first wave closes: the rest
+/// takes about as long as requests take to end.
+const CLOSING: f64 = 0.75;
 
-/// In how many waves engines go over to a new version.
-const WAVES: u64 = 2;
+/// How often it is looked how much has come.
+const LOOK: Duration = Duration::from_millis(25);
 
-/// The part of the time for a new version after which the last wave begins.
-const LAST_WAVE: f64 = 0.6;
-
-/// How long an engine may take to finish what runs and load.
-const LOADING: Duration = Duration::from_secs(20);
+/// How long an engine stays closed for weights that do not come.
+const CLOSED_IN_VAIN: Duration = Duration::from_millis(1500);
 
 /// Stands where transfers have no origin of their own.
 pub struct NoOrigin;
@@ -85,13 +86,14 @@
 pub struct Bringer {
     own: Peer,
     port: u16,
-    version_time: Duration,
     reporter: Arc<Reporter>,
     plans: Arc<Plans>,
     engine: Arc<dyn Engine>,
     open_origin: OpenOrigin,
     transfers: transfer::Context,
-    manifests: BTreeMap<(Model, Version), Manifest>,
+    manifests: Mutex<BTreeMap<(Model, Version), Manifest>>,
+    // What is being brought, or was last.
+    current: Mutex<Option<Digest>>,
 }
 
 impl Bringer {
@@ -108,18 +110,18 @@
         Self {
             own: peer(own.ip(), own.port(), &settings.zone, &settings.region),
             port: own.port(),
-            version_time: Duration::from_millis(settings.bounds.version_ms),
             reporter,
             plans,
             engine: parts.engine,
             open_origin: parts.open_origin,
             transfers,
-            manifests: BTreeMap::new(),
+            manifests: Mutex::default(),
+            current: Mutex::default(),
         }
     }
 
     /// Brings whatever version is wanted, for as long as the program runs.
-    pub async fn run(mut self) {
+    pub async fn run(self) {
         let mut plans = self.plans.subscribe();
         loop {
             let Some(wanted) = self.plans.wanted() else {
@@ -128,8 +130,7 @@
                 }
                 continue;
             };
-            let superseded =
-                superseded(self.plans.subscribe(), Arc::clone(&self.plans), wanted.clone());
+            let superseded = self.superseded(&wanted);
             tokio::select! {
                 biased;
                 () = superseded => {
@@ -145,22 +146,45 @@
         }
     }
 
+    /// Waits until a newer version is wanted so much that this one is given up.
+    ///
+    /// The first wave finishes what is nearly there: no engine may answer with
+    /// the version before it for much longer. The second wave goes over to the
+    /// newer one right away, unless it is closed already.
+    async fn superseded(&self, wanted: &Wanted) {
+        let mut changes = self.plans.subscribe();
+        let newer = loop {
+            if let Some(newer) = self.plans.wanted().filter(|newer| newer != wanted) {
+                break newer;
+            }
+            if changes.changed().await.is_err() {
+                return;
+            }
+        };
+        let follows = newer.model == wanted.model && newer.version.0 == wanted.version.0 + 1;
+        let manifest = *self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        let far = manifest.is_some_and(|manifest| self.has_part(manifest, WORTH_FINISHING));
+        let begun = self.changeover(wanted) == Changeover::First || !self.reporter.is_open();
+        if follows && far && begun {
+            sleep(FINISH).await;
+        }
+    }
+
     /// Brings a version into the engine; ends when it has to be looked at anew.
-    async fn bring(&mut self, wanted: &Wanted) -> Result<()> {
+    async fn bring(&self, wanted: &Wanted) -> Result<()> {
         let manifest = self.manifest(wanted).await?;
-        let mut reports = self.reporter.subscribe();
-        let runs = runs(reports.borrow().as_ref(), wanted);
+        *self.current.lock().unwrap_or_else(PoisonError::into_inner) = Some(manifest.digest());
+        let runs = runs(self.reporter.subscribe().borrow().as_ref(), wanted);
         self.take_staged(wanted, &manifest).await;
         if runs && self.transfers.shelf.whole(manifest.digest()).is_some() {
-            // Nothing is to be done until the engine forgets it.
-            loop {
-                reports.changed().await?;
-                if reports.borrow().as_ref().is_some_and(|report| !runs_it(report, wanted)) {
-                    return Ok(());
-                }
-            }
+            return self.rest(wanted).await;
+        }
+        let changeover = self.changeover(wanted);
+        tokio::select! {
+            biased;
+            collected = self.collect(wanted, &manifest) => collected?,
+            () = self.close_early(wanted, &manifest), if changeover == Changeover::First => {}
         }
-        self.collect(wanted, &manifest).await?;
         tracing::info!(
             version = %wanted.version,
             after_ms = wanted.since.elapsed().as_millis() as u64,
@@ -169,22 +193,112 @@
         if runs {
             return Ok(());
         }
-        self.wait_for_turn(wanted).await;
-        self.load(wanted, &manifest).await
+        let load = Load { engine: self.engine.as_ref(), reporter: &self.reporter, wanted };
+        let chunks = self.transfers.shelf.whole(manifest.digest()).context("chunks are gone")?;
+        tokio::select! {
+            biased;
+            loaded = load.run(&manifest, chunks, changeover) => loaded?,
+            () = self.collect_next(wanted) => {}
+        }
+        self.forget_before(wanted);
+        Ok(())
+    }
+
+    /// Waits until the engine forgets the version, or another one is wanted.
+    async fn rest(&self, wanted: &Wanted) -> Result<()> {
+        let mut reports = self.reporter.subscribe();
+        while self.plans.wanted().as_ref() == Some(wanted) {
+            reports.changed().await?;
+            if reports.borrow().as_ref().is_some_and(|report| !runs_it(report, wanted)) {
+                break;
+            }
+        }
+        Ok(())
+    }
+
+    /// When the engine goes over to a version.
+    fn changeover(&self, wanted: &Wanted) -> Changeover {
+        let plan = self.plans.newest();
+        let names: Vec<_> = plan.peers.iter().map(|peer| peer.engine.ip().to_string()).collect();
+        let engines = plan.peers.iter().zip(&names);
+        let engines: Vec<_> =
+            engines.map(|(peer, name)| (peer.zone.as_str(), name.as_str())).collect();
+        let own = (self.own.zone.as_str(), self.own.instance.as_str());
+        let version = format!("{} {}", wanted.model, wanted.version);
+        Changeover::of_wave(wave(&version, own, &engines))
+    }
+
+    /// Closes the engine once most of its weights have come in.
+    async fn close_early(&self, wanted: &Wanted, manifest: &Manifest) {
+        while !self.has_part(manifest.digest(), CLOSING) {
+            sleep(LOOK).await;
+        }
+        if self.plans.newest().peers.len() > 1 {
+            self.reporter.set_open(false).await;
+            sleep(CLOSED_IN_VAIN).await;
+            tracing::warn!(version = %wanted.version, "closed for weights that do not come");
+            self.reporter.set_open(true).await;
+        }
+        std::future::pending().await
+    }
+
+    /// Whether a part of a version's chunks is there.
+    fn has_part(&self, manifest: Digest, part: f64) -> bool {
+        let progress = self.transfers.shelf.progress(manifest);
+        progress.is_some_and(|(held, total)| held as f64 >= total as f64 * part)
+    }
+
+    /// Collects the version after this one, should it be wanted meanwhile.
+    async fn collect_next(&self, wanted: &Wanted) {
+        let mut plans = self.plans.subscribe();
+        loop {
+            if let Some(next) = self.plans.wanted().filter(|next| next != wanted) {
+                let collected = async {
+                    let manifest = self.manifest(&next).await?;
+                    self.collect(&next, &manifest).await
+                };
+                match collected.await {
+                    Ok(()) => break,
+                    Err(error) => {
+                        let error = format!("{error:#}");
+                        tracing::debug!(version = %next.version, error, "collecting ahead");
+                        sleep(RETRY).await;
+                    }
+                }
+            } else if plans.changed().await.is_err() {
+                break;
+            }
+        }
+        std::future::pending().await
+    }
+
+    /// Forgets versions that no engine goes over to any more.
+    fn forget_before(&self, wanted: &Wanted) {
+        let mut manifests = self.manifests.lock().unwrap_or_else(PoisonError::into_inner);
+        manifests.retain(|(model, version), manifest| {
+            // The one before may still be what a slower peer collects.
+            let kept = *model == wanted.model && version.0 + 1 >= wanted.version.0;
+            if !kept {
+                self.transfers.shelf.close(manifest.digest());
+            }
+            kept
+        });
     }
 
     /// The chunks of a version, as an origin lists them.
-    async fn manifest(&mut self, wanted: &Wanted) -> Result<Manifest> {
+    async fn manifest(&self, wanted: &Wanted) -> Result<Manifest> {
         let key = (wanted.model.clone(), wanted.version);
-        if let Some(manifest) = self.manifests.get(&key) {
-            return Ok(manifest.clone());
+        let known =
+            self.manifests.lock().unwrap_or_else(PoisonError::into_inner).get(&key).cloned();
+        if let Some(manifest) = known {
+            return Ok(manifest);
         }
         let (origin, _) = self.origin()?;
         let listing = origin.listing(&wanted.model, wanted.version).await?;
         let digests = listing.digests.into_iter().map(Digest::new).collect();
         let manifest = Manifest::listed(size::Bytes::new(listing.chunk_bytes), digests);
-        self.manifests.retain(|(model, _), _| *model == wanted.model);
-        self.manifests.insert(key, manifest.clone());
+        let mut manifests = self.manifests.lock().unwrap_or_else(PoisonError::into_inner);
+        manifests.insert(key, manifest.clone());
         Ok(manifest)
     }
 
@@ -258,133 +372,13 @@
             peers.map(|other| peer(other.engine.ip(), self.port, &other.zone, &other.region));
         Members { own: self.own.clone(), peers: peers.collect(), origin_weight: ORIGIN_WEIGHT }
     }
-
-    /// Waits until this engine's wave goes over to the new version.
-    ///
-    /// An engine that runs nothing has nothing to wait for.
-    async fn wait_for_turn(&self, wanted: &Wanted) {
-        let plan = self.plans.newest();
-        let subject = Key::of(&format!("{} {}", wanted.model, wanted.version));
-        let rank = |instance: &str| weight(subject, Key::of(instance));
-        let own = rank(self.own.instance.as_str());
-        // Waves are dealt out in each zone, so that none is without engines.
-        let zone = self.own.zone.as_str();
-        let members = plan.peers.iter().filter(|peer| peer.zone == zone);
-        let before =
-            members.filter(|peer| rank(&peer.engine.ip().to_string()) > own).count() as u64;
-        let wave = before % WAVES;
-        let mut reports = self.reporter.subscribe();
-        let idle = async {
-            loop {
-                let idle = reports.borrow_and_update().as_ref().is_some_and(|report| {
-                    report.models.is_empty() || report.load.running + report.load.queued == 0
-                });
-                if idle || reports.changed().await.is_err() {
-                    return;
-                }
-            }
-        };
-        let delay = self.version_time.mul_f64(LAST_WAVE * wave as f64 / (WAVES - 1) as f64);
-        tokio::select! {
-            () = sleep_until(wanted.since + delay) => {}
-            () = idle => {}
-        }
-    }
-
-    /// Stages what was collected and has the engine load it.
-    async fn load(&self, wanted: &Wanted, manifest: &Manifest) -> Result<()> {
-        let chunks = self.transfers.shelf.whole(manifest.digest()).context("chunks are gone")?;
-        for (number, bytes) in chunks.into_iter().enumerate() {
-            self.engine.stage(&wanted.model, number, bytes).await?;
-        }
-        self.check_staged(wanted, manifest).await?;
-        let report = self.close_and_drain().await?;
-        let began = Instant::now();
-        let Wanted { model, version, .. } = wanted;
-        match self.engine.start(model, *version, Switch::Finish, report.orders).await? {
-            Ordered::Taken => {}
-            Ordered::Unfit => bail!("the order does not fit the engine's state"),
-        }
-        let loaded = timeout(LOADING, self.loaded(wanted)).await;
-        self.reporter.set_open(true).await;
-        loaded.context("the engine did not load in time")??;
-        tracing::info!(
-            %version,
-            took_ms = began.elapsed().as_millis() as u64,
-            after_ms = wanted.since.elapsed().as_millis() as u64,
-            "engine runs a version"
-        );
-        Ok(())
-    }
-
-    /// Has gateways send nothing new, and waits until all that was sent has its
-    /// first token.
-    ///
-    /// What the engine has not begun when it takes the order it begins later on
-    /// the old version; should the instance stand still, much too late.
-    async fn close_and_drain(&self) -> Result<EngineReport> {
-        let since = Instant::now();
-        self.reporter.set_open(false).await;
-        let mut quiet = 0;
-        loop {
-            sleep(NOTICE).await;
-            let report = self.engine.report().await?;
-            if report.busy {
-                bail!("the engine is under another order");
-            }
-            quiet = if report.load.queued == 0 { quiet + 1 } else { 0 };
-            if quiet >= QUIET_REPORTS || since.elapsed() >= LONGEST_DRAIN {
-                return Ok(report);
-            }
-        }
-    }
-
-    /// Reads back what was staged: it may have turned bad since.
-    async fn check_staged(&self, wanted: &Wanted, manifest: &Manifest) -> Result<()> {
-        for chunk in 0..manifest.chunks() {
-            let bytes = self.engine.staged(&wanted.model, chunk).await?;
-            let digest = bytes.map(|bytes| manifest.algorithm().chunk(&bytes));
-            if digest != manifest.chunk(chunk) {
-                bail!("chunk {chunk} turned bad where it was staged");
-            }
-        }
-        Ok(())
-    }
-
-    /// Waits until the engine runs the version.
-    async fn loaded(&self, wanted: &Wanted) -> Result<()> {
-        let mut reports = self.reporter.subscribe();
-        loop {
-            reports.changed().await?;
-            let report = reports.borrow_and_update().clone();
-            let Some(report) = report else { bail!("the engine was lost while it loaded") };
-            if runs_it(&report, wanted) && !report.busy {
-                return Ok(());
-            }
-            if !report.busy && report.models.is_empty() && report.orders == 0 {
-                bail!("the engine has started anew");
-            }
-        }
-    }
-}
-
-/// Waits until another version is wanted.
-async fn superseded(mut plans: watch::Receiver<Plan>, all: Arc<Plans>, wanted: Wanted) {
-    loop {
-        if all.wanted().as_ref() != Some(&wanted) {
-            return;
-        }
-        if plans.changed().await.is_err() {
-            return;
-        }
-    }
 }
 
 fn runs(report: Option<&EngineReport>, wanted: &Wanted) -> bool {
     report.is_some_and(|report| runs_it(report, wanted))
 }
 
-fn runs_it(report: &EngineReport, wanted: &Wanted) -> bool {
+pub(super) fn runs_it(report: &EngineReport, wanted: &Wanted) -> bool {
     report
         .models
         .iter()
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! - [`report`] asks the engine what it does, often and free of charge, tells
 //!   gateways of it, and learns from them what is wanted.
-//! - [`bring`] collects the weights that are wanted, stages them whole and
+//! - [`bring`] collects the weights that are wanted; `load` stages them whole and
 //!   checked, and has the engine go over to them in its turn.
 
 pub mod bring;
+mod load;
 pub mod plan;
 pub mod report;
 
@@ -142,10 +143,13 @@
 
 /// What chunks may take of the link on their way out.
 fn upload_rate(settings: &settings::Node) -> Option<ByteRate> {
-    const BITS: f64 = 8.0;
-    const MEGA: f64 = 1e6;
-    let bytes = settings.limits.link_mbps * MEGA / BITS * UPLOAD_PART;
-    ByteRate::new(Bytes::new(bytes as u64))
+    ByteRate::new(Bytes::new((link_rate(settings) * UPLOAD_PART) as u64))
+}
+
+/// What the instance's link carries, in bytes a second.
+fn link_rate(settings: &settings::Node) -> f64 {
+    const BYTES_IN_MEGABIT: f64 = 125_000.0;
+    settings.limits.link_mbps * BYTES_IN_MEGABIT
 }
 
 impl Drop for Stager {
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Whether the engine is to get new requests.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Asks and tells for as long as the program runs.
     pub async fn report(self: Arc<Self>) {
         let mut ticks = interval(PERIOD);
@@ -90,7 +96,7 @@
 
     async fn tell(&self, report: &EngineReport) {
         let mut load = report.load.clone();
-        load.open = self.open.load(Ordering::Relaxed);
+        load.open = self.is_open();
         let datagram = pack(&Datagram::Report {
             from: self.own,
             engine: self.address,
