--- a/crates/core/src/gateway/rollout.rs
+++ b/crates/core/src/gateway/rollout.rs
@@ -73,17 +73,11 @@
         }
     }
 
-    /// Whether a version may still answer, so long after a newer one was named.
+    /// Until when a version may begin requests, so long after a newer one was
+    /// named; none while it is the newest.
     #[must_use]
-    pub fn allows(
-        &self,
-        model: &Model,
-        version: Version,
-        now: Duration,
-        overlap: Duration,
-    ) -> bool {
-        let Some(versions) = self.known.get(model) else { return true };
-        let newer = versions.iter().find(|(known, _)| *known > version);
-        newer.is_none_or(|(_, since)| now < *since + overlap)
+    pub fn ends(&self, model: &Model, version: Version, overlap: Duration) -> Option<Duration> {
+        let newer = self.known.get(model)?.iter().find(|(known, _)| *known > version);
+        newer.map(|(_, since)| *since + overlap)
     }
 }
--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -16,7 +16,7 @@
 use crate::rendezvous::{Key, weight};
 use crate::swarm::{Distance, Role, Swarm};
 
-/// How long a source that failed is left alone.
+/// How long a source that failed is left alone, unless a transfer is in more of a hurry.
 pub const PENALTY: Duration = Duration::from_secs(1);
 
 /// The most chunks drawn from one peer at once.
@@ -124,6 +124,8 @@
     /// The time that the origin's link takes for a chunk: each is drawn in its
     /// turn, so that the first ones come to peers early. Zero for no turns.
     pub spacing: Duration,
+    /// How long a source that failed is left alone.
+    pub penalty: Duration,
     /// How long to wait for those that come first before stepping in.
     pub patience: Duration,
 }
@@ -261,14 +263,15 @@
     /// Leaves a source alone for a while; the next one is asked for an awaited chunk.
     fn penalise(&mut self, chunk: usize, flight: Option<Flight>, now: Duration) {
         let Some(Flight { source, awaited }) = flight else { return };
+        let penalty = self.state.limits.penalty;
         if awaited {
             *self.state.failures.entry(chunk).or_default() += 1;
         }
         match source {
-            Source::Origin => self.state.origin_rests_until = now + PENALTY,
+            Source::Origin => self.state.origin_rests_until = now + penalty,
             Source::Peer(peer) => {
                 if let Some(neighbour) = self.state.peers.get_mut(&peer) {
-                    neighbour.rests_until = now + PENALTY;
+                    neighbour.rests_until = now + penalty;
                 }
             }
         }
@@ -308,9 +311,16 @@
     }
 
     /// Whether so many times the patience have passed without a chunk.
-    fn has_waited(&self, turns: u32, now: Duration) -> bool {
-        let waited = now.saturating_sub(self.state.progress);
-        waited >= self.state.limits.patience.saturating_mul(turns)
+    ///
+    /// Where chunks have turns, each is waited for by itself: others may keep
+    /// coming while the one that was to draw it stands still.
+    fn has_waited(&self, chunk: usize, turns: u32, now: Duration) -> bool {
+        let Limits { spacing, patience, .. } = self.state.limits;
+        let since = match spacing.is_zero() {
+            true => self.state.progress,
+            false => self.state.started + spacing.saturating_mul(turn(chunk + 1)),
+        };
+        now.saturating_sub(since) >= patience.saturating_mul(turns)
     }
 
     /// A chunk that this instance has to bring into its region or zone, and from whom.
@@ -321,7 +331,7 @@
         }
         let due = |chunk: &usize| {
             let role = &self.state.roles[*chunk];
-            let turn = role.imports.is_some_and(|turns| self.has_waited(turns, now));
+            let turn = role.imports.is_some_and(|turns| self.has_waited(*chunk, turns, now));
             turn && !role.draws && self.holders(*chunk, now).next().is_none()
         };
         let mut due = self.missing().filter(due);
@@ -333,7 +343,7 @@
         let sources = &self.state.roles[chunk].sources;
         let failures = self.state.failures.get(&chunk).copied().unwrap_or_default();
         // After a round of failures, only the patient are asked again.
-        if failures >= sources.len() && !self.has_waited(1, now) {
+        if failures >= sources.len() && !self.has_waited(chunk, 1, now) {
             return None;
         }
         let number = *sources.get(failures.checked_rem(sources.len())?)?;
@@ -354,8 +364,13 @@
 
     /// Whether it is a chunk's turn to be drawn from the origin.
     fn is_due(&self, chunk: usize, now: Duration) -> bool {
-        let turn = u32::try_from(chunk).unwrap_or(u32::MAX);
-        now >= self.state.started + self.state.limits.spacing.saturating_mul(turn)
+        let spacing = self.state.limits.spacing;
+        if now >= self.state.started + spacing.saturating_mul(turn(chunk)) {
+            return true;
+        }
+        // Whoever starts late finds by what others hold how far the turns are.
+        let later = |held: &Bitmap| (chunk + 1..held.len()).any(|later| held.contains(later));
+        !spacing.is_zero() && self.state.peers.values().any(|peer| later(&peer.held))
     }
 
     /// A chunk that has stayed away so long that the reserve steps in.
@@ -365,7 +380,7 @@
         }
         let due = |chunk: &usize| {
             let turns = self.state.roles[*chunk].reserve;
-            turns.is_some_and(|turns| self.has_waited(turns, now))
+            turns.is_some_and(|turns| self.has_waited(*chunk, turns, now))
                 && self.holders(*chunk, now).next().is_none()
         };
         self.missing().find(due).map(|chunk| (chunk, Source::Origin))
@@ -418,7 +433,7 @@
         now: Duration,
     ) -> impl Iterator<Item = (&Instance, &Neighbour)> {
         let tree = self.state.policy == Policy::Tree;
-        let far = tree || self.has_waited(1, now);
+        let far = tree || self.has_waited(chunk, 1, now);
         self.state.peers.iter().filter(move |(_, neighbour)| {
             now >= neighbour.rests_until
                 && (far || neighbour.distance == Distance::Zone)
@@ -456,6 +471,11 @@
     }
 }
 
+/// A chunk's turn to be drawn.
+fn turn(chunk: usize) -> u32 {
+    u32::try_from(chunk).unwrap_or(u32::MAX)
+}
+
 /// What a policy lets an instance do about a chunk.
 fn role(policy: Policy, swarm: &Swarm, chunk: usize) -> Role {
     let draws = match policy {
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -20,7 +20,7 @@
 use axum::extract::DefaultBodyLimit;
 use axum::extract::State;
 use axum::routing::{any, get};
-use cinderspoke_core::transfer::{PER_ORIGIN, Policy};
+use cinderspoke_core::transfer::{PENALTY, PER_ORIGIN, Policy};
 use cinderspoke_schema::control::{Kind, Peer};
 use cinderspoke_schema::settings;
 use cinderspoke_types::digest::Digest;
@@ -145,6 +145,8 @@
             limit: settings.downloads.get() as usize,
             origin_limit: PER_ORIGIN,
             origin_spacing: Duration::ZERO,
+            penalty: PENALTY,
+            times: transfer::Times::default(),
             introduction: Duration::ZERO,
             clock: Clock::start(),
         });
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -63,6 +63,22 @@
 /// The least time between two looks at a peer's holdings.
 const HOLDINGS_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long peers may take to answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// To give a chunk that they hold.
+    pub chunk: Duration,
+    /// To have a chunk that they do not hold yet.
+    pub wait: Duration,
+}
+
+impl Default for Times {
+    /// Times for chunks of megabytes.
+    fn default() -> Self {
+        Self { chunk: CHUNK_TIMEOUT, wait: AWAIT }
+    }
+}
+
 /// What transfers need, shared by all of an agent's.
 pub struct Context {
     /// Where chunks are kept.
@@ -83,6 +99,10 @@
     pub origin_limit: usize,
     /// The time that the origin's link takes for a chunk; zero where draws need no turns.
     pub origin_spacing: Duration,
+    /// How long a source that failed is left alone.
+    pub penalty: Duration,
+    /// How long peers may take.
+    pub times: Times,
     /// How long neighbours have to say what they hold before anything is drawn.
     pub introduction: Duration,
     /// The agent's clock.
@@ -142,6 +162,7 @@
         downloads: context.limit,
         origin: context.origin_limit,
         spacing: context.origin_spacing,
+        penalty: context.penalty,
         patience,
     };
     let mut transfer = Transfer::new(manifest, swarm, context.policy, limits, now);
@@ -309,7 +330,8 @@
                 Source::Peer(_) => {
                     let address = address.context("the peer has left")?;
                     let digest = digest.context("no such chunk")?;
-                    let bytes = from_peer(&context.client, address, digest, awaited).await?;
+                    let bytes =
+                        from_peer(&context.client, address, digest, awaited, context.times).await?;
                     if awaited {
                         // When it would come was not known before.
                         context.pacer.carry(length).await;
@@ -328,10 +350,12 @@
     address: SocketAddr,
     chunk: Digest,
     awaited: bool,
+    times: Times,
 ) -> Result<Bytes> {
-    let wait = if awaited { format!("?wait_ms={}", AWAIT.as_millis()) } else { String::new() };
-    let call = Call::get(address, format!("/v1/chunks/{chunk}{wait}"));
-    let call = call.limit(usize::MAX).timeout(CHUNK_TIMEOUT);
+    let wait = if awaited { times.wait } else { Duration::ZERO };
+    let query = if awaited { format!("?wait_ms={}", wait.as_millis()) } else { String::new() };
+    let call = Call::get(address, format!("/v1/chunks/{chunk}{query}"));
+    let call = call.limit(usize::MAX).timeout(wait + times.chunk);
     Ok(client.fetch(call).await?)
 }
 
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -31,6 +31,10 @@
 /// How much longer than expected a stream's first event may take at least.
 const FIRST_SILENCE: Duration = Duration::from_millis(1300);
 
+/// How much later than expected a request may begin on an old version; less than
+/// the margin that is kept when it is sent.
+const BEGIN_MARGIN: Duration = Duration::from_millis(400);
+
 /// How long the rest of a refusal may take to come.
 const REFUSAL: Duration = Duration::from_millis(100);
 
@@ -83,6 +87,11 @@
         _ => Duration::MAX,
     };
     let now = Instant::now();
+    let model = asked.call.model.as_ref().zip(chosen.version);
+    let version_left =
+        model.and_then(|(model, version)| context.knowledge.version_left(model, version));
+    // What has not begun by then may not begin on the old version any more.
+    let patience = patience.min(version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN));
     let until = now.checked_add(patience).map_or(asked.end, |until| until.min(asked.end));
     let silent = |target: &Target| {
         target.sign(Sign::Silence, context.clock.now());
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -531,7 +531,7 @@
                 None => PLAIN_TURN.saturating_mul(tracking.load.own() as u32),
             };
             if let (Some(model), Some(version)) = (&asked.call.model, version)
-                && !context.knowledge.allows(model, version, first)
+                && context.knowledge.version_left(model, version).is_some_and(|left| left < first)
             {
                 continue;
             }
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -287,12 +287,11 @@
         Fact::new(state.keeper.revision(), state.keeper.directory().clone())
     }
 
-    /// Whether a model's version may answer a request that begins after some time.
+    /// How much longer a model's version may begin requests; none for no end.
     #[must_use]
-    pub fn allows(&self, model: &Model, version: Version, first: Duration) -> bool {
-        let state = self.lock();
-        let begins = self.clock.now() + first;
-        state.timeline.allows(model, version, begins, self.terms.overlap)
+    pub fn version_left(&self, model: &Model, version: Version) -> Option<Duration> {
+        let ends = self.lock().timeline.ends(model, version, self.terms.overlap)?;
+        Some(ends.saturating_sub(self.clock.now()))
     }
 
     /// Makes what is known visible to requests.
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -28,6 +28,7 @@
 use self::plan::Plans;
 use crate::agent::peers::{self, Giver};
 use crate::agent::shelf::Shelf;
+use crate::agent::transfer::Times;
 use crate::gateway::serve;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
@@ -59,6 +60,13 @@
 /// How many chunks are drawn from the origin at once: it takes few connections.
 const ORIGIN_DRAWS: usize = 1;
 
+/// How long a source that failed is left alone: a whole version takes a few seconds.
+const PENALTY: Duration = Duration::from_millis(250);
+
+/// How long peers may take: a chunk waits behind others for as long as the
+/// queue allows, and then takes a small part of that.
+const TIMES: Times = Times { chunk: Duration::from_millis(1000), wait: Duration::from_millis(700) };
+
 /// How long neighbours have to say what they hold.
 const INTRODUCTION: Duration = Duration::from_millis(40);
 
@@ -115,6 +123,8 @@
             limit: DOWNLOADS,
             origin_limit: ORIGIN_DRAWS,
             origin_spacing: Duration::ZERO,
+            penalty: PENALTY,
+            times: TIMES,
             introduction: INTRODUCTION,
             clock: Clock::start(),
         };
