--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -332,7 +332,9 @@
         let due = |chunk: &usize| {
             let role = &self.state.roles[*chunk];
             let turn = role.imports.is_some_and(|turns| self.has_waited(*chunk, turns, now));
-            turn && !role.draws && self.holders(*chunk, now).next().is_none()
+            turn && !role.draws
+                && self.is_due(*chunk, now)
+                && self.holders(*chunk, now).next().is_none()
         };
         let mut due = self.missing().filter(due);
         due.find_map(|chunk| Some((chunk, self.import_source(chunk, now)?)))
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -32,7 +32,7 @@
 
 /// What origin bytes count against time: little, since every second without
 /// weights is a second without answers.
-const ORIGIN_WEIGHT: f64 = 0.25;
+const ORIGIN_WEIGHT: f64 = 0.5;
 
 /// How long to wait after something failed.
 const RETRY: Duration = Duration::from_millis(200);
