Requests on old versions no longer wait on full links

Cause: on a link that is squeezed to an eighth, an agent drew up to 22 chunks at once; requests lay behind half a megabyte for up to four seconds, were given up, and still began after the old version's time was over. Found by following single requests from gateway to engine.

--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -27,8 +27,10 @@
     Good,
     /// It answered with a failure of its own.
     Failure,
-    /// It could not be reached, broke off or was silent.
+    /// It could not be reached or broke off.
     Silence,
+    /// It said nothing for as long as a request could wait.
+    Stall,
 }
 
 /// Whether an endpoint may be sent requests.
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -13,8 +13,19 @@
 use super::catalog::Engine;
 use super::rollout::Version;
 
-/// A report older than this says nothing: agents report several times a second.
-pub const FRESH: Duration = Duration::from_millis(1200);
+/// A report older than this says nothing: agents report ten times a second, and
+/// some reports in a row may be lost.
+pub const FRESH: Duration = Duration::from_millis(700);
+
+/// How late a first token may be before its endpoint is taken to stand still.
+const STUCK: Duration = Duration::from_millis(400);
+
+/// A report that was on its way for so much longer than others tells of a full link.
+const DELAYED: Duration = Duration::from_millis(120);
+
+/// A difference of clocks, in microseconds, that no link makes: the agent has
+/// started anew.
+const RESTARTED: i128 = 8_000_000;
 
 /// What a report is older than when it arrives: asking the engine and the way here.
 const REPORT_AGE: Duration = Duration::from_millis(10);
@@ -39,12 +50,20 @@
     pub version: Option<Version>,
     /// Whether it takes new requests; not while it changes weights.
     pub open: bool,
+    /// The age of the newest word that its instance had from a gateway.
+    pub deaf: Duration,
 }
 
+/// An instance that has had no word for so long has a full link: gateways answer
+/// its reports ten times a second, and some answers in a row may be lost.
+const DEAF: Duration = Duration::from_millis(450);
+
 /// A request that this gateway has sent.
 #[derive(Debug, Clone, Copy)]
 struct Sent {
     at: Duration,
+    // When its first token should come.
+    due: Duration,
     prompt: u32,
     begun: bool,
 }
@@ -53,6 +72,10 @@
 #[derive(Debug, Default)]
 pub struct Load {
     report: Option<(Duration, Report)>,
+    // The least difference between our clock and the agent's, over all reports.
+    offset: Option<i128>,
+    // How much longer than the fastest the last report was on its way.
+    delay: Duration,
     sent: BTreeMap<u64, Sent>,
     // Requests of this gateway that ended since the last report.
     ended: u32,
@@ -72,8 +95,16 @@
 }
 
 impl Load {
-    /// Takes in a report that has just come.
-    pub fn reported(&mut self, report: Report, now: Duration) {
+    /// Takes in a report that has just come, with the agent's own time.
+    pub fn reported(&mut self, report: Report, told: Duration, now: Duration) {
+        let offset = now.as_micros() as i128 - told.as_micros() as i128;
+        let restarted = self.offset.is_some_and(|least| offset - least > RESTARTED);
+        let least = match self.offset {
+            Some(least) if !restarted => least.min(offset),
+            _ => offset,
+        };
+        self.offset = Some(least);
+        self.delay = Duration::from_micros(u64::try_from(offset - least).unwrap_or_default());
         self.report = Some((now.saturating_sub(REPORT_AGE), report));
         self.ended = 0;
     }
@@ -85,9 +116,24 @@
         (at.saturating_add(FRESH) >= now).then_some(report)
     }
 
-    /// Takes in that a request was sent.
-    pub fn sent(&mut self, number: u64, prompt: u32, now: Duration) {
-        self.sent.insert(number, Sent { at: now, prompt, begun: false });
+    /// Whether its agent has reported and then fell silent, or reports come late:
+    /// the instance stands still, is cut off, or its link is full.
+    #[must_use]
+    pub fn is_out_of_reach(&self, now: Duration) -> bool {
+        self.report.is_some()
+            && (self.report(now).is_none_or(|report| report.deaf > DEAF) || self.delay > DELAYED)
+    }
+
+    /// Whether a request of this gateway waits for its first token much longer than it should.
+    #[must_use]
+    pub fn is_stuck(&self, now: Duration) -> bool {
+        let waiting = self.sent.values().filter(|sent| !sent.begun);
+        waiting.into_iter().any(|sent| sent.due + STUCK < now)
+    }
+
+    /// Takes in that a request was sent whose first token should come so soon.
+    pub fn sent(&mut self, number: u64, prompt: u32, first: Duration, now: Duration) {
+        self.sent.insert(number, Sent { at: now, due: now + first, prompt, begun: false });
     }
 
     /// Takes in that a request has its first token.
--- a/crates/core/src/transfer.rs
+++ b/crates/core/src/transfer.rs
@@ -26,6 +26,9 @@
 /// connections it takes.
 pub const PER_ORIGIN: usize = 4;
 
+/// By how much each chunk that comes in time lets more be drawn at once.
+const WIDEN: f64 = 0.25;
+
 /// The most chunks that are waited for at once, to bring them into a place.
 const IMPORTS: usize = 16;
 
@@ -108,6 +111,8 @@
     failures: BTreeMap<usize, usize>,
     peers: BTreeMap<Instance, Neighbour>,
     origin_rests_until: Duration,
+    // How many chunks are drawn at once, between one and the limit.
+    window: f64,
     // When a chunk last arrived.
     progress: Duration,
     started: Duration,
@@ -126,6 +131,10 @@
     pub spacing: Duration,
     /// How long a source that failed is left alone.
     pub penalty: Duration,
+    /// A chunk that takes longer than this tells of a link that carries less
+    /// than it should: fewer are drawn at once then, since requests go over it
+    /// too. `None` where that is no concern.
+    pub slow: Option<Duration>,
     /// How long to wait for those that come first before stepping in.
     pub patience: Duration,
 }
@@ -189,6 +198,7 @@
             origin_rests_until: Duration::ZERO,
             progress: now,
             started: now,
+            window: limits.downloads as f64,
         };
         let mut transfer = Self { manifest, state };
         transfer.join(swarm);
@@ -288,7 +298,7 @@
             return Step::Await { chunk, peer };
         }
         let drawing = self.state.in_flight.values().filter(|flight| !flight.awaited).count();
-        if drawing >= self.state.limits.downloads {
+        if drawing >= self.window() {
             return Step::Wait;
         }
         let choice =
@@ -303,6 +313,20 @@
         }
     }
 
+    /// How many chunks are drawn at once.
+    fn window(&self) -> usize {
+        self.state.window as usize
+    }
+
+    /// Takes in how long a chunk was on its way that its source held.
+    pub fn took(&mut self, time: Duration) {
+        let Limits { slow, downloads, .. } = self.state.limits;
+        let Some(slow) = slow else { return };
+        let window = &mut self.state.window;
+        *window = if time > slow { *window / 2.0 } else { *window + WIDEN };
+        *window = window.clamp(1.0, downloads as f64);
+    }
+
     /// The chunks that are neither held nor on their way.
     fn missing(&self) -> impl Iterator<Item = usize> {
         let state = &self.state;
@@ -326,7 +350,8 @@
     /// A chunk that this instance has to bring into its region or zone, and from whom.
     fn import(&self, now: Duration) -> Option<(usize, Instance)> {
         let awaited = self.state.in_flight.values().filter(|flight| flight.awaited).count();
-        if awaited >= IMPORTS {
+        let narrow = self.window() < self.state.limits.downloads;
+        if awaited >= if narrow { 1 } else { IMPORTS } {
             return None;
         }
         let due = |chunk: &usize| {
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -147,6 +147,7 @@
             origin_spacing: Duration::ZERO,
             penalty: PENALTY,
             times: transfer::Times::default(),
+            slow: None,
             introduction: Duration::ZERO,
             clock: Clock::start(),
         });
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -103,6 +103,8 @@
     pub penalty: Duration,
     /// How long peers may take.
     pub times: Times,
+    /// How long a chunk may take before the link is taken to carry less than it should.
+    pub slow: Option<Duration>,
     /// How long neighbours have to say what they hold before anything is drawn.
     pub introduction: Duration,
     /// The agent's clock.
@@ -163,6 +165,7 @@
         origin: context.origin_limit,
         spacing: context.origin_spacing,
         penalty: context.penalty,
+        slow: context.slow,
         patience,
     };
     let mut transfer = Transfer::new(manifest, swarm, context.policy, limits, now);
@@ -215,6 +218,8 @@
     chunk: usize,
     source: Source,
     result: Result<(Digest, Bytes)>,
+    // How long it was on its way; none where it was waited for.
+    took: Option<Duration>,
 }
 
 async fn draw(
@@ -277,8 +282,11 @@
 
 /// Takes in a chunk that came, or that it did not.
 fn take(context: &Context, transfer: &mut Transfer<Fetching>, drawn: Drawn) {
-    let Drawn { chunk, source, result } = drawn;
+    let Drawn { chunk, source, result, took } = drawn;
     let now = context.clock.now();
+    if let Some(took) = took {
+        transfer.took(took);
+    }
     let label = match &source {
         Source::Origin => "origin",
         Source::Peer(_) => "peer",
@@ -340,8 +348,10 @@
                 }
             }
         };
+        let began = context.clock.now();
         let result = bytes.await.map(|bytes| (algorithm.chunk(&bytes), bytes));
-        Drawn { chunk, source, result }
+        let took = (!awaited).then(|| context.clock.now().saturating_sub(began));
+        Drawn { chunk, source, result, took }
     }
 }
 
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -86,13 +86,7 @@
         Kind::Stream { resumable: true } => chosen.first * 2 + FIRST_SILENCE,
         _ => Duration::MAX,
     };
-    let now = Instant::now();
-    let model = asked.call.model.as_ref().zip(chosen.version);
-    let version_left =
-        model.and_then(|(model, version)| context.knowledge.version_left(model, version));
-    // What has not begun by then may not begin on the old version any more.
-    let patience = patience.min(version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN));
-    let until = now.checked_add(patience).map_or(asked.end, |until| until.min(asked.end));
+    let until = begins_until(context, asked, chosen, patience);
     let silent = |target: &Target| {
         target.sign(Sign::Silence, context.clock.now());
         Attempt::Failed(Fate::Lost, None)
@@ -153,6 +147,16 @@
     }
 }
 
+/// Until when a request has to have begun, so that it is not tried elsewhere.
+fn begins_until(context: &Context, asked: &Asked, chosen: &Chosen, patience: Duration) -> Instant {
+    let model = asked.call.model.as_ref().zip(chosen.version);
+    let version_left =
+        model.and_then(|(model, version)| context.knowledge.version_left(model, version));
+    // What has not begun by then may not begin on the old version any more.
+    let patience = patience.min(version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN));
+    Instant::now().checked_add(patience).map_or(asked.end, |until| until.min(asked.end))
+}
+
 /// Whether callers take a status for the promise that their request has not run.
 fn is_promise(status: StatusCode) -> bool {
     matches!(
@@ -184,7 +188,8 @@
         }
     };
     let number = context.number();
-    target.tracking().load.sent(number, asked.call.size.prompt, context.clock.now());
+    let prompt = asked.call.size.prompt;
+    target.tracking().load.sent(number, prompt, chosen.first, context.clock.now());
     let sent = Sent { target: Arc::clone(target), number };
     let request = request(context, asked, chosen, after);
     let silent = || target.sign(Sign::Silence, context.clock.now());
@@ -201,7 +206,7 @@
             Err(if unsent { Fate::NotSent } else { Fate::Lost })
         }
         Err(_) => {
-            silent();
+            target.sign(Sign::Stall, context.clock.now());
             Err(Fate::Lost)
         }
     }
@@ -443,7 +448,7 @@
     }
 
     async fn go_on(&self, chosen: &Chosen, last: u64) -> Result<Box<Live>, Fate> {
-        let until = (Instant::now() + SILENCE).min(self.asked.end);
+        let until = begins_until(&self.context, &self.asked, chosen, SILENCE);
         let (head, body, connection, sent) =
             send(&self.context, &self.asked, chosen, Some(last), until).await?;
         let answer = self.context.dialect.answer(&head);
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -12,7 +12,7 @@
 use cinderspoke_core::gateway::call::Call;
 use cinderspoke_core::gateway::catalog::{Access, Engine, Limits, Route};
 use cinderspoke_core::gateway::health;
-use cinderspoke_core::gateway::load::{FRESH, first_token};
+use cinderspoke_core::gateway::load::first_token;
 use cinderspoke_core::gateway::name::{Endpoint, Service, Team};
 use cinderspoke_core::gateway::pick::{Candidate, Choice, Wish, pick};
 use cinderspoke_core::gateway::rollout::Version;
@@ -509,7 +509,9 @@
             }
             let tracking = member.target.tracking();
             let state = tracking.health.state(now);
-            if !desperate && (state == health::State::Out || tracking.rests_until > now) {
+            let stands = tracking.load.is_out_of_reach(now) || tracking.load.is_stuck(now);
+            let avoided = state == health::State::Out || tracking.rests_until > now || stands;
+            if avoided && !desperate {
                 continue;
             }
             let report = tracking.load.report(now);
@@ -531,7 +533,9 @@
                 None => PLAIN_TURN.saturating_mul(tracking.load.own() as u32),
             };
             if let (Some(model), Some(version)) = (&asked.call.model, version)
-                && context.knowledge.version_left(model, version).is_some_and(|left| left < first)
+                && let Some(left) = context.knowledge.version_left(model, version)
+                // What is held up on the way may begin long after it was given up.
+                && (left < first || stands || state != health::State::Well)
             {
                 continue;
             }
@@ -558,6 +562,3 @@
     let uri = path.parse().unwrap_or_default();
     (asked.head.method.clone(), uri, asked.head.headers.clone())
 }
-
-/// A report that says nothing of an endpoint any more is older than this.
-pub const REPORT_AGE: Duration = FRESH;
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -22,9 +22,10 @@
 use crate::util::clock::Clock;
 use crate::util::signal::{Receiver, Signal};
 
-/// How long before the end of the overlap of versions a request has to be
-/// expected to begin on the older one: estimates err.
-const OVERLAP_MARGIN: Duration = Duration::from_millis(800);
+/// The part of the time for a new version within which requests are sent to
+/// the old one. What is sent may be held up on a full link for seconds and begin
+/// although it was given up; by this time most engines have gone over.
+const OVERLAP: f64 = 0.6;
 
 /// How long a gateway that was not heard of counts as one that takes requests.
 const GATEWAY_AGE: Duration = Duration::from_secs(5);
@@ -46,7 +47,7 @@
     #[must_use]
     pub fn new(settings: &settings::Node) -> Self {
         let bounds = &settings.bounds;
-        let overlap = Duration::from_millis(bounds.version_ms).saturating_sub(OVERLAP_MARGIN);
+        let overlap = Duration::from_millis(bounds.version_ms).mul_f64(OVERLAP);
         Self {
             budget: budget::Terms {
                 ratio: bounds.retry_budget_ratio,
@@ -222,10 +223,10 @@
     }
 
     /// Takes in what an agent says of the endpoint at an address.
-    pub fn reported(&self, address: SocketAddr, report: Report) {
+    pub fn reported(&self, address: SocketAddr, report: Report, told: Duration) {
         let target = self.lock().by_address.get(&address).cloned();
         if let Some(target) = target {
-            target.tracking().load.reported(report, self.clock.now());
+            target.tracking().load.reported(report, told, self.clock.now());
         }
     }
 
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -90,6 +90,17 @@
         report: Report,
         /// The plan that the agent knows.
         plan: u64,
+        /// The agent's own time, which tells how long the report was on its way.
+        told: Duration,
+        /// Whether the agent asks for an echo.
+        echo: bool,
+    },
+    /// A gateway answers a report, so that the agent knows that it is reached.
+    Echo {
+        /// Who answers.
+        from: SocketAddr,
+        /// The time that the report told.
+        told: Duration,
     },
     /// A gateway says that there is a plan that an agent may not know.
     Hint {
@@ -252,12 +263,16 @@
                 Datagram::Digest { from, known, gateways } => {
                     self.on_digest(from, known, gateways).await;
                 }
-                Datagram::Report { from, engine, service, report, plan } => {
-                    self.knowledge.reported(engine, report);
+                Datagram::Report { from, engine, service, report, plan, told, echo } => {
+                    if echo {
+                        let echo = Datagram::Echo { from: self.own, told };
+                        send(&self.socket, from, &pack(&echo)).await;
+                    }
+                    self.knowledge.reported(engine, report, told);
                     self.on_agent(from, service, plan).await;
                 }
-                // Only agents are told of plans.
-                Datagram::Hint { .. } => {}
+                // Only agents are told of plans, and only their reports are answered.
+                Datagram::Hint { .. } | Datagram::Echo { .. } => {}
             }
         }
     }
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -67,6 +67,10 @@
 /// queue allows, and then takes a small part of that.
 const TIMES: Times = Times { chunk: Duration::from_millis(1000), wait: Duration::from_millis(700) };
 
+/// A chunk that takes longer than this, its wait at the peer among it, tells of
+/// a link that carries less than it should.
+const SLOW: Duration = Duration::from_millis(600);
+
 /// How long neighbours have to say what they hold.
 const INTRODUCTION: Duration = Duration::from_millis(40);
 
@@ -125,6 +129,7 @@
             origin_spacing: Duration::ZERO,
             penalty: PENALTY,
             times: TIMES,
+            slow: Some(SLOW),
             introduction: INTRODUCTION,
             clock: Clock::start(),
         };
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -1,8 +1,8 @@
 //! Asking the engine what it does, and telling gateways.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cinderspoke_ports::gateway::{Engine, EngineReport};
@@ -13,6 +13,7 @@
 
 use super::plan::Plans;
 use crate::gateway::relay::{self, Datagram, buffer, pack, receive};
+use crate::util::clock::Clock;
 
 /// How often the engine is asked and gateways are told.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -27,9 +28,22 @@
     plans: Arc<Plans>,
     engine: Arc<dyn Engine>,
     socket: UdpSocket,
+    clock: Clock,
     latest: watch::Sender<Latest>,
     // Cleared while the engine is to take no new requests.
     open: AtomicBool,
+    heard: Mutex<Heard>,
+}
+
+/// The newest word from a gateway.
+#[derive(Debug, Default)]
+struct Heard {
+    // Our own time that it repeats; none before the first word.
+    told: Option<Duration>,
+    // Who gave it.
+    from: Option<SocketAddr>,
+    // Turns between those who are asked for the next one.
+    turn: usize,
 }
 
 impl Reporter {
@@ -44,7 +58,9 @@
     ) -> Self {
         let address = beside.address;
         let (latest, open) = (watch::Sender::new(None), AtomicBool::new(true));
-        Self { own, address, plans, engine, socket, latest, open }
+        let clock = Clock::start();
+        let heard = Mutex::default();
+        Self { own, address, plans, engine, socket, clock, latest, open, heard }
     }
 
     /// What the engine says, as it changes.
@@ -95,30 +111,74 @@
     }
 
     async fn tell(&self, report: &EngineReport) {
+        let gateways = self.plans.gateways();
+        let asked = self.next_asked(&gateways);
+        let now = self.clock.now();
         let mut load = report.load.clone();
         load.open = self.is_open();
-        let datagram = pack(&Datagram::Report {
-            from: self.own,
-            engine: self.address,
-            service: self.plans.service().clone(),
-            report: load,
-            plan: self.plans.newest().hash(),
-        });
-        for gateway in self.plans.gateways() {
-            relay::send(&self.socket, gateway, &datagram).await;
+        load.deaf = self.deaf(now);
+        let datagram = |echo| {
+            pack(&Datagram::Report {
+                from: self.own,
+                engine: self.address,
+                service: self.plans.service().clone(),
+                report: load.clone(),
+                plan: self.plans.newest().hash(),
+                told: now,
+                echo,
+            })
+        };
+        let (plain, asking) = (datagram(false), datagram(true));
+        for gateway in gateways {
+            let bytes = if Some(gateway) == asked { &asking } else { &plain };
+            relay::send(&self.socket, gateway, bytes).await;
+        }
+    }
+
+    fn heard(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The gateway that is to answer next: by turns the one that answered last,
+    /// which most likely lives, and any other.
+    fn next_asked(&self, gateways: &[SocketAddr]) -> Option<SocketAddr> {
+        let mut heard = self.heard();
+        heard.turn = heard.turn.wrapping_add(1);
+        let last = heard.from.filter(|last| gateways.contains(last));
+        if last.is_some() && heard.turn.is_multiple_of(2) {
+            return last;
         }
+        let number = (heard.turn / 2).checked_rem(gateways.len())?;
+        gateways.get(number).copied()
     }
 
-    /// Reads the plans of which gateways tell.
+    /// The age of the newest word from a gateway.
+    fn deaf(&self, now: Duration) -> Duration {
+        self.heard().told.map_or(Duration::ZERO, |told| now.saturating_sub(told))
+    }
+
+    fn on_echo(&self, from: SocketAddr, told: Duration) {
+        let mut heard = self.heard();
+        heard.told = heard.told.max(Some(told));
+        heard.from = Some(from);
+    }
+
+    /// Takes in what gateways say.
     pub async fn listen(self: Arc<Self>) {
         let mut buffer = buffer();
         loop {
-            if let Datagram::Hint { from, plan } = receive(&self.socket, &mut buffer).await
-                && plan != self.plans.newest().hash()
-                && let Err(error) = self.plans.fetch(from).await
-            {
-                tracing::debug!(%from, error = format!("{error:#}"), "reading a plan");
+            match receive(&self.socket, &mut buffer).await {
+                Datagram::Echo { from, told } => self.on_echo(from, told),
+                Datagram::Hint { from, plan } if plan != self.plans.newest().hash() => {
+                    tokio::spawn(Arc::clone(&self).read_plan(from));
+                }
+                _ => {}
             }
         }
     }
+    async fn read_plan(self: Arc<Self>, from: SocketAddr) {
+        if let Err(error) = self.plans.fetch(from).await {
+            tracing::debug!(%from, error = format!("{error:#}"), "reading a plan");
+        }
+    }
 }
