--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -76,7 +76,10 @@
             self.streak += 1;
         }
         let tried = self.trying.take().is_some();
-        let out = tried || self.streak >= STREAK || (self.samples >= SAMPLES && self.rate > RATE);
+        let out = tried
+            || sign == Sign::Stall
+            || self.streak >= STREAK
+            || (self.samples >= SAMPLES && self.rate > RATE);
         if out {
             let wait = FIRST.saturating_mul(1 << self.trips.min(4)).min(LONGEST);
             self.out_until = Some(now + wait);
