A gateway that stops answers what still comes, as not run

Cause: from 2.6 s after SIGTERM on, a connection that was newly accepted was shut down before its request was read. Now such a connection gets one answer, 503 with when to come back, and closes.

--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -49,6 +49,9 @@
 /// When a caller is to come back if nothing better is known.
 const COME_BACK: Duration = Duration::from_millis(300);
 
+/// When a caller may come back that another gateway can serve at once.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// The part of the usual deadline below which a caller has waited before.
 const WAITED: f64 = 0.985;
 
@@ -152,6 +155,12 @@
         self.closing.cancelled().await;
     }
 
+    /// Whether connections are being closed.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.closing.is_cancelled()
+    }
+
     /// How many requests are in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -290,6 +299,10 @@
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Asked, Refusal> {
+    if context.is_closing() {
+        // It could not be finished before the process has to end.
+        return Err(Refusal::not_run("the gateway is stopping", ELSEWHERE));
+    }
     let view = context.knowledge.view();
     let Some(catalog) = &view.catalog else {
         return Err(Refusal::not_run("no configuration is known yet", COME_BACK));
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -60,6 +60,7 @@
         return;
     }
     let limits = context.limits();
+    let late = context.is_closing();
     let answers = Arc::clone(&context);
     let service = service_fn(move |request| {
         let context = Arc::clone(&answers);
@@ -70,11 +71,14 @@
         // Counts from the end of the last answer, so it bounds rest as well.
         .header_read_timeout(limits.idle + IDLE_MARGIN)
         .max_buf_size((limits.header_bytes as usize).max(LEAST_HEAD))
+        // A connection that still comes late in a stop is for one answer: closed
+        // unread, its request would be lost.
+        .keep_alive(!late)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = context.closing() => {
+        () = context.closing(), if !late => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
