Requests in parts: context, understanding, choosing, refusing

Moved out of it: what requests share (context), what is asked (understand), the choice of an endpoint (choose) and our own answers (refusal); leaving an endpoint alone goes to target. The choice looks at one member at a time now, with an enum for the version that fits it, instead of one loop with seven arguments; what an endpoint failed with is kept in the sends alone. Behaviour is unchanged.

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -16,10 +16,13 @@
 use hyper::body::{Frame, Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::forward::{Asked, Body, Chosen, Context, Sends, head_for, rest};
+use super::choose::{Chosen, Sends};
+use super::context::Context;
 use super::pool::Connection;
 use super::record::Record;
+use super::refusal::Body;
 use super::target::Target;
+use super::understand::Asked;
 
 /// The largest answer that is held until it is whole.
 const MOST_HELD: usize = 8 << 20;
@@ -212,17 +215,18 @@
     }
 }
 
+/// The request as the endpoint gets it.
 fn request(
     context: &Context,
     asked: &Asked,
     chosen: &Chosen,
     after: Option<u64>,
 ) -> Request<Full<Bytes>> {
-    let (method, uri, headers) = head_for(asked);
+    let path = asked.head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut request = Request::new(Full::new(asked.body.clone()));
-    *request.method_mut() = method;
-    *request.uri_mut() = uri;
-    *request.headers_mut() = headers;
+    *request.method_mut() = asked.head.method.clone();
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() = asked.head.headers.clone();
     let sending = Sending {
         endpoint: &chosen.target.name,
         version: chosen.version,
@@ -244,7 +248,7 @@
     body: Incoming,
     connection: Connection,
 ) {
-    rest(context, &chosen.target);
+    chosen.target.rest(context.clock.now());
     tracing::info!(
         id = %asked.call.id,
         endpoint = %chosen.target.name,
--- /dev/null
+++ b/src/cinderspoke/gateway/choose.rs
@@ -0,0 +1,222 @@
+//! Choosing the endpoint for a request's next send.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cinderspoke_core::gateway::attempt::{Fate, History};
+use cinderspoke_core::gateway::catalog::Engine;
+use cinderspoke_core::gateway::health;
+use cinderspoke_core::gateway::load::{Load, first_token};
+use cinderspoke_core::gateway::name::{Endpoint, Service};
+use cinderspoke_core::gateway::pick::{Candidate, Choice, Wish, pick};
+use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_core::rendezvous::Key;
+use http::Response;
+use tokio::time::Instant;
+
+use super::context::Context;
+use super::knowledge::{Member, View};
+use super::record::Record;
+use super::target::Target;
+use super::understand::Asked;
+
+/// How long a plain service is expected to take before it answers, for each request that it has.
+const PLAIN_TURN: Duration = Duration::from_millis(4);
+
+/// An endpoint that was chosen for a send.
+#[derive(Clone)]
+pub struct Chosen {
+    /// The endpoint.
+    pub target: Arc<Target>,
+    /// The version of weights that it is to answer with.
+    pub version: Option<Version>,
+    /// When it should begin to answer.
+    pub first: Duration,
+}
+
+/// The sends of a request so far.
+#[derive(Default)]
+pub struct Sends {
+    /// What became of them.
+    pub history: History,
+    /// The endpoints that were tried.
+    pub tried: Vec<Endpoint>,
+    /// How many sends never left this process.
+    pub unsent: u32,
+    // An endpoint's own failure, to be passed on when nothing better comes.
+    failure: Option<Response<Bytes>>,
+}
+
+impl Sends {
+    /// Takes in what became of a send.
+    pub fn record(&mut self, fate: Fate) {
+        self.history.record(fate);
+        if fate == Fate::NotSent {
+            self.unsent += 1;
+        }
+    }
+
+    /// Takes in an endpoint's failure, which the caller gets if nothing better comes.
+    pub fn failed(&mut self, failure: Option<Response<Bytes>>) {
+        if failure.is_some() {
+            self.failure = failure;
+        }
+    }
+
+    /// The newest failure that an endpoint answered with.
+    pub fn take_failure(&mut self) -> Option<Response<Bytes>> {
+        self.failure.take()
+    }
+
+    /// Chooses an endpoint, or says when the caller is to come back.
+    pub fn choose(
+        &self,
+        context: &Context,
+        asked: &Asked,
+        record: &mut Record,
+    ) -> Result<Chosen, Duration> {
+        let view = context.knowledge.view();
+        let now = context.clock.now();
+        let engine = engine_of(&view, &asked.service);
+        let members = view.members.get(&asked.service).map(Vec::as_slice).unwrap_or_default();
+        let survey = Survey { context, asked, tried: &self.tried, view: &view, engine, now };
+        let mut options = survey.options(members, Avoided::LeftOut);
+        if options.is_empty() {
+            // Better one that failed lately than none.
+            options = survey.options(members, Avoided::Included);
+        }
+        let candidates: Vec<_> = options.iter().map(|option| option.candidate).collect();
+        match pick(&self.wish(asked), &candidates) {
+            Choice::Send { number, first } => {
+                let member = &members[number];
+                let option = options.iter().find(|option| option.candidate.number == number);
+                let version = option.and_then(|option| option.version);
+                member.target.tracking().health.try_out(now);
+                record.chose(&member.target.name, first, candidates.len());
+                Ok(Chosen { target: Arc::clone(&member.target), version, first })
+            }
+            Choice::Refuse { come_back, best } => {
+                record.found_none(members.len(), candidates.len(), best);
+                Err(come_back)
+            }
+        }
+    }
+
+    /// What the request asks of an endpoint now.
+    fn wish(&self, asked: &Asked) -> Wish {
+        let waited = asked.arrived.elapsed();
+        Wish {
+            target: asked.route.target.saturating_sub(waited),
+            deadline: asked.end.saturating_duration_since(Instant::now()),
+            // Whoever has been sent once is not refused for being late.
+            returning: asked.returning || self.history.sends() > 0,
+            spread: Key::of(asked.call.id.as_str()).as_u64(),
+        }
+    }
+}
+
+/// What is done about endpoints that fail, rest or cannot be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Avoided {
+    /// They get nothing.
+    LeftOut,
+    /// They are asked like all others.
+    Included,
+}
+
+/// An endpoint that may get the request.
+struct Prospect {
+    candidate: Candidate,
+    version: Option<Version>,
+}
+
+/// Which version of weights a request is to be answered with.
+enum Weights {
+    /// The request is for no model, or the service has none.
+    Any,
+    /// This version only.
+    Only(Version),
+    /// The endpoint has none that fits.
+    Unfit,
+}
+
+/// What one choice looks at.
+struct Survey<'a> {
+    context: &'a Context,
+    asked: &'a Asked,
+    tried: &'a [Endpoint],
+    view: &'a View,
+    engine: Option<&'a Engine>,
+    now: Duration,
+}
+
+impl Survey<'_> {
+    /// The members that may get the request, each with its place among all members.
+    fn options(&self, members: &[Member], avoided: Avoided) -> Vec<Prospect> {
+        let members = members.iter().enumerate();
+        let untried = members.filter(|(_, member)| !self.tried.contains(&member.target.name));
+        untried.filter_map(|(number, member)| self.option(number, member, avoided)).collect()
+    }
+
+    /// A member as a prospect, if it is one.
+    fn option(&self, number: usize, member: &Member, avoided: Avoided) -> Option<Prospect> {
+        let tracking = member.target.tracking();
+        let state = tracking.health.state(self.now);
+        let stands = tracking.load.is_out_of_reach(self.now) || tracking.load.is_stuck(self.now);
+        let avoid = state == health::State::Out || tracking.rests_until > self.now || stands;
+        if avoid && avoided == Avoided::LeftOut {
+            return None;
+        }
+        let version = match self.weights(member, &tracking.load) {
+            Weights::Any => None,
+            Weights::Only(version) => Some(version),
+            Weights::Unfit => return None,
+        };
+        let first = self.first(&tracking.load);
+        let well = !stands && state == health::State::Well;
+        if version.is_some_and(|version| !self.begins_in_time(version, first, well)) {
+            return None;
+        }
+        let trial = state == health::State::Trial;
+        let candidate = Candidate { number, distance: member.distance, first, trial };
+        Some(Prospect { candidate, version })
+    }
+
+    /// The version that a member would answer with: as its agent reports, or
+    /// else as it is listed.
+    fn weights(&self, member: &Member, load: &Load) -> Weights {
+        let Some(model) = self.asked.call.model.as_ref().filter(|_| self.engine.is_some()) else {
+            return Weights::Any;
+        };
+        let version = match load.report(self.now) {
+            Some(report) => report.version.filter(|_| report.open),
+            None => {
+                let listed = member.entry.models.iter().find(|(name, _)| name == model);
+                listed.map(|(_, version)| *version)
+            }
+        };
+        version.map_or(Weights::Unfit, Weights::Only)
+    }
+
+    /// When an endpoint should begin to answer.
+    fn first(&self, load: &Load) -> Duration {
+        let estimate = load.estimate(self.engine, self.view.gateways, self.now);
+        match self.engine {
+            Some(engine) => first_token(engine, &estimate, self.asked.call.size),
+            None => PLAIN_TURN.saturating_mul(load.own() as u32),
+        }
+    }
+
+    /// Whether a request would begin while its version may still begin requests.
+    fn begins_in_time(&self, version: Version, first: Duration, well: bool) -> bool {
+        let model = self.asked.call.model.as_ref();
+        let left = model.and_then(|model| self.context.knowledge.version_left(model, version));
+        // What is held up on the way may begin long after it was given up.
+        left.is_none_or(|left| well && left >= first)
+    }
+}
+
+fn engine_of<'a>(view: &'a View, service: &Service) -> Option<&'a Engine> {
+    view.catalog.as_ref()?.backend(service)?.engine.as_ref()
+}
--- /dev/null
+++ b/src/cinderspoke/gateway/context.rs
@@ -0,0 +1,146 @@
+//! What answering requests needs, shared by all of a gateway's requests.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cinderspoke_core::gateway::budget::Budget;
+use cinderspoke_core::gateway::catalog::{Limits, Route};
+use cinderspoke_core::gateway::name::Service;
+use cinderspoke_ports::gateway::Dialect;
+use tokio_util::sync::CancellationToken;
+
+use super::knowledge::Knowledge;
+use crate::util::clock::Clock;
+
+/// The part of the usual deadline below which a caller has waited before.
+const WAITED: f64 = 0.985;
+
+/// What answering requests needs.
+pub struct Context {
+    /// What is known.
+    pub knowledge: Arc<Knowledge>,
+    /// How requests are spelled.
+    pub dialect: Arc<dyn Dialect>,
+    /// The process's clock.
+    pub clock: Clock,
+    leaving: AtomicBool,
+    closing: CancellationToken,
+    in_progress: AtomicUsize,
+    numbers: AtomicU64,
+    budgets: Mutex<HashMap<Service, Budget>>,
+    // The longest deadline seen on each route: who has less has waited before.
+    deadlines: Mutex<HashMap<String, Duration>>,
+}
+
+/// Counts a request as in progress until it is dropped.
+pub struct InProgress(Arc<Context>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Context {
+    /// A context for a gateway that has just started.
+    #[must_use]
+    pub fn new(knowledge: Arc<Knowledge>, dialect: Arc<dyn Dialect>, clock: Clock) -> Self {
+        Self {
+            knowledge,
+            dialect,
+            clock,
+            leaving: AtomicBool::new(false),
+            closing: CancellationToken::new(),
+            in_progress: AtomicUsize::new(0),
+            numbers: AtomicU64::new(1),
+            budgets: Mutex::default(),
+            deadlines: Mutex::default(),
+        }
+    }
+
+    /// Whether the gateway takes new connections.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let view = self.knowledge.view();
+        !self.is_leaving() && view.catalog.is_some() && !view.members.is_empty()
+    }
+
+    /// Says that the gateway takes no new connections.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Closes connections as soon as no request is on them.
+    pub fn close_connections(&self) {
+        self.closing.cancel();
+    }
+
+    /// Whether the gateway has said that it takes no new connections.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Waits until connections are to be closed.
+    pub async fn closing(&self) {
+        self.closing.cancelled().await;
+    }
+
+    /// How many requests are in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// What callers may send.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let view = self.knowledge.view();
+        view.catalog.as_ref().map_or_else(Limits::default, |catalog| catalog.declared().limits)
+    }
+
+    /// A number for a send, different from all others of this process.
+    pub fn number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Counts a request as in progress.
+    pub fn begin(self: &Arc<Self>) -> InProgress {
+        self.in_progress.fetch_add(1, Ordering::Relaxed);
+        InProgress(Arc::clone(self))
+    }
+
+    fn budget<T>(&self, service: &Service, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        act(budgets.entry(service.clone()).or_default())
+    }
+
+    /// Takes in that a request for a service came, which earns sends beyond the first.
+    pub fn earn_repeat(&self, service: &Service) {
+        let (now, terms) = (self.clock.now(), &self.knowledge.terms().budget);
+        self.budget(service, |budget| budget.request(now, terms));
+    }
+
+    /// Whether another send of a request is within the budget; counts it if it is.
+    pub fn spend_repeat(&self, service: &Service) -> bool {
+        let (now, terms) = (self.clock.now(), &self.knowledge.terms().budget);
+        let gateways = self.knowledge.view().gateways;
+        self.budget(service, |budget| {
+            let affords = budget.affords(now, terms, gateways);
+            if affords {
+                budget.repeat(now);
+            }
+            affords
+        })
+    }
+
+    /// Whether a caller with this deadline has waited before.
+    pub fn has_waited(&self, route: &Route, deadline: Duration) -> bool {
+        let mut deadlines = self.deadlines.lock().unwrap_or_else(PoisonError::into_inner);
+        let longest = deadlines.entry(route.name.clone()).or_default();
+        *longest = deadline.max(*longest);
+        deadline < longest.mul_f64(WAITED)
+    }
+}
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -3,18 +3,26 @@
 //!
 //! - [`knowledge`] holds what is known; [`follow`] learns it from the platform,
 //!   [`relay`] from other gateways, and tells them.
-//! - [`serve`] takes callers' requests, [`forward`] brings them to endpoints
-//!   over the connections of a [`pool`], [`answer`] passes streams back.
+//! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
+//!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
+//!   [`answer`] sends over the connections of a [`pool`] and passes streams
+//!   back; what no endpoint answers ends in a [`refusal`].
+//! - [`context`] is what all requests share, [`target`] what is kept of each
+//!   endpoint, [`record`] what is logged of each request.
 
 pub mod answer;
+pub mod choose;
+pub mod context;
 pub mod follow;
 pub mod forward;
 pub mod knowledge;
 pub mod pool;
 pub mod record;
+pub mod refusal;
 pub mod relay;
 pub mod serve;
 pub mod target;
+pub mod understand;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -59,7 +67,7 @@
 
 /// A running gateway; dropping it ends its tasks.
 pub struct Gateway {
-    context: Arc<forward::Context>,
+    context: Arc<context::Context>,
     stop: CancellationToken,
     grace: Duration,
 }
@@ -76,7 +84,7 @@
         let terms = Terms::new(settings);
         let knowledge = Arc::new(Knowledge::new(settings, terms, clock));
         let stop = CancellationToken::new();
-        let context = Arc::new(forward::Context::new(Arc::clone(&knowledge), parts.dialect, clock));
+        let context = Arc::new(context::Context::new(Arc::clone(&knowledge), parts.dialect, clock));
         let callers = open(listen.callers).await?;
         let ready = open(listen.ready).await?;
         let control = open(listen.control).await?;
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -8,7 +8,7 @@
 use metrics::{counter, histogram};
 use tokio::time::Instant;
 
-use super::forward::InProgress;
+use super::context::InProgress;
 use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, REQUESTS};
 
 /// How a request ended.
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -16,7 +16,8 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::forward::{self, Context};
+use super::context::Context;
+use super::forward;
 
 /// How much longer than callers let a connection rest it is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -10,6 +10,9 @@
 
 use super::pool::Pool;
 
+/// How long an endpoint that refused a request is left alone, as long as others can be asked.
+const REST: Duration = Duration::from_millis(120);
+
 /// What changes with each request.
 #[derive(Debug, Default)]
 pub struct Tracking {
@@ -43,6 +46,11 @@
         self.tracking.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Leaves the endpoint alone for a while, since it refused a request.
+    pub fn rest(&self, now: Duration) {
+        self.tracking().rests_until = now + REST;
+    }
+
     /// Takes in how a request ended.
     pub fn sign(&self, sign: Sign, now: Duration) {
         if self.tracking().health.record(sign, now) {
--- /dev/null
+++ b/src/cinderspoke/gateway/understand.rs
@@ -0,0 +1,114 @@
+//! Finding out what a request asks, and reading it whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cinderspoke_core::gateway::call::Call;
+use cinderspoke_core::gateway::catalog::{Access, Catalog, Limits, Route};
+use cinderspoke_core::gateway::name::{Service, Team};
+use cinderspoke_core::rendezvous::Key;
+use http::{StatusCode, request};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::context::Context;
+use super::record::Record;
+use super::refusal::{COME_BACK, Refusal};
+
+/// A request read whole, and what it asks.
+pub struct Asked {
+    /// What is known of it.
+    pub call: Call,
+    /// Its head, with the caller's headers.
+    pub head: request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Route,
+    /// The service that it goes to.
+    pub service: Service,
+    /// The caller's team.
+    pub team: Option<Team>,
+    /// How urgent it is.
+    pub priority: u8,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller needs no answer any more.
+    pub end: Instant,
+    /// Whether its caller was refused before.
+    pub returning: bool,
+}
+
+/// Where a request goes, and for whom.
+struct Destination {
+    route: Route,
+    service: Service,
+    team: Option<Team>,
+    priority: u8,
+}
+
+/// Finds out where a request may go, and reads it whole.
+///
+/// # Errors
+///
+/// When it may go nowhere, or does not come whole in time.
+pub async fn understand(
+    context: &Arc<Context>,
+    call: Call,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Instant,
+    record: &mut Record,
+) -> Result<Asked, Refusal> {
+    let view = context.knowledge.view();
+    let Some(catalog) = &view.catalog else {
+        return Err(Refusal::not_run("no configuration is known yet", COME_BACK));
+    };
+    let Destination { route, service, team, priority } = destination(catalog, &call)?;
+    record.version = catalog.declared().version;
+    record.route = route.name.clone();
+    let deadline = call.deadline.unwrap_or(route.timeout);
+    let end = arrived + deadline.min(route.timeout);
+    let returning = context.has_waited(&route, deadline);
+    record.returning = returning;
+    let limits = catalog.declared().limits;
+    let body = read_body(body, &limits, end).await?;
+    Ok(Asked { call, head, body, route, service, team, priority, arrived, end, returning })
+}
+
+/// Finds the route, the team and the service of a request.
+fn destination(catalog: &Catalog, call: &Call) -> Result<Destination, Refusal> {
+    let Some(route) = catalog.route(&call.host, &call.path) else {
+        return Err(Refusal::bad(StatusCode::NOT_FOUND, "no route fits"));
+    };
+    let (team, rank) = match catalog.access(route, call.key.as_deref()) {
+        Access::Open => (None, None),
+        Access::Team(team, rank) => (Some(team.clone()), rank),
+        Access::Denied => {
+            return Err(Refusal::bad(StatusCode::UNAUTHORIZED, "no team has the key"));
+        }
+    };
+    let spread = Key::of(call.id.as_str()).as_u64();
+    let Some(service) = route.service(spread).cloned() else {
+        return Err(Refusal::not_run("the route leads to no service", COME_BACK));
+    };
+    let priority = rank.unwrap_or(route.priority);
+    Ok(Destination { route: route.clone(), service, team, priority })
+}
+
+/// Reads a body that is neither too large nor too late.
+async fn read_body(body: Incoming, limits: &Limits, end: Instant) -> Result<Bytes, Refusal> {
+    let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
+    let read = timeout_at(end, Limited::new(body, limit).collect()).await;
+    let Ok(read) = read else {
+        return Err(Refusal::bad(StatusCode::REQUEST_TIMEOUT, "the request did not come in time"));
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::bad(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
+        }
+        Err(_) => Err(Refusal::bad(StatusCode::BAD_REQUEST, "the body broke off")),
+    }
+}
