A send, its answer and a stream that is passed on lie apart

gateway/answer.rs held all three. Moved: one send up to the head of the answer to send, the cutting of a stream into events to stream, passing it on and going on elsewhere to passing; answer keeps what one send brings. The tuple of an answer's parts is a struct, and a stream is made of it in one place instead of two. Behaviour is unchanged.

--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -8,9 +8,10 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use super::answer::{self, Attempt};
+use super::answer::{Attempt, attempt};
 use super::choose::Sends;
 use super::context::Context;
+use super::passing;
 use super::record::Record;
 use super::refusal::{Body, COME_BACK, Refusal, misfitting, whole};
 use super::understand::{Asked, understand};
@@ -62,13 +63,13 @@
             break COME_BACK;
         }
         sends.tried.push(chosen.target.name.clone());
-        let (fate, failure) = match answer::attempt(context, &asked, &chosen, &mut record).await {
+        let (fate, failure) = match attempt(context, &asked, &chosen, &mut record).await {
             Attempt::Whole(response) => {
                 record.answered(response.status());
                 return response.map(whole);
             }
             Attempt::Stream(head, live) => {
-                return answer::stream(context, asked, sends, record, head, live);
+                return passing::pass_on(context, asked, sends, record, head, live);
             }
             Attempt::Failed(fate, failure) => (fate, failure),
         };
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -5,8 +5,10 @@
 //!   [`relay`] from other gateways, and tells them.
 //! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
 //!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
-//!   [`answer`] sends over the connections of a [`pool`] and passes streams
-//!   back; what no endpoint answers ends in a [`refusal`].
+//!   [`send`] sends over the connections of a [`pool`], [`answer`] reads what
+//!   comes back, and what no endpoint answers ends in a [`refusal`].
+//! - [`stream`] is an answer in events; [`passing`] passes it on and has another
+//!   endpoint go on with it.
 //! - [`context`] is what all requests share, [`target`] what is kept of each
 //!   endpoint, [`record`] what is logged of each request.
 
@@ -16,11 +18,14 @@
 pub mod follow;
 pub mod forward;
 pub mod knowledge;
+pub mod passing;
 pub mod pool;
 pub mod record;
 pub mod refusal;
 pub mod relay;
+pub mod send;
 pub mod serve;
+pub mod stream;
 pub mod target;
 pub mod understand;
 
--- /dev/null
+++ b/src/cinderspoke/gateway/passing.rs
@@ -0,0 +1,175 @@
+//! Passing a stream on to its caller; when its endpoint falls silent, another
+//! one goes on with it.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cinderspoke_core::gateway::attempt::{Fate, Next};
+use cinderspoke_core::gateway::event::Whole;
+use cinderspoke_core::gateway::health::Sign;
+use http::{Response, StatusCode, header, response};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use tokio::time::Instant;
+
+use super::answer::passed_on;
+use super::choose::{Chosen, Sends};
+use super::context::Context;
+use super::record::Record;
+use super::refusal::Body;
+use super::send::{begins_until, refused, send};
+use super::stream::{Live, Part, Silent};
+use super::understand::Asked;
+
+/// How long an endpoint may be silent in the middle of a stream before another
+/// one goes on with it: callers leave after two seconds.
+const SILENCE: Duration = Duration::from_millis(1100);
+
+/// A stream on its way to its caller.
+struct Passing {
+    context: Arc<Context>,
+    asked: Asked,
+    sends: Sends,
+    record: Record,
+    live: Option<Box<Live>>,
+    // The last event that was passed on.
+    last: Option<u64>,
+    status: StatusCode,
+}
+
+/// Makes the answer to a caller out of a stream that has begun.
+pub fn pass_on(
+    context: &Arc<Context>,
+    asked: Asked,
+    mut sends: Sends,
+    record: Record,
+    head: response::Parts,
+    live: Box<Live>,
+) -> Response<Body> {
+    let head = passed_on(head);
+    // The send that runs counts as one that has run.
+    sends.record(Fate::Lost);
+    let last = asked.call.after;
+    let passing = Passing {
+        context: Arc::clone(context),
+        asked,
+        sends,
+        record,
+        live: Some(live),
+        last,
+        status: head.status,
+    };
+    let events = futures::stream::unfold(Some(passing), |passing| async {
+        let mut passing = passing?;
+        match passing.next().await {
+            Some(Ok(bytes)) => Some((Ok(Frame::data(bytes)), Some(passing))),
+            Some(Err(error)) => Some((Err(error), None)),
+            None => None,
+        }
+    });
+    let body: Body = StreamBody::new(events).boxed_unsync();
+    let mut response = Response::from_parts(head, body);
+    // Another endpoint may go on with another length.
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    response
+}
+
+impl Passing {
+    /// The next events for the caller; none at the end.
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            let Some(live) = &mut self.live else {
+                return Some(Err(self.break_off("no endpoint could go on")));
+            };
+            let until = (Instant::now() + SILENCE).min(self.asked.end);
+            match live.next(until).await {
+                Ok(Part::Events(events)) => return Some(self.pass(events)),
+                Ok(Part::End) => {
+                    if let Some(live) = self.live.take() {
+                        live.finish();
+                    }
+                    self.record.answered(self.status);
+                    return None;
+                }
+                Err(Silent) if Instant::now() >= self.asked.end => {
+                    return Some(Err(self.break_off("no time is left")));
+                }
+                Err(Silent) => self.resume().await,
+            }
+        }
+    }
+
+    /// Passes events on, unless the caller has had them.
+    fn pass(&mut self, events: Whole) -> io::Result<Bytes> {
+        if let (Some(last), Some(new)) = (self.last, events.last)
+            && new <= last
+        {
+            return Err(self.break_off("events came twice"));
+        }
+        self.last = events.last.or(self.last);
+        Ok(events.bytes.into())
+    }
+
+    /// Ends the stream before its time.
+    fn break_off(&mut self, why: &'static str) -> io::Error {
+        self.live = None;
+        self.record.broken(why);
+        io::Error::other(why)
+    }
+
+    /// Has another endpoint go on after the last whole event.
+    async fn resume(&mut self) {
+        let Some(live) = self.live.take() else { return };
+        live.target().sign(Sign::Silence, self.context.clock.now());
+        self.record.failed_send(&live.target().name, Fate::Lost);
+        drop(live);
+        // Without a number there is nothing to go on after.
+        let Some(last) = self.last else { return };
+        loop {
+            let resumable = self.asked.route.kind.repeatable();
+            let time_left = Instant::now() < self.asked.end;
+            let next = self.sends.history.next(resumable, self.asked.route.attempts, time_left);
+            if next != Next::Retry || !self.context.spend_repeat(&self.asked.service) {
+                return;
+            }
+            let Ok(chosen) = self.sends.choose(&self.context, &self.asked, &mut self.record) else {
+                return;
+            };
+            self.sends.tried.push(chosen.target.name.clone());
+            match self.go_on(&chosen, last).await {
+                Ok(live) => {
+                    self.sends.record(Fate::Lost);
+                    self.record.resumed();
+                    self.live = Some(live);
+                    return;
+                }
+                Err(fate) => {
+                    self.record.failed_send(&chosen.target.name, fate);
+                    self.sends.record(fate);
+                }
+            }
+        }
+    }
+
+    /// Asks an endpoint to go on after an event.
+    async fn go_on(&self, chosen: &Chosen, last: u64) -> Result<Box<Live>, Fate> {
+        let until = begins_until(&self.context, &self.asked, chosen, SILENCE);
+        let answer = send(&self.context, &self.asked, chosen, Some(last), until).await?;
+        let said = self.context.dialect.answer(&answer.head);
+        if said.request.as_ref() != Some(&self.asked.call.id) {
+            return Err(Fate::Lost);
+        }
+        if said.not_run {
+            refused(&self.context, &self.asked, answer).await;
+            return Err(Fate::Refused);
+        }
+        if !answer.head.status.is_success() || !said.signed {
+            return Err(Fate::Failed);
+        }
+        let (_, live) = Live::new(answer);
+        live.begun();
+        Ok(Box::new(live))
+    }
+}
--- /dev/null
+++ b/src/cinderspoke/gateway/send.rs
@@ -0,0 +1,178 @@
+//! One send of a request to an endpoint, up to the head of the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cinderspoke_core::gateway::attempt::Fate;
+use cinderspoke_core::gateway::health::Sign;
+use cinderspoke_ports::gateway::Sending;
+use http::{HeaderMap, Request, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::choose::Chosen;
+use super::context::Context;
+use super::pool::Connection;
+use super::target::Target;
+use super::understand::Asked;
+
+/// The largest answer that is held until it is whole.
+pub const MOST_HELD: usize = 8 << 20;
+
+/// How much later than expected a request may begin on an old version; less than
+/// the margin that is kept when it is sent.
+const BEGIN_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long the rest of a refusal may take to come.
+const REFUSAL: Duration = Duration::from_millis(100);
+
+/// A request at an endpoint, counted there until it is dropped.
+pub struct Sent {
+    /// The endpoint.
+    pub target: Arc<Target>,
+    number: u64,
+}
+
+impl Sent {
+    /// Takes in that the answer has begun.
+    pub fn begun(&self) {
+        self.target.tracking().load.begun(self.number);
+    }
+
+    /// Ends the request at the endpoint, which stays of use to the caller.
+    #[must_use]
+    pub fn end(self) -> Arc<Target> {
+        Arc::clone(&self.target)
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        self.target.tracking().load.ended(self.number);
+    }
+}
+
+/// An answer whose head is there.
+pub struct Answer {
+    /// Its head.
+    pub head: response::Parts,
+    /// Its body, of which nothing was read yet.
+    pub body: Incoming,
+    /// The connection that it comes over.
+    pub connection: Connection,
+    /// The request at the endpoint.
+    pub sent: Sent,
+}
+
+/// Sends a request and waits for the head of the answer; `after` is the last
+/// event that the caller has, if another endpoint gave it.
+///
+/// # Errors
+///
+/// What became of the request when no head came in time.
+pub async fn send(
+    context: &Context,
+    asked: &Asked,
+    chosen: &Chosen,
+    after: Option<u64>,
+    until: Instant,
+) -> Result<Answer, Fate> {
+    let target = &chosen.target;
+    let mut connection = match target.pool.take().await {
+        Ok(connection) => connection,
+        Err(error) => {
+            tracing::debug!(endpoint = %target.name, error = format!("{error:#}"), "connecting");
+            target.sign(Sign::Silence, context.clock.now());
+            return Err(Fate::NotSent);
+        }
+    };
+    let number = context.number();
+    let prompt = asked.call.size.prompt;
+    target.tracking().load.sent(number, prompt, chosen.first, context.clock.now());
+    let sent = Sent { target: Arc::clone(target), number };
+    let request = request(context, asked, chosen, after);
+    match timeout_at(until, connection.try_send_request(request)).await {
+        Ok(Ok(response)) => {
+            let (head, body) = response.into_parts();
+            Ok(Answer { head, body, connection, sent })
+        }
+        Ok(Err(mut error)) => {
+            let unsent = error.take_message().is_some();
+            let cause = error.error().to_string();
+            tracing::debug!(endpoint = %target.name, unsent, cause, "sending");
+            target.sign(Sign::Silence, context.clock.now());
+            Err(if unsent { Fate::NotSent } else { Fate::Lost })
+        }
+        Err(_) => {
+            target.sign(Sign::Stall, context.clock.now());
+            Err(Fate::Lost)
+        }
+    }
+}
+
+/// The request as the endpoint gets it.
+fn request(
+    context: &Context,
+    asked: &Asked,
+    chosen: &Chosen,
+    after: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let path = asked.head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut request = Request::new(Full::new(asked.body.clone()));
+    *request.method_mut() = asked.head.method.clone();
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() = asked.head.headers.clone();
+    let sending = Sending {
+        endpoint: &chosen.target.name,
+        version: chosen.version,
+        left: asked.end.saturating_duration_since(Instant::now()),
+        team: asked.team.as_ref(),
+        priority: asked.priority,
+        after: after.or(asked.call.after),
+    };
+    context.dialect.address(request.headers_mut(), &sending);
+    request
+}
+
+/// Until when a request has to have begun, so that it is not tried elsewhere.
+pub fn begins_until(
+    context: &Context,
+    asked: &Asked,
+    chosen: &Chosen,
+    patience: Duration,
+) -> Instant {
+    let model = asked.call.model.as_ref().zip(chosen.version);
+    let version_left =
+        model.and_then(|(model, version)| context.knowledge.version_left(model, version));
+    // What has not begun by then may not begin on the old version any more.
+    let patience = patience.min(version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN));
+    Instant::now().checked_add(patience).map_or(asked.end, |until| until.min(asked.end))
+}
+
+/// Takes in that an endpoint has refused a request without running it.
+pub async fn refused(context: &Context, asked: &Asked, answer: Answer) {
+    let Answer { head, body, connection, sent } = answer;
+    let target = &sent.target;
+    target.rest(context.clock.now());
+    tracing::info!(
+        id = %asked.call.id,
+        endpoint = %target.name,
+        status = head.status.as_u16(),
+        "an endpoint refused a request"
+    );
+    if let Ok(Ok(_)) = timeout(REFUSAL, Limited::new(body, MOST_HELD).collect()).await {
+        target.pool.keep(connection, keep_alive(&head.headers));
+    }
+}
+
+/// How long the endpoint lets the connection rest, in whole seconds as it says.
+pub fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let number = text.split(',').find_map(|part| {
+        let part = part.trim();
+        part.strip_prefix("timeout=").unwrap_or(part).parse().ok()
+    });
+    number.map(Duration::from_secs)
+}
