Messages and reporting agents apart from the relay

gateway/relay.rs held the messages of all processes, the book of agents and the telling itself. Moved: messages and their datagrams to message, which agents use as well, and the book of agents to agents. The plan of a service is put together in two functions, and catching up with another gateway is one of its own; a pause after a failed receive has a name. Behaviour is unchanged.

--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -17,7 +17,7 @@
 use cinderspoke_core::swarm::Distance;
 use cinderspoke_schema::settings;
 
-use super::relay::Known;
+use super::message::Known;
 use super::target::Target;
 use crate::util::clock::Clock;
 use crate::util::signal::{Receiver, Signal};
--- /dev/null
+++ b/src/cinderspoke/gateway/message.rs
@@ -0,0 +1,173 @@
+//! Messages between the system's processes, and their datagrams.
+//!
+//! Datagrams may be lost, doubled or late; whatever they say is said again, or
+//! can be asked for over HTTP. All messages are packed with `postcard`, so both
+//! sides have to be of one build.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cinderspoke_core::gateway::catalog::{Declared, Origin};
+use cinderspoke_core::gateway::directory::Directory;
+use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::load::Report;
+use cinderspoke_core::gateway::name::Service;
+use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_core::rendezvous::Key;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// The largest datagram: what fits into a link's packet several times over.
+const MAX_DATAGRAM: usize = 16 << 10;
+
+/// How long to wait after a datagram could not be received.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(5);
+
+/// What a process knows, in a few words.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Known {
+    /// The version of the configuration in force.
+    pub configuration: u64,
+    /// The versions that models are to have.
+    pub rollout: Rollout,
+    /// The revision of the list of endpoints.
+    pub directory: Revision,
+    /// Tells lists of endpoints apart.
+    pub directory_hash: u64,
+}
+
+/// What goes between processes without an answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Datagram {
+    /// A gateway says what it knows.
+    Digest {
+        /// Where it can be asked for more.
+        from: SocketAddr,
+        /// What it knows.
+        known: Known,
+        /// Other gateways that it knows of.
+        gateways: Vec<SocketAddr>,
+    },
+    /// An agent says what its engine is busy with.
+    Report {
+        /// The agent.
+        from: SocketAddr,
+        /// Where the engine answers.
+        engine: SocketAddr,
+        /// The engine's service.
+        service: Service,
+        /// What it is busy with.
+        report: Report,
+        /// The plan that the agent knows.
+        plan: u64,
+        /// The agent's own time, which tells how long the report was on its way.
+        told: Duration,
+        /// Whether the agent asks for an echo.
+        echo: bool,
+    },
+    /// A gateway answers a report, so that the agent knows that it is reached.
+    Echo {
+        /// Who answers.
+        from: SocketAddr,
+        /// The time that the report told.
+        told: Duration,
+    },
+    /// A gateway says that there is a plan that an agent may not know.
+    Hint {
+        /// Where it can be read.
+        from: SocketAddr,
+        /// Tells plans apart.
+        plan: u64,
+    },
+}
+
+/// All that a gateway can tell another.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Facts {
+    /// The configuration, if it is newer than the asker's.
+    pub configuration: Option<Fact<Declared>>,
+    /// The versions that models are to have.
+    pub rollout: Fact<Rollout>,
+    /// The endpoints.
+    pub directory: Fact<Directory>,
+    /// Other gateways.
+    pub gateways: Vec<SocketAddr>,
+}
+
+/// An engine of a service, as agents see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Where the engine answers; its agent is on the same instance.
+    pub engine: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+    /// The region of its availability zone.
+    pub region: String,
+}
+
+/// What agents have to know of their service.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// When it held.
+    pub revision: Revision,
+    /// The versions that models are to have.
+    pub rollout: Rollout,
+    /// The models of the service.
+    pub models: Vec<String>,
+    /// Where weights come from at first.
+    pub origins: Vec<Origin>,
+    /// The engines of the service.
+    pub peers: Vec<Peer>,
+    /// The gateways.
+    pub gateways: Vec<SocketAddr>,
+}
+
+impl Plan {
+    /// Tells plans apart, whenever they held.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        let Self { rollout, models, origins, peers, gateways, .. } = self;
+        Key::of(&format!("{rollout:?}{models:?}{origins:?}{peers:?}{gateways:?}")).as_u64()
+    }
+}
+
+/// Packs a message.
+pub fn pack<T: Serialize>(message: &T) -> Vec<u8> {
+    postcard::to_stdvec(message).unwrap_or_else(|error| {
+        // Only a map or sequence of unknown length fails, and there is none.
+        tracing::error!(%error, "a message could not be packed");
+        Vec::new()
+    })
+}
+
+/// Sends a datagram; a lost one is made good by the next.
+pub async fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
+    if let Err(error) = socket.send_to(bytes, to).await {
+        tracing::debug!(%to, %error, "a datagram was not sent");
+    }
+}
+
+/// Receives the next datagram that can be read.
+pub async fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Datagram {
+    loop {
+        let received = match socket.recv_from(buffer).await {
+            Ok((length, _)) => postcard::from_bytes(&buffer[..length]),
+            Err(error) => {
+                tracing::debug!(%error, "receiving a datagram");
+                sleep(RECEIVE_PAUSE).await;
+                continue;
+            }
+        };
+        match received {
+            Ok(datagram) => return datagram,
+            Err(error) => tracing::debug!(%error, "a datagram cannot be read"),
+        }
+    }
+}
+
+/// A buffer for datagrams.
+#[must_use]
+pub fn buffer() -> Vec<u8> {
+    vec![0; MAX_DATAGRAM]
+}
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -2,7 +2,8 @@
 //! versions and the list of endpoints.
 //!
 //! - [`knowledge`] holds what is known; [`follow`] learns it from the platform,
-//!   [`relay`] from other gateways, and tells them.
+//!   [`relay`] from other gateways, and tells them and [`agents`] in a
+//!   [`message`].
 //! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
 //!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
 //!   [`send`] sends over the connections of a [`pool`], [`answer`] reads what
@@ -12,12 +13,14 @@
 //! - [`context`] is what all requests share, [`target`] what is kept of each
 //!   endpoint, [`record`] what is logged of each request.
 
+pub mod agents;
 pub mod answer;
 pub mod choose;
 pub mod context;
 pub mod follow;
 pub mod forward;
 pub mod knowledge;
+pub mod message;
 pub mod passing;
 pub mod pool;
 pub mod record;
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -7,8 +7,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -16,21 +16,19 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
-use cinderspoke_core::gateway::catalog::{Declared, Origin};
-use cinderspoke_core::gateway::directory::{self, Directory};
+use cinderspoke_core::gateway::directory::{Directory, Entry};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
-use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Service;
-use cinderspoke_core::gateway::rollout::Rollout;
-use cinderspoke_core::rendezvous::Key;
 use cinderspoke_schema::settings;
 use http::StatusCode;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
 
+use super::agents::Agents;
 use super::knowledge::Knowledge;
+use super::message::{Datagram, Facts, Known, Peer, Plan, buffer, pack, receive, send};
 use crate::util::http::{Call, Client};
 use crate::util::settings::inner_address;
 use crate::util::stop;
@@ -41,174 +39,12 @@
 /// How long what a peer knows more is left to come from the store by itself.
 const OWN_WORD: Duration = Duration::from_millis(60);
 
-/// The least time between two hints to an agent.
-const HINT_PAUSE: Duration = Duration::from_millis(150);
-
 /// How long a peer may take to tell what it knows.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// The largest datagram: what fits into a link's packet several times over.
-const MAX_DATAGRAM: usize = 16 << 10;
-
 /// How many gateways a digest names at most.
 const NAMED_GATEWAYS: usize = 24;
 
-/// What a process knows, in a few words.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Known {
-    /// The version of the configuration in force.
-    pub configuration: u64,
-    /// The versions that models are to have.
-    pub rollout: Rollout,
-    /// The revision of the list of endpoints.
-    pub directory: Revision,
-    /// Tells lists of endpoints apart.
-    pub directory_hash: u64,
-}
-
-/// What goes between processes without an answer.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum Datagram {
-    /// A gateway says what it knows.
-    Digest {
-        /// Where it can be asked for more.
-        from: SocketAddr,
-        /// What it knows.
-        known: Known,
-        /// Other gateways that it knows of.
-        gateways: Vec<SocketAddr>,
-    },
-    /// An agent says what its engine is busy with.
-    Report {
-        /// The agent.
-        from: SocketAddr,
-        /// Where the engine answers.
-        engine: SocketAddr,
-        /// The engine's service.
-        service: Service,
-        /// What it is busy with.
-        report: Report,
-        /// The plan that the agent knows.
-        plan: u64,
-        /// The agent's own time, which tells how long the report was on its way.
-        told: Duration,
-        /// Whether the agent asks for an echo.
-        echo: bool,
-    },
-    /// A gateway answers a report, so that the agent knows that it is reached.
-    Echo {
-        /// Who answers.
-        from: SocketAddr,
-        /// The time that the report told.
-        told: Duration,
-    },
-    /// A gateway says that there is a plan that an agent may not know.
-    Hint {
-        /// Where it can be read.
-        from: SocketAddr,
-        /// Tells plans apart.
-        plan: u64,
-    },
-}
-
-/// All that a gateway can tell another.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct Facts {
-    /// The configuration, if it is newer than the asker's.
-    pub configuration: Option<Fact<Declared>>,
-    /// The versions that models are to have.
-    pub rollout: Fact<Rollout>,
-    /// The endpoints.
-    pub directory: Fact<Directory>,
-    /// Other gateways.
-    pub gateways: Vec<SocketAddr>,
-}
-
-/// An engine of a service, as agents see it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Peer {
-    /// Where the engine answers; its agent is on the same instance.
-    pub engine: SocketAddr,
-    /// Its availability zone.
-    pub zone: String,
-    /// The region of its availability zone.
-    pub region: String,
-}
-
-/// What agents have to know of their service.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Plan {
-    /// When it held.
-    pub revision: Revision,
-    /// The versions that models are to have.
-    pub rollout: Rollout,
-    /// The models of the service.
-    pub models: Vec<String>,
-    /// Where weights come from at first.
-    pub origins: Vec<Origin>,
-    /// The engines of the service.
-    pub peers: Vec<Peer>,
-    /// The gateways.
-    pub gateways: Vec<SocketAddr>,
-}
-
-impl Plan {
-    /// Tells plans apart, whenever they held.
-    #[must_use]
-    pub fn hash(&self) -> u64 {
-        let Self { rollout, models, origins, peers, gateways, .. } = self;
-        Key::of(&format!("{rollout:?}{models:?}{origins:?}{peers:?}{gateways:?}")).as_u64()
-    }
-}
-
-/// Packs a message.
-pub fn pack<T: Serialize>(message: &T) -> Vec<u8> {
-    postcard::to_stdvec(message).unwrap_or_else(|error| {
-        // Only a map or sequence of unknown length fails, and there is none.
-        tracing::error!(%error, "a message could not be packed");
-        Vec::new()
-    })
-}
-
-/// Sends a datagram; a lost one is made good by the next.
-pub async fn send(socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
-    if let Err(error) = socket.send_to(bytes, to).await {
-        tracing::debug!(%to, %error, "a datagram was not sent");
-    }
-}
-
-/// Receives the next datagram that can be read.
-pub async fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Datagram {
-    loop {
-        let received = match socket.recv_from(buffer).await {
-            Ok((length, _)) => postcard::from_bytes(&buffer[..length]),
-            Err(error) => {
-                tracing::debug!(%error, "receiving a datagram");
-                sleep(Duration::from_millis(5)).await;
-                continue;
-            }
-        };
-        match received {
-            Ok(datagram) => return datagram,
-            Err(error) => tracing::debug!(%error, "a datagram cannot be read"),
-        }
-    }
-}
-
-/// A buffer for datagrams.
-#[must_use]
-pub fn buffer() -> Vec<u8> {
-    vec![0; MAX_DATAGRAM]
-}
-
-/// An agent that reports here.
-#[derive(Debug)]
-struct Agent {
-    service: Service,
-    plan: u64,
-    hinted: Option<Instant>,
-}
-
 /// Tells other processes what this gateway knows, and learns from them.
 pub struct Relay {
     own: SocketAddr,
@@ -217,7 +53,7 @@
     knowledge: Arc<Knowledge>,
     client: Client,
     socket: UdpSocket,
-    agents: Mutex<HashMap<SocketAddr, Agent>>,
+    agents: Agents,
     fetching: AtomicBool,
 }
 
@@ -233,7 +69,7 @@
         let own = inner_address(settings);
         let seeds = inner_addresses(settings).into_iter().filter(|seed| *seed != own).collect();
         let regions = settings.regions.clone();
-        let agents = Mutex::default();
+        let agents = Agents::default();
         let fetching = AtomicBool::new(false);
         Self { own, seeds, regions, knowledge, client, socket, agents, fetching }
     }
@@ -277,6 +113,7 @@
         }
     }
 
+    /// Learns from what another gateway knows, and tells it what it does not.
     async fn on_digest(self: &Arc<Self>, from: SocketAddr, known: Known, others: Vec<SocketAddr>) {
         if from == self.own {
             return;
@@ -290,22 +127,24 @@
         self.knowledge.named(named, "gateway");
         let behind = knows_more(&own, &known);
         if knows_more(&known, &own) && !self.fetching.swap(true, Ordering::Relaxed) {
-            let relay = Arc::clone(self);
-            tokio::spawn(async move {
-                sleep(OWN_WORD).await;
-                if knows_more(&known, &relay.knowledge.known())
-                    && let Err(error) = relay.fetch(from).await
-                {
-                    tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
-                }
-                relay.fetching.store(false, Ordering::Relaxed);
-            });
+            tokio::spawn(Arc::clone(self).catch_up(from, known));
         }
         if behind {
             send(&self.socket, from, &self.digest()).await;
         }
     }
 
+    /// Asks a gateway for what it knows more, unless that comes by itself.
+    async fn catch_up(self: Arc<Self>, from: SocketAddr, known: Known) {
+        sleep(OWN_WORD).await;
+        if knows_more(&known, &self.knowledge.known())
+            && let Err(error) = self.fetch(from).await
+        {
+            tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
+        }
+        self.fetching.store(false, Ordering::Relaxed);
+    }
+
     /// Asks a gateway for what it knows more.
     async fn fetch(&self, from: SocketAddr) -> Result<()> {
         let known = self.knowledge.known();
@@ -325,26 +164,18 @@
         Ok(())
     }
 
+    /// Hints an agent at its service's plan if it does not know it.
     async fn on_agent(&self, from: SocketAddr, service: Service, plan: u64) {
-        let now = Instant::now();
         let wanted = self.plan_of(&service).hash();
-        let hint = {
-            let mut agents = self.agents.lock().unwrap_or_else(PoisonError::into_inner);
-            let agent = agents.entry(from).or_insert(Agent { service, plan, hinted: None });
-            agent.plan = plan;
-            let rested = agent.hinted.is_none_or(|hinted| hinted + HINT_PAUSE <= now);
-            let hint = wanted != plan && rested;
-            if hint {
-                agent.hinted = Some(now);
-            }
-            hint
-        };
-        if hint {
-            let datagram = Datagram::Hint { from: self.own, plan: wanted };
-            send(&self.socket, from, &pack(&datagram)).await;
+        if self.agents.reported(from, service, plan, wanted) {
+            self.hint(from, wanted).await;
         }
     }
 
+    async fn hint(&self, agent: SocketAddr, plan: u64) {
+        send(&self.socket, agent, &pack(&Datagram::Hint { from: self.own, plan })).await;
+    }
+
     /// Tells of news at once.
     async fn push(self: Arc<Self>) {
         let mut changes = self.knowledge.subscribe();
@@ -358,22 +189,10 @@
         }
     }
 
+    /// Hints every agent that does not know its service's plan.
     async fn hint_all(&self) {
-        let now = Instant::now();
-        let hints: Vec<_> = {
-            let mut agents = self.agents.lock().unwrap_or_else(PoisonError::into_inner);
-            let mut hints = Vec::new();
-            for (address, agent) in agents.iter_mut() {
-                let plan = self.plan_of(&agent.service).hash();
-                if plan != agent.plan {
-                    agent.hinted = Some(now);
-                    hints.push((*address, plan));
-                }
-            }
-            hints
-        };
-        for (address, plan) in hints {
-            send(&self.socket, address, &pack(&Datagram::Hint { from: self.own, plan })).await;
+        for (agent, plan) in self.agents.behind(|service| self.plan_of(service).hash()) {
+            self.hint(agent, plan).await;
         }
     }
 
@@ -410,34 +229,35 @@
     fn plan_of(&self, service: &Service) -> Plan {
         let view = self.knowledge.view();
         let directory = self.knowledge.directory();
-        let peers = directory.value.entries.values().filter(|entry| entry.service == *service);
-        let peer = |entry: &directory::Entry| Peer {
-            engine: entry.address,
-            zone: entry.zone.to_string(),
-            region: self.regions.get(entry.zone.as_str()).cloned().unwrap_or_default(),
-        };
-        let mut peers: Vec<_> = peers.map(peer).collect();
-        peers.sort_by_key(|peer| peer.engine);
-        let engine = view.catalog.as_ref().and_then(|catalog| {
-            catalog.backend(service).and_then(|backend| backend.engine.clone())
-        });
+        let catalog = view.catalog.as_ref();
+        let engine = catalog.and_then(|catalog| catalog.backend(service)?.engine.as_ref());
+        let models = engine.map(|engine| engine.models.iter().map(ToString::to_string).collect());
+        let origins = catalog.map(|catalog| catalog.origins().collect());
         let mut gateways = self.others();
         gateways.push(self.own);
         gateways.sort();
         Plan {
             revision: directory.revision,
             rollout: view.rollout.clone(),
-            models: engine
-                .map(|engine| engine.models.iter().map(ToString::to_string).collect())
-                .unwrap_or_default(),
-            origins: view
-                .catalog
-                .as_ref()
-                .map_or(Vec::new(), |catalog| catalog.origins().collect()),
-            peers,
+            models: models.unwrap_or_default(),
+            origins: origins.unwrap_or_default(),
+            peers: self.peers(&directory.value, service),
             gateways,
         }
     }
+
+    /// The engines of a service, in the order of their addresses.
+    fn peers(&self, directory: &Directory, service: &Service) -> Vec<Peer> {
+        let entries = directory.entries.values().filter(|entry| entry.service == *service);
+        let peer = |entry: &Entry| Peer {
+            engine: entry.address,
+            zone: entry.zone.to_string(),
+            region: self.regions.get(entry.zone.as_str()).cloned().unwrap_or_default(),
+        };
+        let mut peers: Vec<_> = entries.map(peer).collect();
+        peers.sort_by_key(|peer| peer.engine);
+        peers
+    }
 }
 
 /// Whether one knows something that the other does not.
@@ -453,11 +273,13 @@
     settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
 }
 
+/// What the asker of facts knows.
 #[derive(Debug, Deserialize)]
 struct Asked {
     configuration: u64,
 }
 
+/// Tells another gateway all that it may not know.
 async fn facts(State(relay): State<Arc<Relay>>, Query(asked): Query<Asked>) -> Bytes {
     let knowledge = &relay.knowledge;
     let (_, revision, _) = knowledge.revisions();
@@ -470,11 +292,13 @@
     pack(&facts).into()
 }
 
+/// The service whose plan is asked for.
 #[derive(Debug, Deserialize)]
 struct Wanted {
     service: String,
 }
 
+/// Tells an agent its service's plan, once a configuration is known.
 async fn plan(
     State(relay): State<Arc<Relay>>,
     Query(wanted): Query<Wanted>,
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -28,7 +28,7 @@
 use super::report::Reporter;
 use super::{OpenOrigin, Parts};
 use crate::agent::transfer::{self, Members, collect};
-use crate::gateway::relay::Plan;
+use crate::gateway::message::Plan;
 
 /// What origin bytes count against time: little, since every second without
 /// weights is a second without answers.
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -12,7 +12,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::gateway::relay::{Plan, inner_addresses};
+use crate::gateway::message::Plan;
+use crate::gateway::relay::inner_addresses;
 use crate::util::http::{Call, Client};
 
 /// How long a gateway may take to tell the plan.
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -12,7 +12,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::plan::Plans;
-use crate::gateway::relay::{self, Datagram, buffer, pack, receive};
+use crate::gateway::message::{Datagram, buffer, pack, receive, send};
 use crate::util::clock::Clock;
 
 /// How often the engine is asked and gateways are told.
@@ -131,7 +131,7 @@
         let (plain, asking) = (datagram(false), datagram(true));
         for gateway in gateways {
             let bytes = if Some(gateway) == asked { &asking } else { &plain };
-            relay::send(&self.socket, gateway, bytes).await;
+            send(&self.socket, gateway, bytes).await;
         }
     }
 
@@ -176,6 +176,7 @@
             }
         }
     }
+
     async fn read_plan(self: Arc<Self>, from: SocketAddr) {
         if let Err(error) = self.plans.fetch(from).await {
             tracing::debug!(%from, error = format!("{error:#}"), "reading a plan");
