A gateway's terms, view and belief in files of their own

Moved out of gateway/knowledge.rs: the terms of the settings, the view that requests read (which now finds a service's members and engine itself) and the facts behind it. Whether a gateway counts as alive is said once. Behaviour is unchanged.

--- /dev/null
+++ b/src/cinderspoke/gateway/belief.rs
@@ -0,0 +1,86 @@
+//! The facts behind a gateway's view.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cinderspoke_core::gateway::catalog::Catalog;
+use cinderspoke_core::gateway::directory::{Directory, Keeper};
+use cinderspoke_core::gateway::fact::Fact;
+use cinderspoke_core::gateway::name::Endpoint;
+use cinderspoke_core::gateway::rollout::{Rollout, Timeline};
+use cinderspoke_core::rendezvous::Key;
+
+use super::message::Known;
+use super::target::Target;
+
+/// Facts as they came in, with what is needed to tell which are newer.
+// Invariants: `targets` holds the endpoints of the keeper's list at the
+// addresses that it names, and `by_address` the same targets.
+#[derive(Default)]
+pub struct Belief {
+    /// The configuration; none before the first.
+    pub configuration: Fact<Option<Arc<Catalog>>>,
+    /// The versions that models are to have.
+    pub rollout: Fact<Rollout>,
+    /// When versions became known.
+    pub timeline: Timeline,
+    /// The list of endpoints.
+    pub keeper: Keeper,
+    /// Endpoints by name.
+    pub targets: HashMap<Endpoint, Arc<Target>>,
+    /// Endpoints by address.
+    pub by_address: HashMap<SocketAddr, Arc<Target>>,
+    /// Other gateways and when each was last heard of by itself.
+    pub gateways: BTreeMap<SocketAddr, Option<Duration>>,
+}
+
+impl Belief {
+    /// The version of the configuration in force; zero for none.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.configuration.value.as_ref().map_or(0, |catalog| catalog.declared().version)
+    }
+
+    /// Keeps a target for each endpoint of the list.
+    pub fn follow_directory(&mut self) {
+        let Self { keeper, targets, by_address, .. } = self;
+        let entries = &keeper.directory().entries;
+        targets.retain(|name, target| {
+            let kept =
+                entries.get(name).is_some_and(|entry| entry.address == target.pool.address());
+            if !kept {
+                target.pool.clear();
+            }
+            kept
+        });
+        for (name, entry) in entries {
+            let new = || Arc::new(Target::new(name.clone(), entry));
+            targets.entry(name.clone()).or_insert_with(new);
+        }
+        *by_address =
+            targets.values().map(|target| (target.pool.address(), Arc::clone(target))).collect();
+    }
+
+    /// What is known, in a few words that tell whether another process knows more.
+    #[must_use]
+    pub fn known(&self) -> Known {
+        Known {
+            configuration: self.version(),
+            rollout: self.rollout.value.clone(),
+            directory: self.keeper.revision(),
+            directory_hash: hash(self.keeper.directory()),
+        }
+    }
+}
+
+/// Tells lists of endpoints apart.
+fn hash(directory: &Directory) -> u64 {
+    let text: String = directory
+        .entries
+        .iter()
+        .map(|(name, entry)| format!("{name} {} {:?};", entry.address, entry.state))
+        .collect();
+    Key::of(&text).as_u64()
+}
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -8,7 +8,7 @@
 use cinderspoke_core::gateway::catalog::Engine;
 use cinderspoke_core::gateway::health;
 use cinderspoke_core::gateway::load::{Load, first_token};
-use cinderspoke_core::gateway::name::{Endpoint, Service};
+use cinderspoke_core::gateway::name::Endpoint;
 use cinderspoke_core::gateway::pick::{Candidate, Choice, Wish, pick};
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::rendezvous::Key;
@@ -16,10 +16,10 @@
 use tokio::time::Instant;
 
 use super::context::Context;
-use super::knowledge::{Member, View};
 use super::record::Record;
 use super::target::Target;
 use super::understand::Asked;
+use super::view::{Member, View};
 
 /// How long a plain service is expected to take before it answers, for each request that it has.
 const PLAIN_TURN: Duration = Duration::from_millis(4);
@@ -78,8 +78,8 @@
     ) -> Result<Chosen, Duration> {
         let view = context.knowledge.view();
         let now = context.clock.now();
-        let engine = engine_of(&view, &asked.service);
-        let members = view.members.get(&asked.service).map(Vec::as_slice).unwrap_or_default();
+        let engine = view.engine(&asked.service);
+        let members = view.members(&asked.service);
         let survey = Survey { context, asked, tried: &self.tried, view: &view, engine, now };
         let mut options = survey.options(members, Avoided::LeftOut);
         if options.is_empty() {
@@ -216,7 +216,3 @@
         left.is_none_or(|left| well && left >= first)
     }
 }
-
-fn engine_of<'a>(view: &'a View, service: &Service) -> Option<&'a Engine> {
-    view.catalog.as_ref()?.backend(service)?.engine.as_ref()
-}
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -1,4 +1,4 @@
-//! What a gateway knows, as requests read it.
+//! What a gateway knows: facts are taken in, and shown to requests as a view.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -6,99 +6,29 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use cinderspoke_core::gateway::budget;
-use cinderspoke_core::gateway::catalog::{Catalog, Declared};
-use cinderspoke_core::gateway::directory::{Change, Directory, Entry, Keeper, State};
+use cinderspoke_core::gateway::catalog::Declared;
+use cinderspoke_core::gateway::directory::{Change, Directory, Keeper, State};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::load::Report;
-use cinderspoke_core::gateway::name::{Endpoint, Model, Service, Zone};
-use cinderspoke_core::gateway::rollout::{Rollout, Timeline, Version};
-use cinderspoke_core::rendezvous::Key;
+use cinderspoke_core::gateway::name::{Model, Service, Zone};
+use cinderspoke_core::gateway::rollout::{Rollout, Version};
 use cinderspoke_core::swarm::Distance;
 use cinderspoke_schema::settings;
 
+use super::belief::Belief;
 use super::message::Known;
-use super::target::Target;
+use super::terms::Terms;
+use super::view::{Member, View};
 use crate::util::clock::Clock;
 use crate::util::signal::{Receiver, Signal};
 
-/// The part of the time for a new version within which requests are sent to
-/// the old one. What is sent may be held up on a full link for seconds and begin
-/// although it was given up; by this time most engines have gone over.
-const OVERLAP: f64 = 0.6;
-
 /// How long a gateway that was not heard of counts as one that takes requests.
 const GATEWAY_AGE: Duration = Duration::from_secs(5);
 
-/// What the settings ask of a gateway's decisions.
-#[derive(Debug, Clone)]
-pub struct Terms {
-    /// The budget of sends beyond the first.
-    pub budget: budget::Terms,
-    /// How long after a version was named an older one may begin requests.
-    pub overlap: Duration,
-    /// How much earlier than this process started a version may have been named
-    /// that it finds.
-    pub head_start: Duration,
-}
-
-impl Terms {
-    /// The terms of some settings.
-    #[must_use]
-    pub fn new(settings: &settings::Node) -> Self {
-        let bounds = &settings.bounds;
-        let overlap = Duration::from_millis(bounds.version_ms).mul_f64(OVERLAP);
-        Self {
-            budget: budget::Terms {
-                ratio: bounds.retry_budget_ratio,
-                window: Duration::from_secs_f64(bounds.budget_window_s),
-                slack: bounds.budget_slack,
-            },
-            overlap,
-            head_start: overlap.saturating_sub(Duration::from_millis(bounds.contact_ms) / 2),
-        }
-    }
-}
-
-/// An endpoint with its entry in the list.
-#[derive(Debug, Clone)]
-pub struct Member {
-    /// The endpoint.
-    pub target: Arc<Target>,
-    /// Its entry.
-    pub entry: Entry,
-    /// How near it is.
-    pub distance: Distance,
-}
-
-/// All that is known at a moment.
-#[derive(Debug, Default)]
-pub struct View {
-    /// The configuration, once one is known.
-    pub catalog: Option<Arc<Catalog>>,
-    /// The endpoints of each service.
-    pub members: BTreeMap<Service, Vec<Member>>,
-    /// The versions that models are to have.
-    pub rollout: Rollout,
-    /// How many gateways there are, this one among them.
-    pub gateways: usize,
-}
-
-#[derive(Default)]
-struct Belief {
-    configuration: Fact<Option<Arc<Catalog>>>,
-    rollout: Fact<Rollout>,
-    timeline: Timeline,
-    keeper: Keeper,
-    targets: HashMap<Endpoint, Arc<Target>>,
-    by_address: HashMap<SocketAddr, Arc<Target>>,
-    // Other gateways and when they were last heard of.
-    gateways: BTreeMap<SocketAddr, Option<Duration>>,
-}
-
 /// What a gateway knows.
 pub struct Knowledge {
     state: Mutex<Belief>,
+    // Made anew from the state at each change.
     view: ArcSwap<View>,
     changes: Signal,
     terms: Terms,
@@ -236,7 +166,7 @@
         let mut state = self.lock();
         let known = state.gateways.contains_key(&gateway);
         let heard = state.gateways.entry(gateway).or_default();
-        let alive = heard.is_some_and(|heard| heard + GATEWAY_AGE >= now);
+        let alive = is_alive(*heard, now);
         if itself {
             *heard = Some(now);
         }
@@ -252,7 +182,8 @@
         self.lock().gateways.keys().copied().collect()
     }
 
-    /// The revision up to which a kind of fact is known.
+    /// The revisions up to which the configuration, the versions and the list of
+    /// endpoints are known.
     #[must_use]
     pub fn revisions(&self) -> (Revision, Revision, Revision) {
         let state = self.lock();
@@ -262,14 +193,7 @@
     /// What is known, in a few words that tell whether another process knows more.
     #[must_use]
     pub fn known(&self) -> Known {
-        let state = self.lock();
-        let directory = state.keeper.directory();
-        Known {
-            configuration: state.version(),
-            rollout: state.rollout.value.clone(),
-            directory: state.keeper.revision(),
-            directory_hash: hash(directory),
-        }
+        self.lock().known()
     }
 
     /// The configuration, if it is newer than a version.
@@ -303,15 +227,13 @@
             let (Some(target), State::Ready) = (state.targets.get(name), entry.state) else {
                 continue;
             };
-            members.entry(entry.service.clone()).or_default().push(Member {
-                target: Arc::clone(target),
-                entry: entry.clone(),
-                distance: self.distance(&entry.zone),
-            });
+            let (target, entry) = (Arc::clone(target), entry.clone());
+            let distance = self.distance(&entry.zone);
+            let members = members.entry(entry.service.clone()).or_default();
+            members.push(Member { target, entry, distance });
         }
-        let alive =
-            |heard: &&Option<Duration>| heard.is_some_and(|heard| heard + GATEWAY_AGE >= now);
-        let gateways = 1 + state.gateways.values().filter(alive).count();
+        let others = state.gateways.values().filter(|heard| is_alive(**heard, now));
+        let gateways = 1 + others.count();
         self.view.store(Arc::new(View {
             catalog: state.configuration.value.clone(),
             members,
@@ -332,39 +254,7 @@
     }
 }
 
-impl Belief {
-    /// The version of the configuration in force; zero for none.
-    fn version(&self) -> u64 {
-        self.configuration.value.as_ref().map_or(0, |catalog| catalog.declared().version)
-    }
-
-    /// Keeps a target for each endpoint of the list.
-    fn follow_directory(&mut self) {
-        let Self { keeper, targets, by_address, .. } = self;
-        let entries = &keeper.directory().entries;
-        targets.retain(|name, target| {
-            let kept =
-                entries.get(name).is_some_and(|entry| entry.address == target.pool.address());
-            if !kept {
-                target.pool.clear();
-            }
-            kept
-        });
-        for (name, entry) in entries {
-            let new = || Arc::new(Target::new(name.clone(), entry));
-            targets.entry(name.clone()).or_insert_with(new);
-        }
-        *by_address =
-            targets.values().map(|target| (target.pool.address(), Arc::clone(target))).collect();
-    }
-}
-
-/// Tells lists of endpoints apart.
-fn hash(directory: &Directory) -> u64 {
-    let text: String = directory
-        .entries
-        .iter()
-        .map(|(name, entry)| format!("{name} {} {:?};", entry.address, entry.state))
-        .collect();
-    Key::of(&text).as_u64()
+/// Whether a gateway that was last heard of at a time counts as one that takes requests.
+fn is_alive(heard: Option<Duration>, now: Duration) -> bool {
+    heard.is_some_and(|heard| heard + GATEWAY_AGE >= now)
 }
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -1,9 +1,10 @@
 //! The program on an entry instance of a platform that keeps configuration,
 //! versions and the list of endpoints.
 //!
-//! - [`knowledge`] holds what is known; [`follow`] learns it from the platform,
-//!   [`relay`] from other gateways, and tells them and [`agents`] in a
-//!   [`message`].
+//! - [`knowledge`] keeps the facts of its [`belief`] and shows them to requests
+//!   in a [`view`]; what it asks of decisions is in [`terms`].
+//! - [`follow`] learns facts from the platform; [`relay`] learns them from other
+//!   gateways, and tells those and [`agents`] of them in a [`message`].
 //! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
 //!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
 //!   [`send`] sends over the connections of a [`pool`], [`answer`] reads what
@@ -15,6 +16,7 @@
 
 pub mod agents;
 pub mod answer;
+pub mod belief;
 pub mod choose;
 pub mod context;
 pub mod follow;
@@ -30,7 +32,9 @@
 pub mod serve;
 pub mod stream;
 pub mod target;
+pub mod terms;
 pub mod understand;
+pub mod view;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,7 +47,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
-use self::knowledge::{Knowledge, Terms};
+use self::knowledge::Knowledge;
+use self::terms::Terms;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
 use crate::util::settings::inner_address;
