--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use cinderspoke_core::gateway::catalog::Declared;
 use cinderspoke_core::gateway::directory::{Change, Directory, Keeper, State};
-use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::fact::Fact;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
 use cinderspoke_core::gateway::rollout::{Rollout, Version};
@@ -182,12 +182,10 @@
         self.lock().gateways.keys().copied().collect()
     }
 
-    /// The revisions up to which the configuration, the versions and the list of
-    /// endpoints are known.
+    /// The versions that models are to have.
     #[must_use]
-    pub fn revisions(&self) -> (Revision, Revision, Revision) {
-        let state = self.lock();
-        (state.configuration.revision, state.rollout.revision, state.keeper.revision())
+    pub fn rollout(&self) -> Fact<Rollout> {
+        self.lock().rollout.clone()
     }
 
     /// What is known, in a few words that tell whether another process knows more.
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -282,10 +282,9 @@
 /// Tells another gateway all that it may not know.
 async fn facts(State(relay): State<Arc<Relay>>, Query(asked): Query<Asked>) -> Bytes {
     let knowledge = &relay.knowledge;
-    let (_, revision, _) = knowledge.revisions();
     let facts = Facts {
         configuration: knowledge.configuration_after(asked.configuration),
-        rollout: Fact::new(revision, knowledge.view().rollout.clone()),
+        rollout: knowledge.rollout(),
         directory: knowledge.directory(),
         gateways: relay.others(),
     };
