Collecting versions apart from bringing them into the engine

Moved: drawing a version's chunks to collect, origins as transfers see them to source, agents as swarm members to swarm; whether an engine runs a version is asked of the version. What all transfers share and the program's metrics are functions beside the start. The branch for the end of plans is gone: following them never ends. Behaviour is unchanged.

--- /dev/null
+++ b/src/cinderspoke/stager/collect.rs
@@ -0,0 +1,176 @@
+//! Collecting the chunks of versions from peers, the origin and the engine itself.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use bytes::Bytes;
+use cinderspoke_core::gateway::name::Model;
+use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_core::manifest::Manifest;
+use cinderspoke_ports::gateway::{Engine, Origin};
+use cinderspoke_schema::control::Peer;
+use cinderspoke_types::digest::Digest;
+use cinderspoke_types::size;
+use tokio::sync::watch;
+
+use super::OpenOrigin;
+use super::plan::{Plans, Wanted};
+use super::source::VersionSource;
+use super::swarm::peer;
+use crate::agent::transfer::{self, Members, collect};
+use crate::gateway::message::Plan;
+
+/// What origin bytes count against time: little, since every second without
+/// weights is a second without answers.
+const ORIGIN_WEIGHT: f64 = 0.5;
+
+/// The longest that chunks are held apart for the origin, in seconds, however
+/// slow its link is said to be.
+const MOST_SPACING_S: f64 = 1.0;
+
+/// Collects versions of weights for one engine.
+pub(super) struct Collector {
+    /// This agent, as swarms name it.
+    pub(super) own: Peer,
+    /// The port of agents on every instance.
+    pub(super) port: u16,
+    /// What is wanted, and of whom it can be had.
+    pub(super) plans: Arc<Plans>,
+    /// The engine, in which chunks may be staged already.
+    pub(super) engine: Arc<dyn Engine>,
+    /// How origins are reached.
+    pub(super) open_origin: OpenOrigin,
+    /// What all transfers share; the origin is put in for each.
+    pub(super) transfers: transfer::Context,
+    /// The chunks of versions that may still be asked for.
+    pub(super) manifests: Mutex<BTreeMap<(Model, Version), Manifest>>,
+}
+
+impl Collector {
+    fn manifests(&self) -> MutexGuard<'_, BTreeMap<(Model, Version), Manifest>> {
+        self.manifests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The chunks of a version, as an origin lists them.
+    pub(super) async fn manifest(&self, wanted: &Wanted) -> Result<Manifest> {
+        let key = (wanted.model.clone(), wanted.version);
+        let known = self.manifests().get(&key).cloned();
+        if let Some(manifest) = known {
+            return Ok(manifest);
+        }
+        let (origin, _) = self.origin()?;
+        let listing = origin.listing(&wanted.model, wanted.version).await?;
+        let digests = listing.digests.into_iter().map(Digest::new).collect();
+        let manifest = Manifest::listed(size::Bytes::new(listing.chunk_bytes), digests);
+        self.manifests().insert(key, manifest.clone());
+        Ok(manifest)
+    }
+
+    /// Forgets versions that no engine goes over to any more.
+    pub(super) fn forget_before(&self, wanted: &Wanted) {
+        let mut manifests = self.manifests();
+        manifests.retain(|(model, version), manifest| {
+            // The one before may still be what a slower peer collects.
+            let kept = *model == wanted.model && version.0 + 1 >= wanted.version.0;
+            if !kept {
+                self.transfers.shelf.close(manifest.digest());
+            }
+            kept
+        });
+    }
+
+    /// The origin, and the bytes a second that its link carries.
+    fn origin(&self) -> Result<(Arc<dyn Origin>, f64)> {
+        let plan = self.plans.newest();
+        let origin = plan.origins.first().context("no origin is known")?;
+        Ok(((self.open_origin)(origin.address), origin.rate))
+    }
+
+    /// Takes in what is staged already: it outlives the agent and the engine.
+    pub(super) async fn take_staged(&self, wanted: &Wanted, manifest: &Manifest) {
+        let shelf = &self.transfers.shelf;
+        let held = shelf.open(manifest);
+        if held.is_full() {
+            return;
+        }
+        for chunk in (0..manifest.chunks()).filter(|chunk| !held.contains(*chunk)) {
+            let Ok(Some(bytes)) = self.engine.staged(&wanted.model, chunk).await else { return };
+            let digest = manifest.algorithm().chunk(&bytes);
+            if manifest.chunk(chunk) == Some(digest) {
+                shelf.put(digest, bytes);
+            } else if chunk == 0 {
+                // Most likely another version lies there.
+                return;
+            }
+        }
+    }
+
+    /// Whether a part of a version's chunks is there.
+    pub(super) fn has_part(&self, manifest: Digest, part: f64) -> bool {
+        let progress = self.transfers.shelf.progress(manifest);
+        progress.is_some_and(|(held, total)| held as f64 >= total as f64 * part)
+    }
+
+    /// The chunks of a version, if all are there.
+    pub(super) fn whole(&self, manifest: Digest) -> Option<Vec<Bytes>> {
+        self.transfers.shelf.whole(manifest)
+    }
+
+    /// Collects all chunks from peers and the origin.
+    pub(super) async fn collect(&self, wanted: &Wanted, manifest: &Manifest) -> Result<()> {
+        let context = Arc::new(self.context(wanted, manifest)?);
+        let mut plans = self.plans.subscribe();
+        let (members, receiver) = watch::channel(self.members(&plans.borrow_and_update()));
+        tokio::select! {
+            biased;
+            never = self.follow(plans, members) => match never {},
+            collected = collect(context, manifest.clone(), receiver) => collected.map(|_| ()),
+        }
+    }
+
+    /// What the transfer of one version needs.
+    fn context(&self, wanted: &Wanted, manifest: &Manifest) -> Result<transfer::Context> {
+        let (origin, rate) = self.origin()?;
+        let chunk_bytes = manifest.as_raw().chunk_size.as_u64();
+        let spacing = if rate > 0.0 { chunk_bytes as f64 / rate } else { 0.0 };
+        let (model, version) = (wanted.model.clone(), wanted.version);
+        let source = VersionSource { origin, model, version, chunk_bytes };
+        let transfers = &self.transfers;
+        Ok(transfer::Context {
+            shelf: Arc::clone(&transfers.shelf),
+            origin: Arc::new(source),
+            client: transfers.client.clone(),
+            pacer: Arc::clone(&transfers.pacer),
+            origin_spacing: Duration::from_secs_f64(spacing.min(MOST_SPACING_S)),
+            ..*transfers
+        })
+    }
+
+    /// Keeps the members of the swarm as plans name them; never ends.
+    async fn follow(
+        &self,
+        mut plans: watch::Receiver<Plan>,
+        members: watch::Sender<Members>,
+    ) -> Infallible {
+        while plans.changed().await.is_ok() {
+            let new = self.members(&plans.borrow_and_update());
+            members.send_if_modified(|known| {
+                let changed = *known != new;
+                *known = new;
+                changed
+            });
+        }
+        std::future::pending().await
+    }
+
+    /// This agent and those of all engines of the service.
+    fn members(&self, plan: &Plan) -> Members {
+        let peers = plan.peers.iter();
+        let peers =
+            peers.map(|other| peer(other.engine.ip(), self.port, &other.zone, &other.region));
+        Members { own: self.own.clone(), peers: peers.collect(), origin_weight: ORIGIN_WEIGHT }
+    }
+}
--- a/src/cinderspoke/stager/load.rs
+++ b/src/cinderspoke/stager/load.rs
@@ -9,7 +9,6 @@
 use cinderspoke_ports::gateway::{Engine, EngineReport, Ordered, Switch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::bring::runs_it;
 use super::plan::Wanted;
 use super::report::Reporter;
 
@@ -121,7 +120,7 @@
             reports.changed().await?;
             let report = reports.borrow_and_update().clone();
             let Some(report) = report else { bail!("the engine was lost while it loaded") };
-            if runs_it(&report, self.wanted) && !report.busy {
+            if self.wanted.runs_in(&report) && !report.busy {
                 return Ok(());
             }
             if !report.busy && report.models.is_empty() && report.orders == 0 {
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -2,13 +2,18 @@
 //!
 //! - [`report`] asks the engine what it does, often and free of charge, tells
 //!   gateways of it, and learns from them what is wanted.
-//! - [`bring`] collects the weights that are wanted; `load` stages them whole and
+//! - [`plan`] is what gateways tell of the service, and the version wanted by it.
+//! - [`bring`] brings that version into the engine: `collect` draws its chunks
+//!   from peers (`swarm`) and the origin (`source`); `load` stages them whole and
 //!   checked, and has the engine go over to them in its turn.
 
 pub mod bring;
+mod collect;
 mod load;
 pub mod plan;
 pub mod report;
+mod source;
+mod swarm;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,9 +31,10 @@
 use tokio_util::sync::CancellationToken;
 
 use self::plan::Plans;
+use self::source::NoOrigin;
 use crate::agent::peers::{self, Giver};
 use crate::agent::shelf::Shelf;
-use crate::agent::transfer::Times;
+use crate::agent::transfer::{self, Times};
 use crate::gateway::serve;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
@@ -110,29 +116,11 @@
         let out = Arc::new(Pacer::new(upload_rate(settings)));
         let giver = Arc::new(Giver::new(Arc::clone(&shelf), out, UPLOADS, QUEUE));
         let stop = CancellationToken::new();
-        let metrics = parts.metrics.clone();
-        let scrape = || async move { metrics.map(|metrics| metrics.render()).unwrap_or_default() };
-        let app = peers::app(giver).merge(Router::new().route("/metrics", get(scrape)));
+        let app = peers::app(giver).merge(scraped(parts.metrics.clone()));
         tokio::spawn(serve::router(listener, app, stop.clone()));
-        let plans =
-            Arc::new(Plans::new(settings, beside.service.as_str().into(), parts.client.clone()));
-        let transfers = crate::agent::transfer::Context {
-            shelf: Arc::clone(&shelf),
-            origin: Arc::new(bring::NoOrigin),
-            client: parts.client.clone(),
-            // The givers hold back, and both ways of a link are apart.
-            pacer: Arc::new(Pacer::new(None)),
-            policy: Policy::default(),
-            link_rate: None,
-            limit: DOWNLOADS,
-            origin_limit: ORIGIN_DRAWS,
-            origin_spacing: Duration::ZERO,
-            penalty: PENALTY,
-            times: TIMES,
-            slow: Some(SLOW),
-            introduction: INTRODUCTION,
-            clock: Clock::start(),
-        };
+        let service = beside.service.as_str().into();
+        let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
+        let transfers = transfers(shelf, parts.client.clone());
         let reporter = report::Reporter::new(
             own,
             beside,
@@ -156,6 +144,33 @@
     }
 }
 
+/// What all transfers share.
+fn transfers(shelf: Arc<Shelf>, client: Client) -> transfer::Context {
+    transfer::Context {
+        shelf,
+        origin: Arc::new(NoOrigin),
+        client,
+        // The givers hold back, and both ways of a link are apart.
+        pacer: Arc::new(Pacer::new(None)),
+        policy: Policy::default(),
+        link_rate: None,
+        limit: DOWNLOADS,
+        origin_limit: ORIGIN_DRAWS,
+        origin_spacing: Duration::ZERO,
+        penalty: PENALTY,
+        times: TIMES,
+        slow: Some(SLOW),
+        introduction: INTRODUCTION,
+        clock: Clock::start(),
+    }
+}
+
+/// The program's metrics, where they are collected.
+fn scraped(metrics: Option<PrometheusHandle>) -> Router {
+    let scrape = || async move { metrics.map(|metrics| metrics.render()).unwrap_or_default() };
+    Router::new().route("/metrics", get(scrape))
+}
+
 /// What chunks may take of the link on their way out.
 fn upload_rate(settings: &settings::Node) -> Option<ByteRate> {
     ByteRate::new(Bytes::new((link_rate(settings) * UPLOAD_PART) as u64))
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -1,13 +1,13 @@
 //! What gateways want of the service's engines.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use cinderspoke_core::gateway::name::{Model, Service};
 use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_ports::gateway::EngineReport;
 use cinderspoke_schema::settings;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -30,6 +30,15 @@
     pub since: Instant,
 }
 
+impl Wanted {
+    /// Whether an engine holds it whole.
+    #[must_use]
+    pub fn runs_in(&self, report: &EngineReport) -> bool {
+        let mut models = report.models.iter();
+        models.any(|(model, version)| *model == self.model && *version == self.version)
+    }
+}
+
 /// The newest plan, merged from what gateways tell.
 pub struct Plans {
     service: Service,
--- /dev/null
+++ b/src/cinderspoke/stager/source.rs
@@ -0,0 +1,40 @@
+//! Origins, in the form in which transfers draw from them.
+
+use std::ops::Range;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use cinderspoke_core::gateway::name::Model;
+use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_ports::gateway::Origin;
+use cinderspoke_ports::{Error, Origin as Source};
+use cinderspoke_types::digest::Digest;
+
+/// Stands where transfers have no origin of their own.
+pub(super) struct NoOrigin;
+
+#[async_trait]
+impl Source for NoOrigin {
+    async fn read(&self, _manifest: Digest, _range: Range<u64>) -> Result<Bytes, Error> {
+        Err(Error::Missing)
+    }
+}
+
+/// One version at the origins.
+pub(super) struct VersionSource {
+    pub(super) origin: Arc<dyn Origin>,
+    pub(super) model: Model,
+    pub(super) version: Version,
+    /// Bytes of each chunk but the last; chunks are asked for by their number.
+    pub(super) chunk_bytes: u64,
+}
+
+#[async_trait]
+impl Source for VersionSource {
+    async fn read(&self, _manifest: Digest, range: Range<u64>) -> Result<Bytes, Error> {
+        let chunk = range.start.checked_div(self.chunk_bytes).unwrap_or_default();
+        let chunk = usize::try_from(chunk).unwrap_or(usize::MAX);
+        self.origin.chunk(&self.model, self.version, chunk).await
+    }
+}
