--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -1,20 +1,40 @@
 //! The program on an entry instance of a platform that keeps configuration,
 //! versions and the list of endpoints.
 //!
-//! - [`knowledge`] holds what is known; [`follow`] learns it from the platform,
-//!   [`relay`] from other gateways, and tells them.
-//! - [`serve`] takes callers' requests, [`forward`] brings them to endpoints
-//!   over the connections of a [`pool`], [`answer`] passes streams back.
+//! - [`knowledge`] keeps the facts of its [`belief`] and shows them to requests
+//!   in a [`view`]; what it asks of decisions is in [`terms`].
+//! - [`follow`] learns facts from the platform; [`relay`] learns them from other
+//!   gateways, and tells those and [`agents`] of them in a [`message`].
+//! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
+//!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
+//!   [`send`] sends over the connections of a [`pool`], [`answer`] reads what
+//!   comes back, and what no endpoint answers ends in a [`refusal`].
+//! - [`stream`] is an answer in events; [`passing`] passes it on and has another
+//!   endpoint go on with it.
+//! - [`context`] is what all requests share, [`target`] what is kept of each
+//!   endpoint, [`record`] what is logged of each request.
 
+pub mod agents;
 pub mod answer;
+pub mod belief;
+pub mod choose;
+pub mod context;
 pub mod follow;
 pub mod forward;
 pub mod knowledge;
+pub mod message;
+pub mod passing;
 pub mod pool;
 pub mod record;
+pub mod refusal;
 pub mod relay;
+pub mod send;
 pub mod serve;
+pub mod stream;
 pub mod target;
+pub mod terms;
+pub mod understand;
+pub mod view;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,7 +47,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
-use self::knowledge::{Knowledge, Terms};
+use self::knowledge::Knowledge;
+use self::terms::Terms;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
 use crate::util::settings::inner_address;
@@ -59,7 +80,7 @@
 
 /// A running gateway; dropping it ends its tasks.
 pub struct Gateway {
-    context: Arc<forward::Context>,
+    context: Arc<context::Context>,
     stop: CancellationToken,
     grace: Duration,
 }
@@ -76,7 +97,7 @@
         let terms = Terms::new(settings);
         let knowledge = Arc::new(Knowledge::new(settings, terms, clock));
         let stop = CancellationToken::new();
-        let context = Arc::new(forward::Context::new(Arc::clone(&knowledge), parts.dialect, clock));
+        let context = Arc::new(context::Context::new(Arc::clone(&knowledge), parts.dialect, clock));
         let callers = open(listen.callers).await?;
         let ready = open(listen.ready).await?;
         let control = open(listen.control).await?;
