--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,3 +16,4 @@
 mod requests;
 mod settings;
 mod spread;
+mod turns;
