The directory's keeper in smaller steps; unused items gone

Putting and removing an entry are functions of their own, and the missing ones are a set. Removed, since nothing used them: the time at which the list settles, forgetting an unfinished event, renewing a fact. Behaviour is unchanged.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -4,7 +4,7 @@
 //! entries lapse although their endpoints live; those that are back soon after
 //! its return are kept until then.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -70,7 +70,7 @@
     directory: Directory,
     revision: Revision,
     // Entries that lapsed around an outage, kept until they are back or the time is up.
-    missing: BTreeMap<Endpoint, ()>,
+    missing: BTreeSet<Endpoint>,
     // Until when lapsed entries are kept.
     settling: Option<Duration>,
 }
@@ -126,34 +126,34 @@
 
     fn apply_one(&mut self, change: Change, settling: bool) -> bool {
         match change {
-            Change::Put(name, entry) => {
-                self.missing.remove(&name);
-                // An address belongs to one endpoint: whoever had it before is gone.
-                let address = entry.address;
-                let before = self.directory.entries.len();
-                self.directory
-                    .entries
-                    .retain(|other, known| *other == name || known.address != address);
-                let replaced = self.directory.entries.len() != before;
-                let old = self.directory.entries.insert(name, entry.clone());
-                replaced || old.as_ref() != Some(&entry)
-            }
-            Change::Removed(name) => {
-                let ready = self
-                    .directory
-                    .entries
-                    .get(&name)
-                    .is_some_and(|entry| entry.state == State::Ready);
-                if settling && ready {
-                    self.missing.insert(name, ());
-                    return false;
-                }
-                self.missing.remove(&name);
-                self.directory.entries.remove(&name).is_some()
-            }
+            Change::Put(name, entry) => self.put(name, entry),
+            Change::Removed(name) => self.remove(name, settling),
         }
     }
 
+    fn put(&mut self, name: Endpoint, entry: Entry) -> bool {
+        self.missing.remove(&name);
+        let entries = &mut self.directory.entries;
+        // An address belongs to one endpoint: whoever had it before is gone.
+        let before = entries.len();
+        entries.retain(|other, known| *other == name || known.address != entry.address);
+        let replaced = entries.len() != before;
+        let old = entries.insert(name, entry.clone());
+        replaced || old.as_ref() != Some(&entry)
+    }
+
+    /// Removes an entry; while entries settle after an outage, one that was ready
+    /// is only noted as missing.
+    fn remove(&mut self, name: Endpoint, settling: bool) -> bool {
+        let entry = self.directory.entries.get(&name);
+        if settling && entry.is_some_and(|entry| entry.state == State::Ready) {
+            self.missing.insert(name);
+            return false;
+        }
+        self.missing.remove(&name);
+        self.directory.entries.remove(&name).is_some()
+    }
+
     /// Gives up entries that are not back in time; true when any was.
     pub fn settle(&mut self, now: Duration) -> bool {
         if self.settling.is_none_or(|until| now < until) {
@@ -162,13 +162,7 @@
         self.settling = None;
         let missing = std::mem::take(&mut self.missing);
         missing
-            .into_keys()
+            .into_iter()
             .fold(false, |any, name| any | self.directory.entries.remove(&name).is_some())
     }
-
-    /// When [`Self::settle`] has something to do.
-    #[must_use]
-    pub fn settles_at(&self) -> Option<Duration> {
-        self.settling
-    }
 }
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -7,7 +7,7 @@
 const ID: &[u8] = b"id:";
 
 /// The most bytes that an event may have.
-pub const MAX_EVENT: usize = 256 << 10;
+const MAX_EVENT: usize = 256 << 10;
 
 /// Whole events and the number of the last of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,11 +60,6 @@
     pub fn is_torn(&self) -> bool {
         !self.rest.is_empty()
     }
-
-    /// Forgets the event that is not whole.
-    pub fn clear(&mut self) {
-        self.rest.clear();
-    }
 }
 
 fn events(bytes: &[u8]) -> Vec<&[u8]> {
--- a/crates/core/src/gateway/fact.rs
+++ b/crates/core/src/gateway/fact.rs
@@ -29,13 +29,4 @@
     pub fn new(revision: Revision, value: T) -> Self {
         Self { revision, value }
     }
-
-    /// Takes in another word of the same fact, if it is newer; true if it was.
-    pub fn renew(&mut self, other: Self) -> bool {
-        let newer = other.revision > self.revision;
-        if newer {
-            *self = other;
-        }
-        newer
-    }
 }
