Facts of the store are taken in by two functions

Each kind of fact spelled out what a read and a watch give; take and take_news say it once. Bounds of the time to stay away have names. Behaviour is unchanged.

--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -1,10 +1,15 @@
 //! Learning from the platform's store, one task for each kind of fact.
 
+use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
+use cinderspoke_core::gateway::catalog::Declared;
+use cinderspoke_core::gateway::directory::SETTLE;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_ports::Error;
 use cinderspoke_ports::gateway::{Registry, Seen};
 use cinderspoke_schema::settings;
@@ -25,6 +30,12 @@
 /// the platform is back.
 const LAST_BACKOFF: Duration = Duration::from_millis(900);
 
+/// How often the time to stay away is doubled at most.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// By how much the time to stay away differs from one gateway to the next.
+const SPREAD: Range<f64> = 0.7..1.3;
+
 /// How many failures in a row mean that the platform was away.
 const AWAY: u32 = 2;
 
@@ -41,24 +52,45 @@
     async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error>;
 }
 
+/// What all sources read from, and where they bring it.
 struct Shared {
     knowledge: Arc<Knowledge>,
     registry: Arc<dyn Registry>,
 }
 
+/// The operators' configuration.
 struct Configuration(Shared);
+
+/// The versions that models are to have.
 struct Versions(Shared);
+
+/// The list of endpoints.
 struct Endpoints(Shared);
 
+/// Where facts came from, for logs.
 const STORE: &str = "store";
 
+/// Takes in what was read; gives its revision.
+fn take<T>(fact: Fact<T>, take: impl FnOnce(Fact<T>)) -> Revision {
+    let revision = fact.revision;
+    take(fact);
+    revision
+}
+
+/// Takes in what a watch has seen; gives its revision, if the store has not
+/// forgotten what lies between.
+fn take_news<T>(seen: Seen<T>, news: impl FnOnce(Fact<T>)) -> Option<Revision> {
+    match seen {
+        Seen::News(fact) => Some(take(fact, news)),
+        Seen::Forgotten => None,
+    }
+}
+
 impl Configuration {
-    fn take(&self, fact: Fact<Option<cinderspoke_core::gateway::catalog::Declared>>) -> Revision {
-        let Fact { revision, value } = fact;
-        if let Some(declared) = value {
-            self.0.knowledge.configured(Fact::new(revision, declared), STORE);
+    fn learn(&self, fact: Fact<Option<Declared>>) {
+        if let Some(declared) = fact.value {
+            self.0.knowledge.configured(Fact::new(fact.revision, declared), STORE);
         }
-        revision
     }
 }
 
@@ -69,14 +101,18 @@
     }
 
     async fn read(&self) -> Result<Revision, Error> {
-        Ok(self.take(self.0.registry.configuration().await?))
+        Ok(take(self.0.registry.configuration().await?, |fact| self.learn(fact)))
     }
 
     async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
-        Ok(match self.0.registry.watch_configuration(after, WAIT).await? {
-            Seen::News(fact) => Some(self.take(fact)),
-            Seen::Forgotten => None,
-        })
+        let seen = self.0.registry.watch_configuration(after, WAIT).await?;
+        Ok(take_news(seen, |fact| self.learn(fact)))
+    }
+}
+
+impl Versions {
+    fn learn(&self, fact: Fact<Rollout>) {
+        self.0.knowledge.named(fact, STORE);
     }
 }
 
@@ -87,21 +123,12 @@
     }
 
     async fn read(&self) -> Result<Revision, Error> {
-        let fact = self.0.registry.rollout().await?;
-        let revision = fact.revision;
-        self.0.knowledge.named(fact, STORE);
-        Ok(revision)
+        Ok(take(self.0.registry.rollout().await?, |fact| self.learn(fact)))
     }
 
     async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
-        Ok(match self.0.registry.watch_rollout(after, WAIT).await? {
-            Seen::News(fact) => {
-                let revision = fact.revision;
-                self.0.knowledge.named(fact, STORE);
-                Some(revision)
-            }
-            Seen::Forgotten => None,
-        })
+        let seen = self.0.registry.watch_rollout(after, WAIT).await?;
+        Ok(take_news(seen, |fact| self.learn(fact)))
     }
 }
 
@@ -112,21 +139,13 @@
     }
 
     async fn read(&self) -> Result<Revision, Error> {
-        let fact = self.0.registry.endpoints().await?;
-        let revision = fact.revision;
-        self.0.knowledge.listed(fact, STORE);
-        Ok(revision)
+        let listed = |fact| _ = self.0.knowledge.listed(fact, STORE);
+        Ok(take(self.0.registry.endpoints().await?, listed))
     }
 
     async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
-        Ok(match self.0.registry.watch_endpoints(after, WAIT).await? {
-            Seen::News(fact) => {
-                let revision = fact.revision;
-                self.0.knowledge.changed(fact, STORE);
-                Some(revision)
-            }
-            Seen::Forgotten => None,
-        })
+        let changed = |fact| _ = self.0.knowledge.changed(fact, STORE);
+        Ok(take_news(self.0.registry.watch_endpoints(after, WAIT).await?, changed))
     }
 }
 
@@ -186,22 +205,24 @@
 fn settle_later(knowledge: &Arc<Knowledge>) {
     let knowledge = Arc::clone(knowledge);
     tokio::spawn(async move {
-        sleep(cinderspoke_core::gateway::directory::SETTLE).await;
+        sleep(SETTLE).await;
         knowledge.settle();
     });
 }
 
+/// How long to stay away after so many failures in a row: longer where the store
+/// asks for it, and a little different each time, so that gateways spread out.
 fn backoff(error: &Error, failures: u32) -> Duration {
-    let wait = FIRST_BACKOFF.saturating_mul(1 << failures.min(4)).min(LAST_BACKOFF);
+    let wait = FIRST_BACKOFF.saturating_mul(1 << failures.min(MOST_DOUBLINGS)).min(LAST_BACKOFF);
     let wait = match error {
         Error::Limited(limited) => wait.max(*limited),
         _ => wait,
     };
-    wait.mul_f64(rand::random_range(0.7..1.3))
+    wait.mul_f64(rand::random_range(SPREAD))
 }
 
 /// Tells the store that this gateway is there, and learns of the others once.
-async fn meet(shared: Shared, name: String, own: std::net::SocketAddr) {
+async fn meet(shared: Shared, name: String, own: SocketAddr) {
     let mut failures = 0;
     loop {
         let met = async {
