Both programs start on a platform by the same function

Reading the settings, the check of them, the thread and the logs stood in both programs; run_on_platform has them now. Behaviour is unchanged.

--- a/src/bin/agent/main.rs
+++ b/src/bin/agent/main.rs
@@ -9,12 +9,14 @@
 use cinderspoke::ports::http::Weights;
 use cinderspoke::stager::{self, Stager};
 use cinderspoke::util::http::Client;
-use cinderspoke::util::program::{Threads, cli, exit, run_alone, runs_on_platform, settings_path};
+use cinderspoke::util::program::{
+    Threads, cli, exit, run_on_platform, runs_on_platform, settings_path,
+};
 use cinderspoke::util::{log, metrics, settings, stop};
 use cinderspoke_core::transfer::Policy;
 use cinderspoke_platform::engine::LocalEngine;
 use cinderspoke_platform::origin::RemoteOrigin;
-use cinderspoke_schema::settings::{Agent as Settings, EndpointKind, Node};
+use cinderspoke_schema::settings::{Agent as Settings, EndpointKind};
 use cinderspoke_schema::text;
 
 fn main() -> ExitCode {
@@ -28,12 +30,7 @@
 
 /// Runs beside a model engine of a platform that names the versions.
 fn on_platform(matches: &clap::ArgMatches) -> Result<()> {
-    let settings: Node = settings::open(&settings_path(matches), &text::node_settings())?;
-    if matches.get_flag("check") {
-        return Ok(());
-    }
-    run_alone(async {
-        let _log = log::open_bounded(&settings.log)?;
+    run_on_platform(matches, async |settings| {
         let client = Client::new();
         let beside = settings.beside.as_ref().context("the settings name no engine beside")?;
         let to_origin = client.clone();
--- a/src/bin/entry/main.rs
+++ b/src/bin/entry/main.rs
@@ -8,11 +8,13 @@
 use cinderspoke::gateway::{self, Gateway};
 use cinderspoke::ports::http::Platform;
 use cinderspoke::util::http::Client;
-use cinderspoke::util::program::{Threads, cli, exit, run_alone, runs_on_platform, settings_path};
+use cinderspoke::util::program::{
+    Threads, cli, exit, run_on_platform, runs_on_platform, settings_path,
+};
 use cinderspoke::util::{log, metrics, settings, stop};
 use cinderspoke_platform::dialect::Headers;
 use cinderspoke_platform::store::Store;
-use cinderspoke_schema::settings::{Entry as Settings, Node};
+use cinderspoke_schema::settings::Entry as Settings;
 use cinderspoke_schema::text;
 
 fn main() -> ExitCode {
@@ -26,12 +28,7 @@
 
 /// Runs behind a platform that keeps configuration, versions and endpoints.
 fn on_platform(matches: &clap::ArgMatches) -> Result<()> {
-    let settings: Node = settings::open(&settings_path(matches), &text::node_settings())?;
-    if matches.get_flag("check") {
-        return Ok(());
-    }
-    run_alone(async {
-        let _log = log::open_bounded(&settings.log)?;
+    run_on_platform(matches, async |settings| {
         let client = Client::new();
         let parts = gateway::Parts {
             registry: Arc::new(Store::new(client.clone(), settings.store)),
--- a/src/cinderspoke/util/program.rs
+++ b/src/cinderspoke/util/program.rs
@@ -4,9 +4,13 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result};
+use cinderspoke_schema::settings::Node;
+use cinderspoke_schema::text;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use tokio::runtime::{Builder, Handle, Runtime};
 
+use super::{log, settings};
+
 /// The exit code for settings that cannot be used.
 pub const EXIT_SETTINGS: u8 = 2;
 
@@ -50,14 +54,26 @@
     matches.get_one::<String>("adapter").is_some_and(|adapter| adapter == PLATFORM)
 }
 
-/// Runs a program's main task, with the process's only thread for it.
+/// Runs a program's main task on such a platform, on the process's only thread;
+/// where the settings are only to be checked, it ends before.
 ///
 /// # Errors
 ///
-/// When the system gives no runtime, or as the task.
-pub fn run_alone(main: impl Future<Output = Result<()>>) -> Result<()> {
+/// When the settings cannot be used, the system gives no runtime or logs already
+/// go somewhere, or as the task.
+pub fn run_on_platform<T>(matches: &ArgMatches, main: impl FnOnce(Node) -> T) -> Result<()>
+where
+    T: Future<Output = Result<()>>,
+{
+    let settings: Node = settings::open(&settings_path(matches), &text::node_settings())?;
+    if matches.get_flag("check") {
+        return Ok(());
+    }
     let runtime = Builder::new_current_thread().enable_all().build();
-    runtime.context("starting the runtime")?.block_on(main)
+    runtime.context("starting the runtime")?.block_on(async {
+        let _log = log::open_bounded(&settings.log)?;
+        main(settings).await
+    })
 }
 
 /// The path of the settings file that was given.
@@ -71,7 +87,7 @@
 pub fn exit(result: Result<()>) -> ExitCode {
     let Err(error) = result else { return ExitCode::SUCCESS };
     eprintln!("error: {error:#}");
-    if error.is::<super::settings::Error>() { EXIT_SETTINGS.into() } else { EXIT_FAILURE.into() }
+    if error.is::<settings::Error>() { EXIT_SETTINGS.into() } else { EXIT_FAILURE.into() }
 }
 
 /// The threads of a program: one for control state, others for traffic.
