The ports of gateways in a file each

crates/ports/src/gateway.rs held the store, the dialect, the engine and the origin. Each has a file of its own; their paths stay as they were, and the crate says which ports serve whom. Behaviour is unchanged.

--- /dev/null
+++ b/crates/ports/src/gateway/dialect.rs
@@ -0,0 +1,72 @@
+//! Requests and answers, whatever names they have on the wire.
+
+use std::time::Duration;
+
+use cinderspoke_core::gateway::call::Call;
+use cinderspoke_core::gateway::name::{Endpoint, Request, Team};
+use cinderspoke_core::gateway::rollout::Version;
+use displaydoc::Display;
+use http::{HeaderMap, request, response};
+
+/// Why a request cannot be understood.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum Misfit {
+    /// the request has no id
+    NoId,
+    /// the header {0} cannot be read
+    Header(&'static str),
+}
+
+impl std::error::Error for Misfit {}
+
+/// One send of a call to an endpoint.
+#[derive(Debug, Clone)]
+pub struct Sending<'a> {
+    /// The only endpoint that may run it.
+    pub endpoint: &'a Endpoint,
+    /// The only version of weights that may answer it.
+    pub version: Option<Version>,
+    /// What is left of the caller's time.
+    pub left: Duration,
+    /// The caller's team.
+    pub team: Option<&'a Team>,
+    /// How urgent it is; 0 is the most urgent.
+    pub priority: u8,
+    /// The last event that the caller has.
+    pub after: Option<u64>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The request that it belongs to.
+    pub request: Option<Request>,
+    /// Whether the endpoint says that the request has not run.
+    pub not_run: bool,
+    /// Whether the endpoint stands by the answer as its own.
+    pub signed: bool,
+    /// The version of the weights.
+    pub version: Option<Version>,
+}
+
+/// How requests and answers are spelled on the wire.
+pub trait Dialect: Send + Sync {
+    /// Reads what a gateway has to know of a request.
+    ///
+    /// # Errors
+    ///
+    /// When the request cannot be understood.
+    fn read(&self, head: &request::Parts) -> Result<Call, Misfit>;
+
+    /// Turns the headers of a caller's request into those for an endpoint.
+    fn address(&self, headers: &mut HeaderMap, send: &Sending<'_>);
+
+    /// Reads the head of an endpoint's answer.
+    fn answer(&self, head: &response::Parts) -> AnswerHead;
+
+    /// Adds to a refusal when the caller is to come back.
+    fn come_back(&self, headers: &mut HeaderMap, after: Duration);
+
+    /// Names the request in an answer of our own.
+    fn belongs_to(&self, headers: &mut HeaderMap, request: &Request);
+}
--- /dev/null
+++ b/crates/ports/src/gateway/mod.rs
@@ -0,0 +1,18 @@
+//! What a gateway and the agents beside its endpoints need of the platform.
+//!
+//! One adapter stands behind all of these traits; what it knows of wire names
+//! stays there.
+//!
+//! - Gateways follow a [`Registry`] and speak with callers and endpoints in a
+//!   [`Dialect`].
+//! - Agents have an [`Engine`] load what an [`Origin`] gives.
+
+mod dialect;
+mod engine;
+mod origin;
+mod registry;
+
+pub use self::dialect::{AnswerHead, Dialect, Misfit, Sending};
+pub use self::engine::{Engine, EngineReport, Ordered, Switch};
+pub use self::origin::{Listing, Origin};
+pub use self::registry::{Registry, Seen};
--- /dev/null
+++ b/crates/ports/src/gateway/registry.rs
@@ -0,0 +1,57 @@
+//! The platform's store, as gateways read it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use cinderspoke_core::gateway::catalog::Declared;
+use cinderspoke_core::gateway::directory::{Change, Directory};
+use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::rollout::Rollout;
+
+use crate::Error;
+
+/// What a watch has seen.
+#[derive(Debug)]
+pub enum Seen<T> {
+    /// Everything up to a revision.
+    News(Fact<T>),
+    /// The store has forgotten what lies between: read it all again.
+    Forgotten,
+}
+
+/// The platform's store: the configuration, versions, endpoints and our own gateways.
+#[async_trait]
+pub trait Registry: Send + Sync {
+    /// The configuration; none while there is none yet.
+    async fn configuration(&self) -> Result<Fact<Option<Declared>>, Error>;
+
+    /// The newest configuration after a revision, if there is one within the time.
+    async fn watch_configuration(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Seen<Option<Declared>>, Error>;
+
+    /// The versions that models are to have.
+    async fn rollout(&self) -> Result<Fact<Rollout>, Error>;
+
+    /// Versions named after a revision, as soon as there are some within the time.
+    async fn watch_rollout(&self, after: Revision, wait: Duration) -> Result<Seen<Rollout>, Error>;
+
+    /// The endpoints.
+    async fn endpoints(&self) -> Result<Fact<Directory>, Error>;
+
+    /// Changes of endpoints after a revision, as soon as there are some within the time.
+    async fn watch_endpoints(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Seen<Vec<Change>>, Error>;
+
+    /// Our own gateways that have said that they are there.
+    async fn gateways(&self) -> Result<Vec<SocketAddr>, Error>;
+
+    /// Says that a gateway is there.
+    async fn announce(&self, name: &str, address: SocketAddr) -> Result<(), Error>;
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -1,6 +1,11 @@
 //! What the platform gives, each behind one narrow trait with one adapter.
 //!
 //! Another published format for one of these costs one new adapter.
+//!
+//! The traits here serve programs with a configuration of their own, over the
+//! calls of [`http`]; those of [`gateway`] serve programs on a platform that keeps
+//! configuration, versions and the list of endpoints. [`client`] sends requests
+//! for both.
 
 pub mod client;
 pub mod gateway;
