Drawing a chunk and following peers apart from carrying out a transfer

Moved: one chunk's draw to fetch, with a function for each source, and following what peers hold to holdings, whose word is a struct instead of a triple. The agent's start is split where it puts together what traffic and what transfers share. Behaviour is unchanged.

--- /dev/null
+++ b/src/cinderspoke/agent/fetch.rs
@@ -0,0 +1,124 @@
+//! Drawing one chunk from the origin or a peer.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context as _, Result};
+use bytes::Bytes;
+use cinderspoke_core::transfer::{Fetching, Source, Transfer};
+use cinderspoke_types::digest::Digest;
+use cinderspoke_types::size;
+
+use super::transfer::Context;
+use crate::util::http::Call;
+
+/// How long a peer may take to give a chunk.
+const CHUNK_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How long a peer is asked to wait for a chunk that it does not hold yet.
+const AWAIT: Duration = Duration::from_secs(5);
+
+/// How long peers may take to answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// To give a chunk that they hold.
+    pub chunk: Duration,
+    /// To have a chunk that they do not hold yet.
+    pub wait: Duration,
+}
+
+impl Default for Times {
+    /// Times for chunks of megabytes.
+    fn default() -> Self {
+        Self { chunk: CHUNK_TIMEOUT, wait: AWAIT }
+    }
+}
+
+/// A chunk that was asked for, and what came.
+pub(super) struct Drawn {
+    /// The chunk.
+    pub(super) chunk: usize,
+    /// Who was asked.
+    pub(super) source: Source,
+    /// The bytes and their digest.
+    pub(super) result: Result<(Digest, Bytes)>,
+    /// How long it was on its way; none where it was waited for.
+    pub(super) took: Option<Duration>,
+}
+
+/// What is asked of a source.
+struct Request {
+    manifest: Digest,
+    // None for a chunk that the manifest does not have.
+    digest: Option<Digest>,
+    range: Range<u64>,
+    // Where the peer answers; none for the origin, and for a peer that has left.
+    address: Option<SocketAddr>,
+    // Whether the peer has yet to have the chunk itself.
+    awaited: bool,
+}
+
+/// Draws one chunk, and hashes what came.
+pub(super) fn fetch(
+    context: Arc<Context>,
+    transfer: &Transfer<Fetching>,
+    chunk: usize,
+    source: Source,
+    awaited: bool,
+) -> impl Future<Output = Drawn> + use<> {
+    let manifest = transfer.manifest();
+    let algorithm = manifest.algorithm();
+    let mut peers = transfer.swarm().peers();
+    let peer = match &source {
+        Source::Origin => None,
+        Source::Peer(peer) => peers.find(|known| known.instance == *peer),
+    };
+    let request = Request {
+        manifest: manifest.digest(),
+        digest: manifest.chunk(chunk),
+        range: manifest.range(chunk),
+        address: peer.map(|peer| peer.address),
+        awaited,
+    };
+    async move {
+        let began = context.clock.now();
+        let bytes = match source {
+            Source::Origin => from_origin(&context, request).await,
+            Source::Peer(_) => from_peer(&context, request).await,
+        };
+        let result = bytes.map(|bytes| (algorithm.chunk(&bytes), bytes));
+        let took = (!awaited).then(|| context.clock.now().saturating_sub(began));
+        Drawn { chunk, source, result, took }
+    }
+}
+
+async fn from_origin(context: &Context, request: Request) -> Result<Bytes> {
+    let Request { manifest, range, .. } = request;
+    context.pacer.carry(length(&range)).await;
+    Ok(context.origin.read(manifest, range).await?)
+}
+
+async fn from_peer(context: &Context, request: Request) -> Result<Bytes> {
+    let Request { digest, range, address, awaited, .. } = request;
+    if !awaited {
+        context.pacer.carry(length(&range)).await;
+    }
+    let address = address.context("the peer has left")?;
+    let digest = digest.context("no such chunk")?;
+    let wait = if awaited { context.times.wait } else { Duration::ZERO };
+    let query = if awaited { format!("?wait_ms={}", wait.as_millis()) } else { String::new() };
+    let call = Call::get(address, format!("/v1/chunks/{digest}{query}"));
+    let call = call.limit(usize::MAX).timeout(wait + context.times.chunk);
+    let bytes = context.client.fetch(call).await?;
+    if awaited {
+        // When it would come was not known before.
+        context.pacer.carry(length(&range)).await;
+    }
+    Ok(bytes)
+}
+
+fn length(range: &Range<u64>) -> size::Bytes {
+    size::Bytes::new(range.end - range.start)
+}
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -2,10 +2,13 @@
 //!
 //! - [`control`] owns the instance's replicas and talks to the zone's entry
 //!   instances; it alone gives the endpoint orders.
-//! - [`transfer`] draws chunks into the [`shelf`]; [`peers`] gives them.
+//! - [`transfer`] draws chunks into the [`shelf`], each by [`fetch`], as `holdings`
+//!   tells what others hold; [`peers`] gives them.
 //! - [`requests`] passes requests on, as far as [`serving`] takes them.
 
 pub mod control;
+pub mod fetch;
+mod holdings;
 pub mod peers;
 pub mod requests;
 pub mod serving;
@@ -123,34 +126,10 @@
     pub fn open(settings: &settings::Agent, parts: Parts) -> Self {
         let tokens = || CancellationToken::new();
         let (leaving, closing, stop) = (tokens(), tokens(), tokens());
-        let shelf = Arc::new(shelf::Shelf::new(settings.chunk_memory));
-        let pacer = Arc::new(Pacer::new(settings.link_rate));
-        let uploads = settings.uploads.get() as usize;
-        let giver = Arc::new(peers::Giver::new(
-            Arc::clone(&shelf),
-            Arc::clone(&pacer),
-            uploads,
-            Duration::ZERO,
-        ));
-        let endpoint = parts.endpoint;
-        let serving = Arc::default();
-        let shared = Arc::new(Shared { endpoint, shelf, serving, pacer, giver });
-        let transfers = Arc::new(transfer::Context {
-            shelf: Arc::clone(&shared.shelf),
-            origin: parts.origin,
-            client: parts.client,
-            pacer: Arc::clone(&shared.pacer),
-            policy: parts.policy,
-            link_rate: settings.link_rate,
-            limit: settings.downloads.get() as usize,
-            origin_limit: PER_ORIGIN,
-            origin_spacing: Duration::ZERO,
-            penalty: PENALTY,
-            times: transfer::Times::default(),
-            slow: None,
-            introduction: Duration::ZERO,
-            clock: Clock::start(),
-        });
+        let shared = Arc::new(shared(settings, parts.endpoint));
+
+        let transfers =
+            Arc::new(transfers(settings, &shared, parts.origin, parts.policy, parts.client));
         let heartbeat = Duration::from_millis(settings.heartbeat_ms);
         {
             let _control = parts.control.enter();
@@ -226,6 +205,42 @@
     }
 }
 
+/// What traffic and control share.
+fn shared(settings: &settings::Agent, endpoint: Endpoint) -> Shared {
+    let shelf = Arc::new(shelf::Shelf::new(settings.chunk_memory));
+    let pacer = Arc::new(Pacer::new(settings.link_rate));
+    let uploads = settings.uploads.get() as usize;
+    let (given, paced) = (Arc::clone(&shelf), Arc::clone(&pacer));
+    let giver = Arc::new(peers::Giver::new(given, paced, uploads, Duration::ZERO));
+    Shared { endpoint, shelf, serving: Arc::default(), pacer, giver }
+}
+
+/// What all transfers share.
+fn transfers(
+    settings: &settings::Agent,
+    shared: &Shared,
+    origin: Arc<dyn Origin>,
+    policy: Policy,
+    client: Client,
+) -> transfer::Context {
+    transfer::Context {
+        shelf: Arc::clone(&shared.shelf),
+        origin,
+        client,
+        pacer: Arc::clone(&shared.pacer),
+        policy,
+        link_rate: settings.link_rate,
+        limit: settings.downloads.get() as usize,
+        origin_limit: PER_ORIGIN,
+        origin_spacing: Duration::ZERO,
+        penalty: PENALTY,
+        times: fetch::Times::default(),
+        slow: None,
+        introduction: Duration::ZERO,
+        clock: Clock::start(),
+    }
+}
+
 fn identity(settings: &settings::Agent) -> control::Identity {
     let endpoint = &settings.endpoint;
     control::Identity {
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -1,32 +1,29 @@
 //! Carrying out a transfer: drawing chunks as [`cinderspoke_core::transfer`] decides.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
-use cinderspoke_core::bitmap::Bitmap;
 use cinderspoke_core::manifest::{Algorithm, Hasher, Manifest};
 use cinderspoke_core::swarm::Swarm;
 use cinderspoke_core::transfer::{
     Arrival, Fetching, Limits, Policy, Source, Step, Transfer, Verified,
 };
-use cinderspoke_schema::control::{Holdings, Peer};
+use cinderspoke_schema::control::Peer;
 use cinderspoke_types::digest::Digest;
-use cinderspoke_types::id::Instance;
 use cinderspoke_types::rate::ByteRate;
-use cinderspoke_types::size;
 use metrics::counter;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 
+use super::fetch::{Drawn, Times, fetch};
+use super::holdings::{Followers, Held};
 use super::shelf::Shelf;
 use crate::ports::{Error, Origin, WeightStore};
 use crate::util::clock::Clock;
-use crate::util::http::{Call, Client};
+use crate::util::http::Client;
 use crate::util::metrics::{CORRUPT, DRAWN};
 use crate::util::pace::Pacer;
 
@@ -42,12 +39,6 @@
 /// How long to stay away from a weight store that did not answer, at most.
 const LAST_BACKOFF: Duration = Duration::from_secs(5);
 
-/// How long a peer may take to give a chunk.
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// How long a peer is asked to wait for a chunk that it does not hold yet.
-const AWAIT: Duration = Duration::from_secs(5);
-
 /// How long a transfer waits for others at least before it steps in.
 const PATIENCE: Duration = Duration::from_secs(2);
 
@@ -57,28 +48,6 @@
 /// What a link is taken to carry when its rate is not set, in bytes a second.
 const ASSUMED_RATE: u64 = 64 << 20;
 
-/// How long a peer waits for more chunks before it answers.
-const HOLDINGS_WAIT: Duration = Duration::from_secs(10);
-
-/// The least time between two looks at a peer's holdings.
-const HOLDINGS_PAUSE: Duration = Duration::from_millis(20);
-
-/// How long peers may take to answer.
-#[derive(Debug, Clone, Copy)]
-pub struct Times {
-    /// To give a chunk that they hold.
-    pub chunk: Duration,
-    /// To have a chunk that they do not hold yet.
-    pub wait: Duration,
-}
-
-impl Default for Times {
-    /// Times for chunks of megabytes.
-    fn default() -> Self {
-        Self { chunk: CHUNK_TIMEOUT, wait: AWAIT }
-    }
-}
-
 /// What transfers need, shared by all of an agent's.
 pub struct Context {
     /// Where chunks are kept.
@@ -159,15 +128,7 @@
     let swarm = members.borrow_and_update().swarm(manifest.digest());
     let held = context.shelf.open(&manifest);
     let now = context.clock.now();
-    let patience = patience(&context, &manifest, members.borrow().origin_weight);
-    let limits = Limits {
-        downloads: context.limit,
-        origin: context.origin_limit,
-        spacing: context.origin_spacing,
-        penalty: context.penalty,
-        slow: context.slow,
-        patience,
-    };
+    let limits = limits(&context, &manifest, members.borrow().origin_weight);
     let mut transfer = Transfer::new(manifest, swarm, context.policy, limits, now);
     (0..held.len()).filter(|chunk| held.contains(*chunk)).for_each(|chunk| transfer.has(chunk));
     draw(&context, &mut transfer, members).await;
@@ -177,6 +138,17 @@
     Ok(transfer.verify(whole)?)
 }
 
+fn limits(context: &Context, manifest: &Manifest, origin_weight: f64) -> Limits {
+    Limits {
+        downloads: context.limit,
+        origin: context.origin_limit,
+        spacing: context.origin_spacing,
+        penalty: context.penalty,
+        slow: context.slow,
+        patience: patience(context, manifest, origin_weight),
+    }
+}
+
 /// How long to wait for others before drawing from the origin in their place:
 /// the time of a copy over this link and some more, and less of it where bytes
 /// from the origin count for less.
@@ -213,15 +185,7 @@
     hasher.finish()
 }
 
-/// A chunk that was asked for, and what came.
-struct Drawn {
-    chunk: usize,
-    source: Source,
-    result: Result<(Digest, Bytes)>,
-    // How long it was on its way; none where it was waited for.
-    took: Option<Duration>,
-}
-
+/// Draws chunks until all are there.
 async fn draw(
     context: &Arc<Context>,
     transfer: &mut Transfer<Fetching>,
@@ -231,8 +195,7 @@
     let turns = !context.origin_spacing.is_zero();
     let mut ticks = interval(if turns { TURN_TICK } else { TICK });
     let (sender, mut holdings) = mpsc::channel(64);
-    let mut followers =
-        Followers { context: Arc::clone(context), sender, running: BTreeMap::new() };
+    let mut followers = Followers::new(context.client.clone(), sender);
     followers.follow(transfer);
     introduce(context, transfer, &mut holdings).await;
     loop {
@@ -252,7 +215,7 @@
         tokio::select! {
             biased;
             Some(Ok(drawn)) = fetches.join_next() => take(context, transfer, drawn),
-            Some((peer, held, given)) = holdings.recv() => transfer.peer_holds(&peer, &held, given),
+            Some(held) = holdings.recv() => hear(transfer, &held),
             Ok(()) = members.changed() => {
                 let swarm = members.borrow_and_update().swarm(transfer.manifest().digest());
                 transfer.join(swarm);
@@ -263,17 +226,21 @@
     }
 }
 
+fn hear(transfer: &mut Transfer<Fetching>, held: &Held) {
+    transfer.peer_holds(&held.peer, &held.chunks, held.given);
+}
+
 /// Lets neighbours say what they hold, so that nothing is drawn from afar that is near.
 async fn introduce(
     context: &Context,
     transfer: &mut Transfer<Fetching>,
-    holdings: &mut mpsc::Receiver<(Instance, Bitmap, u64)>,
+    holdings: &mut mpsc::Receiver<Held>,
 ) {
     let neighbours = transfer.neighbours().len();
     let heard = async {
         for _ in 0..neighbours {
-            let Some((peer, held, given)) = holdings.recv().await else { return };
-            transfer.peer_holds(&peer, &held, given);
+            let Some(held) = holdings.recv().await else { return };
+            hear(transfer, &held);
         }
     };
     // Those that say nothing in time are heard later.
@@ -309,133 +276,3 @@
         }
     }
 }
-
-/// Draws one chunk, and hashes what came.
-fn fetch(
-    context: Arc<Context>,
-    transfer: &Transfer<Fetching>,
-    chunk: usize,
-    source: Source,
-    awaited: bool,
-) -> impl Future<Output = Drawn> + use<> {
-    let manifest = transfer.manifest();
-    let (digest, range, whole) = (manifest.chunk(chunk), manifest.range(chunk), manifest.digest());
-    let algorithm = manifest.algorithm();
-    let mut peers = transfer.swarm().peers();
-    let address = match &source {
-        Source::Origin => None,
-        Source::Peer(peer) => peers.find(|known| known.instance == *peer),
-    };
-    let address = address.map(|peer| peer.address);
-    async move {
-        let length = size::Bytes::new(range.end - range.start);
-        let bytes = async {
-            if !awaited {
-                context.pacer.carry(length).await;
-            }
-            match &source {
-                Source::Origin => Ok(context.origin.read(whole, range).await?),
-                Source::Peer(_) => {
-                    let address = address.context("the peer has left")?;
-                    let digest = digest.context("no such chunk")?;
-                    let bytes =
-                        from_peer(&context.client, address, digest, awaited, context.times).await?;
-                    if awaited {
-                        // When it would come was not known before.
-                        context.pacer.carry(length).await;
-                    }
-                    Ok(bytes)
-                }
-            }
-        };
-        let began = context.clock.now();
-        let result = bytes.await.map(|bytes| (algorithm.chunk(&bytes), bytes));
-        let took = (!awaited).then(|| context.clock.now().saturating_sub(began));
-        Drawn { chunk, source, result, took }
-    }
-}
-
-async fn from_peer(
-    client: &Client,
-    address: SocketAddr,
-    chunk: Digest,
-    awaited: bool,
-    times: Times,
-) -> Result<Bytes> {
-    let wait = if awaited { times.wait } else { Duration::ZERO };
-    let query = if awaited { format!("?wait_ms={}", wait.as_millis()) } else { String::new() };
-    let call = Call::get(address, format!("/v1/chunks/{chunk}{query}"));
-    let call = call.limit(usize::MAX).timeout(wait + times.chunk);
-    Ok(client.fetch(call).await?)
-}
-
-/// Follows what the neighbours hold, a task each.
-struct Followers {
-    context: Arc<Context>,
-    sender: mpsc::Sender<(Instance, Bitmap, u64)>,
-    running: BTreeMap<Instance, (SocketAddr, AbortHandle)>,
-}
-
-impl Followers {
-    fn follow(&mut self, transfer: &Transfer<Fetching>) {
-        let manifest = transfer.manifest().digest();
-        let neighbours = transfer.neighbours();
-        let wanted: BTreeMap<_, _> =
-            neighbours.iter().map(|peer| (peer.instance.clone(), peer.address)).collect();
-        self.running.retain(|instance, (address, task)| {
-            let keep = wanted.get(instance) == Some(address);
-            if !keep {
-                task.abort();
-            }
-            keep
-        });
-        for (instance, address) in wanted {
-            if !self.running.contains_key(&instance) {
-                let (client, sender) = (self.context.client.clone(), self.sender.clone());
-                let task =
-                    tokio::spawn(follow(client, address, manifest, instance.clone(), sender));
-                self.running.insert(instance, (address, task.abort_handle()));
-            }
-        }
-    }
-}
-
-impl Drop for Followers {
-    fn drop(&mut self) {
-        self.running.values().for_each(|(_, task)| task.abort());
-    }
-}
-
-/// Tells each change of what a peer holds.
-async fn follow(
-    client: Client,
-    address: SocketAddr,
-    manifest: Digest,
-    peer: Instance,
-    sender: mpsc::Sender<(Instance, Bitmap, u64)>,
-) {
-    let mut after = 0;
-    loop {
-        let wait = HOLDINGS_WAIT.as_millis();
-        let path = format!("/v1/holdings/{manifest}?after={after}&wait_ms={wait}");
-        let call = Call::get(address, path).timeout(HOLDINGS_WAIT + CHUNK_TIMEOUT);
-        let holdings = client.fetch_json::<Holdings>(call).await;
-        let read =
-            holdings.ok().and_then(|holdings| Some((holdings.chunks.parse().ok()?, holdings)));
-        let pause = match read {
-            Some((held, holdings)) => {
-                after = holdings.revision;
-                if sender.send((peer.clone(), held, holdings.given)).await.is_err() {
-                    return;
-                }
-                HOLDINGS_PAUSE
-            }
-            None => {
-                // A peer that restarted counts its revisions anew.
-                after = 0;
-                TICK
-            }
-        };
-        sleep(pause).await;
-    }
-}
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -32,9 +32,10 @@
 
 use self::plan::Plans;
 use self::source::NoOrigin;
+use crate::agent::fetch::Times;
 use crate::agent::peers::{self, Giver};
 use crate::agent::shelf::Shelf;
-use crate::agent::transfer::{self, Times};
+use crate::agent::transfer;
 use crate::gateway::serve;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
