--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -124,6 +124,7 @@
         changed
     }
 
+    /// Takes in one change; true when the list is another then.
     fn apply_one(&mut self, change: Change, settling: bool) -> bool {
         match change {
             Change::Put(name, entry) => self.put(name, entry),
@@ -131,6 +132,7 @@
         }
     }
 
+    /// Puts an entry; true when the list is another then.
     fn put(&mut self, name: Endpoint, entry: Entry) -> bool {
         self.missing.remove(&name);
         let entries = &mut self.directory.entries;
--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -62,6 +62,7 @@
     }
 }
 
+/// The events of bytes that end with one, each without its empty line.
 fn events(bytes: &[u8]) -> Vec<&[u8]> {
     let mut events = Vec::new();
     let mut start = 0;
@@ -72,10 +73,12 @@
     events
 }
 
+/// Where bytes begin that are looked for.
 fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
     bytes.windows(wanted.len()).position(|window| window == wanted)
 }
 
+/// Where the last whole event ends.
 fn last_end(bytes: &[u8]) -> Option<usize> {
     bytes.windows(END.len()).rposition(|window| window == END).map(|at| at + END.len())
 }
--- a/crates/core/src/transfer/choice.rs
+++ b/crates/core/src/transfer/choice.rs
@@ -138,6 +138,7 @@
         self.missing().find(due).map(|chunk| (chunk, Source::Origin))
     }
 
+    /// Whether the origin can be asked for one more chunk.
     fn origin_is_open(&self, now: Duration) -> bool {
         now >= self.state.origin_rests_until
             && self.drawn_from(&Source::Origin) < self.state.limits.origin
@@ -194,6 +195,7 @@
         })
     }
 
+    /// How many chunks are being drawn from a source.
     fn drawn_from(&self, source: &Source) -> usize {
         self.state.in_flight.values().filter(|flight| flight.source == *source).count()
     }
--- a/src/cinderspoke/agent/fetch.rs
+++ b/src/cinderspoke/agent/fetch.rs
@@ -94,12 +94,14 @@
     }
 }
 
+/// Draws a chunk from the origin.
 async fn from_origin(context: &Context, request: Request) -> Result<Bytes> {
     let Request { manifest, range, .. } = request;
     context.pacer.carry(length(&range)).await;
     Ok(context.origin.read(manifest, range).await?)
 }
 
+/// Draws a chunk from a peer, or waits there until the peer has it.
 async fn from_peer(context: &Context, request: Request) -> Result<Bytes> {
     let Request { digest, range, address, awaited, .. } = request;
     if !awaited {
@@ -119,6 +121,7 @@
     Ok(bytes)
 }
 
+/// How many bytes of the weights a chunk has.
 fn length(range: &Range<u64>) -> size::Bytes {
     size::Bytes::new(range.end - range.start)
 }
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -138,6 +138,7 @@
     Ok(transfer.verify(whole)?)
 }
 
+/// How much a transfer draws at once, and how long it waits.
 fn limits(context: &Context, manifest: &Manifest, origin_weight: f64) -> Limits {
     Limits {
         downloads: context.limit,
@@ -226,6 +227,7 @@
     }
 }
 
+/// Takes in what a peer holds.
 fn hear(transfer: &mut Transfer<Fetching>, held: &Held) {
     transfer.peer_holds(&held.peer, &held.chunks, held.given);
 }
--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -112,6 +112,7 @@
         InProgress(Arc::clone(self))
     }
 
+    /// Acts on a service's budget; nothing else does meanwhile.
     fn budget<T>(&self, service: &Service, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         act(budgets.entry(service.clone()).or_default())
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -138,6 +138,7 @@
         self.keep("outage", |keeper| keeper.settle(now));
     }
 
+    /// Changes the list of endpoints; makes it known if it is another then.
     fn keep(&self, from: &str, change: impl FnOnce(&mut Keeper) -> bool) -> bool {
         let mut state = self.lock();
         let changed = change(&mut state.keeper);
@@ -240,6 +241,7 @@
         }));
     }
 
+    /// How near an availability zone is to this gateway.
     fn distance(&self, zone: &Zone) -> Distance {
         let region = |zone: &Zone| self.regions.get(zone.as_str());
         if *zone == self.zone {
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod understand;
 pub mod view;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,7 +48,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
+use self::context::Context;
 use self::knowledge::Knowledge;
+use self::relay::Relay;
 use self::terms::Terms;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
@@ -80,7 +83,7 @@
 
 /// A running gateway; dropping it ends its tasks.
 pub struct Gateway {
-    context: Arc<context::Context>,
+    context: Arc<Context>,
     stop: CancellationToken,
     grace: Duration,
 }
@@ -97,7 +100,7 @@
         let terms = Terms::new(settings);
         let knowledge = Arc::new(Knowledge::new(settings, terms, clock));
         let stop = CancellationToken::new();
-        let context = Arc::new(context::Context::new(Arc::clone(&knowledge), parts.dialect, clock));
+        let context = Arc::new(Context::new(Arc::clone(&knowledge), parts.dialect, clock));
         let callers = open(listen.callers).await?;
         let ready = open(listen.ready).await?;
         let control = open(listen.control).await?;
@@ -109,7 +112,7 @@
             let app = serve::admin(Arc::clone(&context), parts.metrics.clone());
             tokio::spawn(serve::router(listener, app, stop.clone()));
         }
-        let relay = relay::Relay::new(settings, Arc::clone(&knowledge), parts.client, socket);
+        let relay = Relay::new(settings, Arc::clone(&knowledge), parts.client, socket);
         let relay = Arc::new(relay);
         tokio::spawn(serve::router(inner, relay.app(), stop.clone()));
         relay.spawn(stop.clone());
@@ -148,6 +151,7 @@
     }
 }
 
-async fn open(address: std::net::SocketAddr) -> Result<TcpListener> {
+/// Listens on an address.
+async fn open(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.with_context(|| format!("listening to {address}"))
 }
--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -32,6 +32,7 @@
 /// A connection that can carry a request.
 pub type Connection = SendRequest<Full<Bytes>>;
 
+/// A connection that may be used until a time.
 #[derive(Debug)]
 struct Resting {
     connection: Connection,
@@ -75,6 +76,7 @@
         connected.context("connecting took too long")?
     }
 
+    /// The newest of the connections that can carry a request.
     fn rested(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut resting = self.lock();
@@ -98,6 +100,7 @@
     }
 }
 
+/// Opens a connection, and has it carried by a task of its own.
 async fn connect(address: SocketAddr) -> Result<Connection> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -92,6 +92,7 @@
         spawn(Box::pin(Arc::clone(self).gossip()));
     }
 
+    /// Takes in what other processes say.
     async fn receive(self: Arc<Self>) {
         let mut buffer = buffer();
         loop {
@@ -172,6 +173,7 @@
         }
     }
 
+    /// Tells an agent that there is a plan that it does not know.
     async fn hint(&self, agent: SocketAddr, plan: u64) {
         send(&self.socket, agent, &pack(&Datagram::Hint { from: self.own, plan })).await;
     }
@@ -213,12 +215,14 @@
         }
     }
 
+    /// The gateways that are known besides this one.
     fn others(&self) -> Vec<SocketAddr> {
         let mut others = self.knowledge.gateways();
         others.retain(|other| *other != self.own);
         others
     }
 
+    /// What this gateway knows, as a datagram.
     fn digest(&self) -> Vec<u8> {
         let mut gateways = self.others();
         gateways.truncate(NAMED_GATEWAYS);
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -98,6 +98,11 @@
     let ready = move || async move {
         if context.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
     };
+    Router::new().route("/readyz", get(ready)).merge(scraped(metrics))
+}
+
+/// The process's metrics, where they are collected.
+pub fn scraped(metrics: Option<PrometheusHandle>) -> Router {
     let scrape = || async move { metrics.map(|metrics| metrics.render()).unwrap_or_default() };
-    Router::new().route("/readyz", get(ready)).route("/metrics", get(scrape))
+    Router::new().route("/metrics", get(scrape))
 }
--- a/src/cinderspoke/stager/load.rs
+++ b/src/cinderspoke/stager/load.rs
@@ -78,6 +78,7 @@
         Ok(report.models.is_empty())
     }
 
+    /// What the engine says, unless it is under an order of someone else.
     async fn report(&self) -> Result<EngineReport> {
         let report = self.engine.report().await?;
         if report.busy {
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -19,8 +19,6 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
-use axum::Router;
-use axum::routing::get;
 use cinderspoke_core::transfer::Policy;
 use cinderspoke_ports::gateway::{Engine, Origin};
 use cinderspoke_schema::settings;
@@ -117,7 +115,7 @@
         let out = Arc::new(Pacer::new(upload_rate(settings)));
         let giver = Arc::new(Giver::new(Arc::clone(&shelf), out, UPLOADS, QUEUE));
         let stop = CancellationToken::new();
-        let app = peers::app(giver).merge(scraped(parts.metrics.clone()));
+        let app = peers::app(giver).merge(serve::scraped(parts.metrics.clone()));
         tokio::spawn(serve::router(listener, app, stop.clone()));
         let service = beside.service.as_str().into();
         let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
@@ -166,12 +164,6 @@
     }
 }
 
-/// The program's metrics, where they are collected.
-fn scraped(metrics: Option<PrometheusHandle>) -> Router {
-    let scrape = || async move { metrics.map(|metrics| metrics.render()).unwrap_or_default() };
-    Router::new().route("/metrics", get(scrape))
-}
-
 /// What chunks may take of the link on their way out.
 fn upload_rate(settings: &settings::Node) -> Option<ByteRate> {
     ByteRate::new(Bytes::new((link_rate(settings) * UPLOAD_PART) as u64))
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -110,6 +110,7 @@
         }
     }
 
+    /// Tells all gateways what the engine said; one of them is asked to answer.
     async fn tell(&self, report: &EngineReport) {
         let gateways = self.plans.gateways();
         let asked = self.next_asked(&gateways);
@@ -157,6 +158,7 @@
         self.heard().told.map_or(Duration::ZERO, |told| now.saturating_sub(told))
     }
 
+    /// Takes in that a gateway answered.
     fn on_echo(&self, from: SocketAddr, told: Duration) {
         let mut heard = self.heard();
         heard.told = heard.told.max(Some(told));
@@ -177,6 +179,7 @@
         }
     }
 
+    /// Reads a plan that a gateway hinted at.
     async fn read_plan(self: Arc<Self>, from: SocketAddr) {
         if let Err(error) = self.plans.fetch(from).await {
             tracing::debug!(%from, error = format!("{error:#}"), "reading a plan");
