A member that waits for a chunk steps in for it; tidied modules merged

Cause: bringing a chunk in goes before drawing it as a reserve, and a chunk that is being waited for is never missing: the next member of a zone asked a drawer that stood still again and again and never drew the chunk itself. In the zone of the drawer, moreover, it stepped in after four times the patience, not after one.

--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -7,7 +7,7 @@
 const ID: &[u8] = b"id:";
 
 /// The most bytes that an event may have.
-pub const MAX_EVENT: usize = 256 << 10;
+const MAX_EVENT: usize = 256 << 10;
 
 /// Whole events and the number of the last of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -60,13 +60,9 @@
     pub fn is_torn(&self) -> bool {
         !self.rest.is_empty()
     }
-
-    /// Forgets the event that is not whole.
-    pub fn clear(&mut self) {
-        self.rest.clear();
-    }
 }
 
+/// The events of bytes that end with one, each without its empty line.
 fn events(bytes: &[u8]) -> Vec<&[u8]> {
     let mut events = Vec::new();
     let mut start = 0;
@@ -77,10 +73,12 @@
     events
 }
 
+/// Where bytes begin that are looked for.
 fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
     bytes.windows(wanted.len()).position(|window| window == wanted)
 }
 
+/// Where the last whole event ends.
 fn last_end(bytes: &[u8]) -> Option<usize> {
     bytes.windows(END.len()).rposition(|window| window == END).map(|at| at + END.len())
 }
--- a/crates/core/src/swarm.rs
+++ b/crates/core/src/swarm.rs
@@ -145,6 +145,9 @@
         let drawer = first(&|_| true).unwrap_or(self.own);
         let in_region = first(&|member| member.region == own.region).unwrap_or(self.own);
         let zone_rank = self.zone_rank(&ranks);
+        // In the zone of the one that draws, the next member is the first to step in.
+        let behind = u32::from(self.members[drawer].zone == own.zone);
+        let step_in = zone_rank.saturating_sub(behind);
         let reserves = self.reserve_zones(subject, self.members[drawer].zone);
         let reserve = reserves.iter().position(|zone| *zone == own.zone);
         let mut sources = vec![in_region, drawer];
@@ -152,7 +155,7 @@
         Role {
             draws: drawer == self.own,
             // The zones step in one after the other, then each zone's next member.
-            reserve: reserve.map(|turn| turn as u32 + 1 + zone_rank * RESERVE as u32),
+            reserve: reserve.map(|turn| turn as u32 + 1 + step_in * RESERVE as u32),
             imports: (zone_rank < IMPORTERS).then_some(zone_rank),
             sources: self.distinct(sources),
         }
