--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod kills;
 mod memory;
 mod once;
+mod operations;
 mod path;
 mod processes;
 mod requests;
--- /dev/null
+++ b/tests/testsuite/operations.rs
@@ -0,0 +1,53 @@
+//! The page that leads from a failed request to its cause names what is written.
+
+use std::path::Path;
+
+/// All sources of the programs, as one text.
+fn sources(directory: &Path) -> String {
+    let entries = std::fs::read_dir(directory).unwrap().map(|entry| entry.unwrap().path());
+    let text = |path: std::path::PathBuf| match path.is_dir() {
+        true => sources(&path),
+        false => std::fs::read_to_string(&path).unwrap(),
+    };
+    entries.map(text).collect()
+}
+
+/// The parts of a page between single backquotes.
+fn quoted(page: &str) -> Vec<String> {
+    let parts = page.split('`').skip(1).step_by(2);
+    parts.map(|part| part.split_whitespace().collect::<Vec<_>>().join(" ")).collect()
+}
+
+#[test]
+fn every_field_line_and_metric_of_the_page_is_still_written() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(root.join("docs/OPERATIONS.md")).unwrap();
+    let written = sources(&root.join("src")) + &sources(&root.join("platform/src"));
+    let quoted = quoted(&page);
+    assert!(quoted.len() > 60, "the page was read");
+    for part in quoted {
+        let name = part.split('{').next().unwrap_or_default();
+        let name = name.trim_start_matches("\"message\":").trim_matches('"');
+        assert!(written.contains(name), "the page names `{part}`, which nothing writes");
+    }
+}
+
+#[test]
+fn the_fields_of_the_samples_are_those_of_the_sources() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(root.join("docs/OPERATIONS.md")).unwrap();
+    let written = sources(&root.join("src"));
+    let samples: Vec<_> = page.lines().filter(|line| line.trim().starts_with('{')).collect();
+    assert_eq!(samples.len(), 4);
+    for sample in samples {
+        let fields: serde_json::Map<String, serde_json::Value> =
+            serde_json::from_str(sample).unwrap();
+        for (field, value) in fields {
+            let named = match field.as_str() {
+                "message" => written.contains(value.as_str().unwrap()),
+                _ => written.contains(&field),
+            };
+            assert!(named, "{field} of {sample}");
+        }
+    }
+}
