--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -88,6 +88,12 @@
         self.closing.cancelled().await;
     }
 
+    /// Whether connections are being closed.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.closing.is_cancelled()
+    }
+
     /// How many requests are in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/src/cinderspoke/gateway/refusal.rs
+++ b/src/cinderspoke/gateway/refusal.rs
@@ -14,6 +14,9 @@
 /// When a caller is to come back if nothing better is known.
 pub const COME_BACK: Duration = Duration::from_millis(300);
 
+/// When a caller may come back that another gateway can serve at once.
+pub const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// The body of an answer to a caller.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
--- a/src/cinderspoke/gateway/understand.rs
+++ b/src/cinderspoke/gateway/understand.rs
@@ -14,7 +14,7 @@
 
 use super::context::Context;
 use super::record::Record;
-use super::refusal::{COME_BACK, Refusal};
+use super::refusal::{COME_BACK, ELSEWHERE, Refusal};
 
 /// A request read whole, and what it asks.
 pub struct Asked {
@@ -61,6 +61,10 @@
     arrived: Instant,
     record: &mut Record,
 ) -> Result<Asked, Refusal> {
+    if context.is_closing() {
+        // It could not be finished before the process has to end.
+        return Err(Refusal::not_run("the gateway is stopping", ELSEWHERE));
+    }
     let view = context.knowledge.view();
     let Some(catalog) = &view.catalog else {
         return Err(Refusal::not_run("no configuration is known yet", COME_BACK));
