Addresses of processes are found in one place

Where seeds are reached stood in the relay, the process's own address in the settings' module; both are there now. Taking an answer's connection headers off is named after what is left, the end-to-end ones. Behaviour is unchanged.

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -97,7 +97,7 @@
     let good = !head.status.is_server_error();
     let sign = if good { Sign::Good } else { Sign::Failure };
     target.sign(sign, context.clock.now());
-    let response = Response::from_parts(passed_on(head), body.to_bytes());
+    let response = Response::from_parts(end_to_end(head), body.to_bytes());
     if is_promise(response.status()) {
         // Such a status would promise that the request has not run.
         Attempt::Failed(Fate::Failed, None)
@@ -120,7 +120,7 @@
 }
 
 /// The head of an answer without what concerns the endpoint's connection.
-pub fn passed_on(mut head: response::Parts) -> response::Parts {
+pub fn end_to_end(mut head: response::Parts) -> response::Parts {
     for name in ["connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"] {
         head.headers.remove(name);
     }
--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -14,7 +14,7 @@
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use super::answer::passed_on;
+use super::answer::end_to_end;
 use super::choose::{Chosen, Sends};
 use super::context::Context;
 use super::record::Record;
@@ -48,7 +48,7 @@
     head: response::Parts,
     live: Box<Live>,
 ) -> Response<Body> {
-    let head = passed_on(head);
+    let head = end_to_end(head);
     // The send that runs counts as one that has run.
     sends.record(Fate::Lost);
     let last = asked.call.after;
--- a/src/cinderspoke/gateway/refusal.rs
+++ b/src/cinderspoke/gateway/refusal.rs
@@ -31,7 +31,7 @@
 }
 
 impl Refusal {
-    /// Nothing is promised of the request.
+    /// A refusal that names no time to come back.
     #[must_use]
     pub fn bad(status: StatusCode, why: &'static str) -> Self {
         Self { status, why, come_back: None }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -30,7 +30,7 @@
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Facts, Known, Peer, Plan, buffer, pack, receive, send};
 use crate::util::http::{Call, Client};
-use crate::util::settings::inner_address;
+use crate::util::settings::{inner_address, seed_addresses};
 use crate::util::stop;
 
 /// How often a gateway tells another one what it knows, news or not.
@@ -67,7 +67,7 @@
         socket: UdpSocket,
     ) -> Self {
         let own = inner_address(settings);
-        let seeds = inner_addresses(settings).into_iter().filter(|seed| *seed != own).collect();
+        let seeds = seed_addresses(settings).into_iter().filter(|seed| *seed != own).collect();
         let regions = settings.regions.clone();
         let agents = Agents::default();
         let fetching = AtomicBool::new(false);
@@ -270,13 +270,6 @@
         || (one.directory > other.directory && one.directory_hash != other.directory_hash)
 }
 
-/// Where the processes on the seeds' instances are reached by others of the system.
-#[must_use]
-pub fn inner_addresses(settings: &settings::Node) -> Vec<SocketAddr> {
-    let port = settings.ports.first.get();
-    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
-}
-
 /// What the asker of facts knows.
 #[derive(Debug, Deserialize)]
 struct Asked {
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -13,8 +13,8 @@
 use tokio::time::Instant;
 
 use crate::gateway::message::Plan;
-use crate::gateway::relay::inner_addresses;
 use crate::util::http::{Call, Client};
+use crate::util::settings::seed_addresses;
 
 /// How long a gateway may take to tell the plan.
 const TIMEOUT: Duration = Duration::from_millis(1500);
@@ -53,7 +53,7 @@
     #[must_use]
     pub fn new(settings: &settings::Node, service: Service, client: Client) -> Self {
         let plan = watch::Sender::new(Plan::default());
-        Self { service, client, seeds: inner_addresses(settings), plan, wanted: Mutex::default() }
+        Self { service, client, seeds: seed_addresses(settings), plan, wanted: Mutex::default() }
     }
 
     /// The service of the engine.
--- a/src/cinderspoke/util/settings.rs
+++ b/src/cinderspoke/util/settings.rs
@@ -46,3 +46,10 @@
 pub fn inner_address(settings: &Node) -> SocketAddr {
     SocketAddr::new(*settings.address, settings.ports.first.get())
 }
+
+/// Where the processes on the seeds' instances are reached by the system's other processes.
+#[must_use]
+pub fn seed_addresses(settings: &Node) -> Vec<SocketAddr> {
+    let port = settings.ports.first.get();
+    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
