A pause no longer ends a stream that nobody else could go on with

Cause: every stream was given up after 1.1 s without an event, also where the route forbids to go on elsewhere or no attempt is left; it then broke off though its endpoint was at work. A repeat is now counted only once an endpoint was found.

--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -80,10 +80,10 @@
     /// The next events for the caller; none at the end.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
+            let until = self.patient_until();
             let Some(live) = &mut self.live else {
                 return Some(Err(self.break_off("no endpoint could go on")));
             };
-            let until = (Instant::now() + SILENCE).min(self.asked.end);
             match live.next(until).await {
                 Ok(Part::Events(events)) => return Some(self.pass(events)),
                 Ok(Part::End) => {
@@ -101,6 +101,18 @@
         }
     }
 
+    /// Until when the endpoint may be silent: where no other one could go on,
+    /// silence is no reason to end the stream.
+    fn patient_until(&self) -> Instant {
+        let repeatable = self.asked.route.kind.repeatable();
+        let next = self.sends.history.next(repeatable, self.asked.route.attempts, true);
+        if self.last.is_some() && next == Next::Retry {
+            (Instant::now() + SILENCE).min(self.asked.end)
+        } else {
+            self.asked.end
+        }
+    }
+
     /// Passes events on, unless the caller has had them.
     fn pass(&mut self, events: Whole) -> io::Result<Bytes> {
         if let (Some(last), Some(new)) = (self.last, events.last)
@@ -131,12 +143,15 @@
             let resumable = self.asked.route.kind.repeatable();
             let time_left = Instant::now() < self.asked.end;
             let next = self.sends.history.next(resumable, self.asked.route.attempts, time_left);
-            if next != Next::Retry || !self.context.spend_repeat(&self.asked.service) {
+            if next != Next::Retry {
                 return;
             }
             let Ok(chosen) = self.sends.choose(&self.context, &self.asked, &mut self.record) else {
                 return;
             };
+            if !self.context.spend_repeat(&self.asked.service) {
+                return;
+            }
             self.sends.tried.push(chosen.target.name.clone());
             match self.go_on(&chosen, last).await {
                 Ok(live) => {
