Agents tell each other what a version consists of, and finish a version together

Cause: every agent read a version's listing from the origin, which takes few connections. Of two versions named 4 s apart the first was taken by no engine, since the second wave of engines gave up its chunks, which the first wave still needed, at 0.75 to 0.95 of them.

Ruled out: the origin's link (2.1 copies sent), the trading of chunks (an added engine's took 3.1 s).

Now the agents of a zone ask along a tree, ranked by hash, whose root asks the origin; a listing that no chunk fits is read again; both waves finish a version that is nearly there. Both tests of stagers fail without it.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //!   models are to have. Each is a [`fact`] that only a newer one replaces.
 //! - Where a request goes: [`load`] estimates what endpoints are busy with,
 //!   [`pick`] chooses one or refuses, [`health`] leaves out those that fail.
-//! - How engines change weights: [`changeover`] says when each does.
+//! - How engines change weights: [`listing`] says whom to ask for what a version
+//!   consists of, [`changeover`] when each engine goes over.
 //! - What may be repeated: [`attempt`] knows what became of each send, and
 //!   [`budget`] bounds sends beyond the first.
 //! - [`event`] cuts a stream into whole events, so that it can be resumed.
@@ -20,6 +21,7 @@
 pub mod event;
 pub mod fact;
 pub mod health;
+pub mod listing;
 pub mod load;
 pub mod name;
 pub mod pick;
--- a/crates/ports/src/gateway/origin.rs
+++ b/crates/ports/src/gateway/origin.rs
@@ -4,11 +4,12 @@
 use bytes::Bytes;
 use cinderspoke_core::gateway::name::Model;
 use cinderspoke_core::gateway::rollout::Version;
+use serde::{Deserialize, Serialize};
 
 use crate::Error;
 
 /// What an origin says of a version.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Bytes of a chunk.
     pub chunk_bytes: u64,
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -4,16 +4,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use anyhow::{Context as _, Result};
+use anyhow::{Context as _, Result, bail};
 use cinderspoke_core::gateway::changeover::{Changeover, wave};
 use cinderspoke_core::manifest::Manifest;
 use cinderspoke_ports::gateway::Engine;
 use cinderspoke_schema::settings;
 use cinderspoke_types::digest::Digest;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::Parts;
 use super::collect::Collector;
+use super::listings::Listings;
 use super::load::Load;
 use super::plan::{Plans, Wanted};
 use super::report::Reporter;
@@ -27,6 +28,10 @@
 /// newer one is wanted.
 const WORTH_FINISHING: f64 = 0.65;
 
+/// How long the rest of such a version's chunks may take to come: somewhat more
+/// than its part of a whole spread.
+const COLLECT_REST: Duration = Duration::from_millis(2000);
+
 /// How long such a version may take to be finished: what is left of its spread,
 /// and the changeover.
 const FINISH: Duration = Duration::from_millis(3800);
@@ -54,12 +59,13 @@
 impl Bringer {
     /// Brings versions into the engine beside an agent.
     #[must_use]
-    pub fn new(
+    pub(super) fn new(
         settings: &settings::Node,
         own: SocketAddr,
         reporter: Arc<Reporter>,
         plans: Arc<Plans>,
         transfers: transfer::Context,
+        listings: Arc<Listings>,
         parts: Parts,
     ) -> Self {
         let collector = Collector {
@@ -69,7 +75,7 @@
             engine: Arc::clone(&parts.engine),
             open_origin: parts.open_origin,
             transfers,
-            manifests: Mutex::default(),
+            listings,
         };
         let current = Mutex::default();
         Self { reporter, plans, engine: parts.engine, collector, current }
@@ -107,9 +113,9 @@
 
     /// Waits until a newer version is wanted so much that this one is given up.
     ///
-    /// The first wave finishes what is nearly there: no engine may answer with
-    /// the version before it for much longer. The second wave goes over to the
-    /// newer one right away, unless it is closed already.
+    /// All finish what is nearly there: no engine may answer with the version
+    /// before it for much longer, and the newer one needs as long again. They do
+    /// so together, since each holds chunks that the others still lack.
     async fn superseded(&self, wanted: &Wanted) {
         let mut changes = self.plans.subscribe();
         let newer = loop {
@@ -121,18 +127,31 @@
             }
         };
         let follows = newer.model == wanted.model && newer.version.0 == wanted.version.0 + 1;
+        if follows && self.has_part(WORTH_FINISHING) {
+            let began = Instant::now();
+            let whole = timeout(COLLECT_REST, self.until_whole()).await.is_ok();
+            if whole {
+                sleep_until(began + FINISH).await;
+            }
+        }
+    }
+
+    /// Whether a part of the chunks of what is being brought is there.
+    fn has_part(&self, part: f64) -> bool {
         let manifest = *self.current();
-        let far =
-            manifest.is_some_and(|manifest| self.collector.has_part(manifest, WORTH_FINISHING));
-        let begun = self.changeover(wanted) == Changeover::First || !self.reporter.is_open();
-        if follows && far && begun {
-            sleep(FINISH).await;
+        manifest.is_some_and(|manifest| self.collector.has_part(manifest, part))
+    }
+
+    /// Waits until all chunks of what is being brought are there.
+    async fn until_whole(&self) {
+        while !self.has_part(1.0) {
+            sleep(LOOK).await;
         }
     }
 
     /// Brings a version into the engine; ends when it has to be looked at anew.
     async fn bring(&self, wanted: &Wanted) -> Result<()> {
-        let manifest = self.collector.manifest(wanted).await?;
+        let manifest = self.collector.manifest(wanted).await;
         *self.current() = Some(manifest.digest());
         let latest = self.reporter.subscribe().borrow().clone();
         let runs = latest.is_some_and(|report| wanted.runs_in(&report));
@@ -144,6 +163,7 @@
         tokio::select! {
             biased;
             collected = self.collector.collect(wanted, &manifest) => collected?,
+            () = self.collector.listed_anew(wanted) => bail!("its listing was wrong"),
             () = self.close_early(wanted, &manifest), if changeover == Changeover::First => {}
         }
         tracing::info!(
@@ -209,7 +229,7 @@
         loop {
             if let Some(next) = self.plans.wanted().filter(|next| next != wanted) {
                 let collected = async {
-                    let manifest = self.collector.manifest(&next).await?;
+                    let manifest = self.collector.manifest(&next).await;
                     self.collector.collect(&next, &manifest).await
                 };
                 match collected.await {
--- a/src/cinderspoke/stager/collect.rs
+++ b/src/cinderspoke/stager/collect.rs
@@ -1,22 +1,24 @@
 //! Collecting the chunks of versions from peers, the origin and the engine itself.
 
-use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
+use cinderspoke_core::gateway::listing::Tree;
 use cinderspoke_core::gateway::name::Model;
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::manifest::Manifest;
+use cinderspoke_core::rendezvous::Key;
 use cinderspoke_ports::gateway::{Engine, Origin};
 use cinderspoke_schema::control::Peer;
 use cinderspoke_types::digest::Digest;
-use cinderspoke_types::size;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use super::OpenOrigin;
+use super::listings::Listings;
 use super::plan::{Plans, Wanted};
 use super::source::VersionSource;
 use super::swarm::peer;
@@ -27,6 +29,10 @@
 /// weights is a second without answers.
 const ORIGIN_WEIGHT: f64 = 0.5;
 
+/// How long a version may take to be collected before its listing is doubted:
+/// several times as long as its chunks take over a link that carries what it should.
+const DOUBT: Duration = Duration::from_secs(10);
+
 /// The longest that chunks are held apart for the origin, in seconds, however
 /// slow its link is said to be.
 const MOST_SPACING_S: f64 = 1.0;
@@ -45,41 +51,45 @@
     pub(super) open_origin: OpenOrigin,
     /// What all transfers share; the origin is put in for each.
     pub(super) transfers: transfer::Context,
-    /// The chunks of versions that may still be asked for.
-    pub(super) manifests: Mutex<BTreeMap<(Model, Version), Manifest>>,
+    /// The listings of versions that may still be asked for.
+    pub(super) listings: Arc<Listings>,
 }
 
 impl Collector {
-    fn manifests(&self) -> MutexGuard<'_, BTreeMap<(Model, Version), Manifest>> {
-        self.manifests.lock().unwrap_or_else(PoisonError::into_inner)
+    /// The chunks of a version, as the origin lists them.
+    pub(super) async fn manifest(&self, wanted: &Wanted) -> Manifest {
+        let subject = Key::of(&format!("{} {}", wanted.model, wanted.version));
+        let tree = || Tree::new(subject, &self.own, &self.members(&self.plans.newest()).peers);
+        self.listings.find(wanted, tree, || Ok(self.origin()?.0)).await
     }
 
-    /// The chunks of a version, as an origin lists them.
-    pub(super) async fn manifest(&self, wanted: &Wanted) -> Result<Manifest> {
-        let key = (wanted.model.clone(), wanted.version);
-        let known = self.manifests().get(&key).cloned();
-        if let Some(manifest) = known {
-            return Ok(manifest);
+    /// Waits until the origin lists other chunks for a version than before.
+    ///
+    /// A listing may have come spoilt, and no chunk would ever fit it.
+    pub(super) async fn listed_anew(&self, wanted: &Wanted) {
+        loop {
+            sleep(DOUBT).await;
+            let origin = self.origin().map(|(origin, _)| origin);
+            match self.listings.read_again(wanted, origin).await {
+                Ok(true) => return,
+                Ok(false) => {}
+                Err(error) => {
+                    let error = format!("{error:#}");
+                    tracing::debug!(version = %wanted.version, error, "reading a listing again");
+                }
+            }
         }
-        let (origin, _) = self.origin()?;
-        let listing = origin.listing(&wanted.model, wanted.version).await?;
-        let digests = listing.digests.into_iter().map(Digest::new).collect();
-        let manifest = Manifest::listed(size::Bytes::new(listing.chunk_bytes), digests);
-        self.manifests().insert(key, manifest.clone());
-        Ok(manifest)
     }
 
     /// Forgets versions that no engine goes over to any more.
     pub(super) fn forget_before(&self, wanted: &Wanted) {
-        let mut manifests = self.manifests();
-        manifests.retain(|(model, version), manifest| {
-            // The one before may still be what a slower peer collects.
-            let kept = *model == wanted.model && version.0 + 1 >= wanted.version.0;
-            if !kept {
-                self.transfers.shelf.close(manifest.digest());
-            }
-            kept
-        });
+        // The one before may still be what a slower peer collects.
+        let kept = |model: &Model, version: Version| {
+            *model == wanted.model && version.0 + 1 >= wanted.version.0
+        };
+        for manifest in self.listings.retain(kept) {
+            self.transfers.shelf.close(manifest.digest());
+        }
     }
 
     /// The origin, and the bytes a second that its link carries.
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -4,11 +4,12 @@
 //!   gateways of it, and learns from them what is wanted.
 //! - [`plan`] is what gateways tell of the service, and the version wanted by it.
 //! - [`bring`] brings that version into the engine: `collect` draws its chunks
-//!   from peers (`swarm`) and the origin (`source`); `load` stages them whole and
+//!   from peers (`swarm`) and the origin (`source`) as `listings` name them; `load` stages them whole and
 //!   checked, and has the engine go over to them in its turn.
 
 pub mod bring;
 mod collect;
+mod listings;
 mod load;
 pub mod plan;
 pub mod report;
@@ -28,6 +29,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::sync::CancellationToken;
 
+use self::listings::Listings;
 use self::plan::Plans;
 use self::source::NoOrigin;
 use crate::agent::fetch::Times;
@@ -115,7 +117,9 @@
         let out = Arc::new(Pacer::new(upload_rate(settings)));
         let giver = Arc::new(Giver::new(Arc::clone(&shelf), out, UPLOADS, QUEUE));
         let stop = CancellationToken::new();
-        let app = peers::app(giver).merge(serve::scraped(parts.metrics.clone()));
+        let listings = Arc::new(Listings::new(parts.client.clone()));
+        let app = peers::app(giver).merge(listings.app());
+        let app = app.merge(serve::scraped(parts.metrics.clone()));
         tokio::spawn(serve::router(listener, app, stop.clone()));
         let service = beside.service.as_str().into();
         let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
@@ -128,8 +132,15 @@
             socket,
         );
         let reporter = Arc::new(reporter);
-        let bringer =
-            bring::Bringer::new(settings, own, Arc::clone(&reporter), plans, transfers, parts);
+        let bringer = bring::Bringer::new(
+            settings,
+            own,
+            Arc::clone(&reporter),
+            plans,
+            transfers,
+            listings,
+            parts,
+        );
         tokio::spawn(stop::until(stop.clone(), Arc::clone(&reporter).report()));
         tokio::spawn(stop::until(stop.clone(), reporter.listen()));
         tokio::spawn(stop::until(stop.clone(), bringer.run()));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,4 +17,5 @@
 mod requests;
 mod settings;
 mod spread;
+mod stagers;
 mod turns;
--- /dev/null
+++ b/tests/testsuite/stagers.rs
@@ -0,0 +1,215 @@
+//! Agents that bring versions into model engines, against engines, an origin and
+//! a gateway that are small fakes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use axum::Router;
+use axum::routing::get;
+use bytes::Bytes;
+use cinderspoke::gateway::message::{Datagram, Peer, Plan, buffer, pack, receive, send};
+use cinderspoke::stager::{Parts, Stager};
+use cinderspoke_core::gateway::catalog::Origin as Declared;
+use cinderspoke_core::gateway::name::Model;
+use cinderspoke_core::gateway::rollout::{Rollout, Version};
+use cinderspoke_core::manifest::Algorithm;
+use cinderspoke_ports::Error;
+use cinderspoke_ports::client::Client;
+use cinderspoke_ports::gateway::{Engine, EngineReport, Listing, Ordered, Origin, Switch};
+use cinderspoke_schema::settings::Node;
+use cinderspoke_test_support::address;
+use serde_json::json;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::{sleep, timeout};
+
+/// The port that all agents use among themselves, each on its own IP number.
+const SHARED_PORT: u16 = 19_002;
+
+/// More than any of these tests needs on a busy machine.
+const LONG: Duration = Duration::from_secs(60);
+
+const CHUNKS: usize = 8;
+
+fn model() -> Model {
+    Model::from("m")
+}
+
+fn chunk(version: Version, number: usize) -> Bytes {
+    Bytes::from(format!("chunk {number} of version {version}"))
+}
+
+fn listing(version: Version) -> Listing {
+    let digests = (0..CHUNKS).map(|number| Algorithm::Sha256.chunk(&chunk(version, number)));
+    Listing { chunk_bytes: 64, digests: digests.map(|digest| *digest.as_bytes()).collect() }
+}
+
+/// An origin that gives so many listings, the first ones of them spoilt.
+struct Few {
+    listings: AtomicUsize,
+    spoilt: AtomicUsize,
+}
+
+impl Few {
+    fn new(listings: usize, spoilt: usize) -> Arc<Self> {
+        Arc::new(Self { listings: listings.into(), spoilt: spoilt.into() })
+    }
+}
+
+/// Takes one of what is left; false when nothing is.
+fn take(left: &AtomicUsize) -> bool {
+    left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1)).is_ok()
+}
+
+#[async_trait]
+impl Origin for Few {
+    async fn listing(&self, _: &Model, version: Version) -> Result<Listing, Error> {
+        if !take(&self.listings) {
+            return Err(Error::Unavailable("the connection was reset".into()));
+        }
+        let mut listing = listing(version);
+        if take(&self.spoilt) {
+            listing.digests[1][0] ^= 1;
+        }
+        Ok(listing)
+    }
+
+    async fn chunk(&self, _: &Model, version: Version, number: usize) -> Result<Bytes, Error> {
+        Ok(chunk(version, number))
+    }
+}
+
+/// An engine that holds no layers at first and takes over at once what is staged.
+#[derive(Default)]
+struct Empty {
+    staged: Mutex<BTreeMap<usize, Bytes>>,
+    runs: Mutex<Option<Version>>,
+}
+
+#[async_trait]
+impl Engine for Empty {
+    async fn report(&self) -> Result<EngineReport, Error> {
+        let models = self.runs.lock().unwrap().map(|version| (model(), version));
+        Ok(EngineReport { models: models.into_iter().collect(), ..EngineReport::default() })
+    }
+
+    async fn start(
+        &self,
+        _: &Model,
+        version: Version,
+        _: Switch,
+        _: u64,
+    ) -> Result<Ordered, Error> {
+        let staged = self.staged.lock().unwrap();
+        let whole = (0..CHUNKS).all(|number| staged.get(&number) == Some(&chunk(version, number)));
+        assert!(whole, "an engine takes over what is not whole");
+        *self.runs.lock().unwrap() = Some(version);
+        Ok(Ordered::Taken)
+    }
+
+    async fn stage(&self, _: &Model, number: usize, bytes: Bytes) -> Result<(), Error> {
+        self.staged.lock().unwrap().insert(number, bytes);
+        Ok(())
+    }
+
+    async fn staged(&self, _: &Model, number: usize) -> Result<Option<Bytes>, Error> {
+        Ok(self.staged.lock().unwrap().get(&number).cloned())
+    }
+}
+
+/// A gateway that hints every agent at the same plan.
+async fn gateway(own: SocketAddr, plan: Plan) {
+    let listener = TcpListener::bind(own).await.unwrap();
+    let socket = UdpSocket::bind(own).await.unwrap();
+    let hash = plan.hash();
+    let app = Router::new().route("/v1/plan", get(async move || pack(&plan)));
+    tokio::spawn(axum::serve(listener, app).into_future());
+    tokio::spawn(async move {
+        let mut buffer = buffer();
+        loop {
+            if let Datagram::Report { from, .. } = receive(&socket, &mut buffer).await {
+                send(&socket, from, &pack(&Datagram::Hint { from: own, plan: hash })).await;
+            }
+        }
+    });
+}
+
+fn settings(engine: SocketAddr, zone: &str, seed: SocketAddr) -> Node {
+    serde_json::from_value(json!({
+        "instance": format!("a-{}", engine.ip()), "zone": zone, "region": "r",
+        "regions": { "a": "r", "b": "r" }, "address": engine.ip(),
+        "ports": { "first": SHARED_PORT, "last": SHARED_PORT },
+        "store": engine, "seeds": [seed],
+        "beside": { "address": engine, "service": "s" },
+        "limits": { "link_mbps": 100.0, "descriptors": 4000, "memory_mb": 200 },
+        "bounds": {
+            "drain_ms": 2000, "grace_s": 8.0, "config_apply_ms": 2000,
+            "rollback_slack_ms": 250, "max_skew_ms": 5000, "contact_ms": 3000,
+            "retry_budget_ratio": 0.2, "budget_window_s": 10.0, "budget_slack": 100.0,
+            "version_ms": 8000, "pass_ms": 120, "loss_slack_ms": 200,
+        },
+    }))
+    .unwrap()
+}
+
+/// So many agents in two zones, whose gateway names the second version.
+async fn start(agents: usize, origin: &Arc<Few>) -> (Vec<Arc<Empty>>, Vec<Stager>) {
+    let zone = |number: usize| if number.is_multiple_of(2) { "a" } else { "b" };
+    let addresses: Vec<_> = (0..agents).map(|_| address::free().unwrap()).collect();
+    let peer = |(number, engine): (usize, &SocketAddr)| Peer {
+        engine: *engine,
+        zone: zone(number).into(),
+        region: "r".into(),
+    };
+    let mut rollout = Rollout::default();
+    rollout.name(model(), Version(2));
+    let seed = SocketAddr::new(address::free().unwrap().ip(), SHARED_PORT);
+    let plan = Plan {
+        rollout,
+        models: vec!["m".into()],
+        origins: vec![Declared { address: addresses[0], rate: 1e9 }],
+        peers: addresses.iter().enumerate().map(peer).collect(),
+        gateways: vec![seed],
+        ..Plan::default()
+    };
+    gateway(seed, plan).await;
+    let (mut engines, mut stagers) = (Vec::new(), Vec::new());
+    for (number, address) in addresses.into_iter().enumerate() {
+        let engine = Arc::new(Empty::default());
+        let origin = Arc::clone(origin);
+        let parts = Parts {
+            engine: Arc::<Empty>::clone(&engine),
+            open_origin: Arc::new(move |_| Arc::<Few>::clone(&origin)),
+            client: Client::new(),
+            metrics: None,
+        };
+        let settings = settings(address, zone(number), seed);
+        stagers.push(Stager::bind(&settings, parts).await.unwrap());
+        engines.push(engine);
+    }
+    (engines, stagers)
+}
+
+/// Waits until all engines run the second version.
+async fn all_run(engines: &[Arc<Empty>]) {
+    let run = |engine: &Arc<Empty>| *engine.runs.lock().unwrap() == Some(Version(2));
+    while !engines.iter().all(run) {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_origin_that_gives_few_listings_is_enough_for_all_agents() {
+    // One for each zone, and some more in case that an agent asks out of its turn.
+    let (engines, _stagers) = start(16, &Few::new(6, 0)).await;
+    timeout(LONG, all_run(&engines)).await.expect("agents were left without a listing");
+}
+
+#[tokio::test]
+async fn a_listing_that_came_spoilt_is_read_again() {
+    let (engines, _stagers) = start(4, &Few::new(usize::MAX, 2)).await;
+    timeout(LONG, all_run(&engines)).await.expect("agents wait for chunks that do not exist");
+}
