What gateways spend on knowing each other's facts no longer grows with the fleet

Cause: for each report of an agent, 76 times 10 a second on the grown site, a gateway made and hashed its service's whole plan; for each digest the whole list of endpoints. Agents told all gateways ten times a second, most of the bytes between regions.

Ruled out: requests themselves (0.02 of a core on the first sites with half of the requests a gateway).

Now hashes are kept until something is known anew, news of endpoints gather for 250 ms before the next watch, rounds of news are 100 ms apart, and where there are more than 14 gateways agents tell them by turns, each every 0.3 s at the latest.

Test: gateways_take_turns_in_being_told; that the rest keeps its behaviour is what the tests of gateways say.

--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -17,7 +17,8 @@
 
 /// Facts as they came in, with what is needed to tell which are newer.
 // Invariants: `targets` holds the endpoints of the keeper's list at the
-// addresses that it names, and `by_address` the same targets.
+// addresses that it names, `by_address` the same targets, and `directory_hash`
+// is that of the list.
 #[derive(Default)]
 pub struct Belief {
     /// The configuration; none before the first.
@@ -28,6 +29,8 @@
     pub timeline: Timeline,
     /// The list of endpoints.
     pub keeper: Keeper,
+    /// Tells lists of endpoints apart; kept, since it is asked for with each digest.
+    pub directory_hash: u64,
     /// Endpoints by name.
     pub targets: HashMap<Endpoint, Arc<Target>>,
     /// Endpoints by address.
@@ -45,6 +48,7 @@
 
     /// Keeps a target for each endpoint of the list.
     pub fn follow_directory(&mut self) {
+        self.directory_hash = hash(self.keeper.directory());
         let Self { keeper, targets, by_address, .. } = self;
         let entries = &keeper.directory().entries;
         targets.retain(|name, target| {
@@ -70,7 +74,7 @@
             configuration: self.version(),
             rollout: self.rollout.value.clone(),
             directory: self.keeper.revision(),
-            directory_hash: hash(self.keeper.directory()),
+            directory_hash: self.directory_hash,
         }
     }
 }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -36,6 +36,11 @@
 /// By how much the time to stay away differs from one gateway to the next.
 const SPREAD: Range<f64> = 0.7..1.3;
 
+/// How long news of endpoints gather before the next watch: each watch is paid
+/// for, and many endpoints change at once. A small part of the time that a
+/// leaving endpoint goes on to answer.
+const GATHER: Duration = Duration::from_millis(250);
+
 /// How many failures in a row mean that the platform was away.
 const AWAY: u32 = 2;
 
@@ -50,6 +55,11 @@
 
     /// Waits for news after a revision; none when it has to be read anew.
     async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error>;
+
+    /// How long news gather before the next watch.
+    fn gather(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// What all sources read from, and where they bring it.
@@ -147,6 +157,10 @@
         let changed = |fact| _ = self.0.knowledge.changed(fact, STORE);
         Ok(take_news(self.0.registry.watch_endpoints(after, WAIT).await?, changed))
     }
+
+    fn gather(&self) -> Duration {
+        GATHER
+    }
 }
 
 /// Starts the tasks that follow the store.
@@ -189,6 +203,7 @@
                 }
                 failures = 0;
                 revision = next;
+                sleep(source.gather()).await;
             }
             Err(error) => {
                 failures += 1;
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -234,6 +234,7 @@
         let others = state.gateways.values().filter(|heard| is_alive(**heard, now));
         let gateways = 1 + others.count();
         self.view.store(Arc::new(View {
+            number: self.view.load().number + 1,
             catalog: state.configuration.value.clone(),
             members,
             rollout: state.rollout.value.clone(),
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -7,8 +7,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -39,6 +39,12 @@
 /// How long what a peer knows more is left to come from the store by itself.
 const OWN_WORD: Duration = Duration::from_millis(60);
 
+/// The same for the list of endpoints, of which the store's news gather a while.
+const OWN_LIST: Duration = Duration::from_millis(500);
+
+/// The least time between two rounds of telling news to all.
+const PUSH_PAUSE: Duration = Duration::from_millis(100);
+
 /// How long a peer may take to tell what it knows.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1200);
 
@@ -55,6 +61,8 @@
     socket: UdpSocket,
     agents: Agents,
     fetching: AtomicBool,
+    // The hash of each service's plan, and the number of the view that it is of.
+    plan_hashes: Mutex<HashMap<Service, (u64, u64)>>,
 }
 
 impl Relay {
@@ -71,7 +79,8 @@
         let regions = settings.regions.clone();
         let agents = Agents::default();
         let fetching = AtomicBool::new(false);
-        Self { own, seeds, regions, knowledge, client, socket, agents, fetching }
+        let plan_hashes = Mutex::default();
+        Self { own, seeds, regions, knowledge, client, socket, agents, fetching, plan_hashes }
     }
 
     /// What other processes may ask.
@@ -138,6 +147,9 @@
     /// Asks a gateway for what it knows more, unless that comes by itself.
     async fn catch_up(self: Arc<Self>, from: SocketAddr, known: Known) {
         sleep(OWN_WORD).await;
+        if known.configuration <= self.knowledge.known().configuration {
+            sleep(OWN_LIST).await;
+        }
         if knows_more(&known, &self.knowledge.known())
             && let Err(error) = self.fetch(from).await
         {
@@ -167,7 +179,7 @@
 
     /// Hints an agent at its service's plan if it does not know it.
     async fn on_agent(&self, from: SocketAddr, service: Service, plan: u64) {
-        let wanted = self.plan_of(&service).hash();
+        let wanted = self.plan_hash(&service);
         if self.agents.reported(from, service, plan, wanted) {
             self.hint(from, wanted).await;
         }
@@ -188,12 +200,13 @@
                 send(&self.socket, gateway, &digest).await;
             }
             self.hint_all().await;
+            sleep(PUSH_PAUSE).await;
         }
     }
 
     /// Hints every agent that does not know its service's plan.
     async fn hint_all(&self) {
-        for (agent, plan) in self.agents.behind(|service| self.plan_of(service).hash()) {
+        for (agent, plan) in self.agents.behind(|service| self.plan_hash(service)) {
             self.hint(agent, plan).await;
         }
     }
@@ -229,6 +242,21 @@
         pack(&Datagram::Digest { from: self.own, known: self.knowledge.known(), gateways })
     }
 
+    /// The hash of a service's plan, made anew only when something is known anew:
+    /// it is asked for with each report.
+    fn plan_hash(&self, service: &Service) -> u64 {
+        let number = self.knowledge.view().number;
+        let mut hashes = self.plan_hashes.lock().unwrap_or_else(PoisonError::into_inner);
+        match hashes.get(service) {
+            Some((of, hash)) if *of == number => *hash,
+            _ => {
+                let hash = self.plan_of(service).hash();
+                hashes.insert(service.clone(), (number, hash));
+                hash
+            }
+        }
+    }
+
     /// What agents of a service have to know.
     fn plan_of(&self, service: &Service) -> Plan {
         let view = self.knowledge.view();
--- a/src/cinderspoke/gateway/view.rs
+++ b/src/cinderspoke/gateway/view.rs
@@ -25,6 +25,8 @@
 /// All that is known at a moment.
 #[derive(Debug, Default)]
 pub struct View {
+    /// Tells views apart: each has a higher one than those before.
+    pub number: u64,
     /// The configuration, once one is known.
     pub catalog: Option<Arc<Catalog>>,
     /// The endpoints of each service.
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -1,10 +1,11 @@
 //! Asking the engine what it does, and telling gateways.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cinderspoke_core::gateway::load::in_turn;
 use cinderspoke_ports::gateway::{Engine, EngineReport};
 use cinderspoke_schema::settings;
 use tokio::net::UdpSocket;
@@ -32,6 +33,8 @@
     latest: watch::Sender<Latest>,
     // Cleared while the engine is to take no new requests.
     open: AtomicBool,
+    // Counts the times that gateways were told.
+    tick: AtomicUsize,
     heard: Mutex<Heard>,
 }
 
@@ -58,9 +61,10 @@
     ) -> Self {
         let address = beside.address;
         let (latest, open) = (watch::Sender::new(None), AtomicBool::new(true));
+        let tick = AtomicUsize::new(0);
         let clock = Clock::start();
         let heard = Mutex::default();
-        Self { own, address, plans, engine, socket, clock, latest, open, heard }
+        Self { own, address, plans, engine, socket, clock, latest, open, tick, heard }
     }
 
     /// What the engine says, as it changes.
@@ -74,10 +78,21 @@
         self.open.store(open, Ordering::Relaxed);
         let latest = self.latest.borrow().clone();
         if let Some(report) = latest {
-            self.tell(&report).await;
+            self.tell(&report, self.plans.gateways()).await;
         }
     }
 
+    /// The gateways whose turn it is to be told.
+    fn next_told(&self) -> Vec<SocketAddr> {
+        let gateways = self.plans.gateways();
+        let tick = self.tick.fetch_add(1, Ordering::Relaxed);
+        let mut told: Vec<_> = in_turn(gateways.len(), tick).map(|turn| gateways[turn]).collect();
+        // Who answered last is always told, so that it can answer again.
+        let last = self.heard().from.filter(|last| gateways.contains(last));
+        told.extend(last.filter(|last| !told.contains(last)));
+        told
+    }
+
     /// Whether the engine is to get new requests.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -98,7 +113,7 @@
     pub async fn ask(&self) {
         match self.engine.report().await {
             Ok(report) => {
-                self.tell(&report).await;
+                self.tell(&report, self.next_told()).await;
                 self.latest.send_replace(Some(report));
             }
             Err(error) => {
@@ -110,9 +125,8 @@
         }
     }
 
-    /// Tells all gateways what the engine said; one of them is asked to answer.
-    async fn tell(&self, report: &EngineReport) {
-        let gateways = self.plans.gateways();
+    /// Tells some gateways what the engine said; one of them is asked to answer.
+    async fn tell(&self, report: &EngineReport, gateways: Vec<SocketAddr>) {
         let asked = self.next_asked(&gateways);
         let now = self.clock.now();
         let mut load = report.load.clone();
--- a/tests/testsuite/gateway.rs
+++ b/tests/testsuite/gateway.rs
@@ -15,7 +15,7 @@
 use cinderspoke_core::gateway::fact::Revision;
 use cinderspoke_core::gateway::health::{self, Health, Sign};
 use cinderspoke_core::gateway::listing::{Ask, Tree};
-use cinderspoke_core::gateway::load::{Load, Report, first_token};
+use cinderspoke_core::gateway::load::{Load, Report, first_token, in_turn};
 use cinderspoke_core::gateway::pick::{Candidate, Choice, Wish, pick};
 use cinderspoke_core::gateway::rollout::{Rollout, Timeline, Version};
 use cinderspoke_core::rendezvous::Key;
@@ -530,3 +530,17 @@
     let tree = Tree::new(Key::of("m 2"), &agents[0], &[]);
     assert!((0..9).all(|attempt| tree.ask(attempt) == Ask::Origin));
 }
+
+#[parameterized(
+    few = { 7, 1 },
+    more = { 20, 2 },
+    many = { 40, 3 },
+    hundreds = { 500, 3 },
+)]
+fn gateways_take_turns_in_being_told(gateways: usize, turns: usize) {
+    let told: Vec<usize> = (5..5 + turns).flat_map(|tick| in_turn(gateways, tick)).collect();
+    let mut all = told.clone();
+    all.sort_unstable();
+    assert!(all.into_iter().eq(0..gateways), "each is told once in {turns} turns");
+    assert!(in_turn(gateways, 0).count() <= gateways.div_ceil(turns));
+}
