--- a/crates/core/src/transfer/choice.rs
+++ b/crates/core/src/transfer/choice.rs
@@ -31,8 +31,13 @@
             self.state.in_flight.insert(chunk, Flight { source, awaited: true });
             return Step::Await { chunk, peer };
         }
-        // What nobody else draws is not held up by what many can give.
-        match self.own_draw(now).or_else(|| self.draw_in_window(now)) {
+        let drawing = self.state.in_flight.values().filter(|flight| !flight.awaited).count();
+        if drawing >= self.window() {
+            return Step::Wait;
+        }
+        let choice =
+            self.own_draw(now).or_else(|| self.trade(now)).or_else(|| self.reserve_draw(now));
+        match choice {
             Some((chunk, source)) => {
                 let flight = Flight { source: source.clone(), awaited: false };
                 self.state.in_flight.insert(chunk, flight);
@@ -42,16 +47,6 @@
         }
     }
 
-    /// A chunk to draw besides those that only this instance draws, as long as
-    /// not too many are on their way.
-    fn draw_in_window(&self, now: Duration) -> Option<(usize, Source)> {
-        let drawing = self.state.in_flight.values().filter(|flight| !flight.awaited);
-        if drawing.count() >= self.window() {
-            return None;
-        }
-        self.trade(now).or_else(|| self.reserve_draw(now))
-    }
-
     /// How many chunks are drawn at once.
     fn window(&self) -> usize {
         self.state.window as usize
