--- /dev/null
+++ b/tests/testsuite/gateway/budget.rs
@@ -0,0 +1,37 @@
+//! Repeats of all gateways together.
+
+use std::time::Duration;
+
+use cinderspoke_core::gateway::budget::{Budget, Terms};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::ms;
+
+#[test]
+fn gateways_together_stay_within_the_budget() {
+    let terms = Terms { ratio: 0.2, window: ms(10_000), slack: 100.0 };
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut budgets: Vec<Budget> = (0..7).map(|_| Budget::default()).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    for step in 0..60_000_u64 {
+        let now = ms(step);
+        let budget = &mut budgets[random.random_range(0..7)];
+        if random.random_bool(0.1) {
+            budget.request(now, &terms);
+            requests.push(now);
+        }
+        if budget.affords(now, &terms, 7) {
+            budget.repeat(now);
+            repeats.push(now);
+        }
+    }
+    for end in (10_000..60_000).step_by(500) {
+        let within = |times: &[Duration]| {
+            times.iter().filter(|time| **time > ms(end - 10_000) && **time <= ms(end)).count()
+        };
+        let allowed = 0.2 * within(&requests) as f64 + 100.0;
+        assert!(within(&repeats) as f64 <= allowed, "until {end} ms");
+        assert!(within(&repeats) > 0, "the budget is never spent");
+    }
+}
--- /dev/null
+++ b/tests/testsuite/gateway/directory.rs
@@ -0,0 +1,72 @@
+//! The list of endpoints, as the platform loses and regains it.
+
+use std::collections::BTreeMap;
+
+use cinderspoke_core::gateway::directory::{Change, Directory, Entry, Keeper, SETTLE, State};
+use cinderspoke_core::gateway::fact::Revision;
+
+use super::ms;
+
+fn entry(address: &str, state: State) -> Entry {
+    Entry {
+        service: "say".into(),
+        address: address.parse().unwrap(),
+        zone: "a".into(),
+        slots: 16,
+        state,
+        models: Vec::new(),
+        reports_models: true,
+    }
+}
+
+fn listed(keeper: &Keeper) -> Vec<String> {
+    keeper.directory().entries.keys().map(ToString::to_string).collect()
+}
+
+fn put(name: &str, address: &str, state: State) -> Change {
+    Change::Put(name.into(), entry(address, state))
+}
+
+#[test]
+fn entries_that_lapse_during_an_outage_are_kept_until_they_had_time_to_return() {
+    let mut keeper = Keeper::default();
+    let all = vec![
+        put("a", "10.0.0.1:1", State::Ready),
+        put("b", "10.0.0.2:1", State::Ready),
+        put("c", "10.0.0.3:1", State::Leaving),
+    ];
+    keeper.apply(Revision(1), all, ms(0));
+    keeper.returned(ms(1000));
+    keeper.replace(Revision(2), Directory::default(), ms(1100));
+    assert_eq!(listed(&keeper), ["a", "b"], "whoever was about to leave is gone");
+    keeper.apply(Revision(3), vec![put("a", "10.0.0.1:1", State::Ready)], ms(2000));
+    assert!(!keeper.settle(ms(1000) + SETTLE - ms(1)));
+    assert!(keeper.settle(ms(1000) + SETTLE));
+    assert_eq!(listed(&keeper), ["a"], "whoever did not return is gone");
+}
+
+#[test]
+fn an_entry_that_goes_while_the_platform_answers_is_gone_at_once() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    assert!(keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(10)));
+    assert!(listed(&keeper).is_empty());
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(5), vec![put("a", "10.0.0.1:1", State::Leaving)], ms(0));
+    let old =
+        Directory { entries: BTreeMap::from([("a".into(), entry("10.0.0.1:1", State::Ready))]) };
+    assert!(!keeper.replace(Revision(4), old, ms(10)));
+    assert_eq!(keeper.directory().entries.values().next().unwrap().state, State::Leaving);
+}
+
+#[test]
+fn an_address_belongs_to_its_newest_endpoint() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    keeper.apply(Revision(2), vec![put("b", "10.0.0.1:1", State::Ready)], ms(0));
+    assert_eq!(listed(&keeper), ["b"]);
+}
--- /dev/null
+++ b/tests/testsuite/gateway/event.rs
@@ -0,0 +1,40 @@
+//! Cutting streams into whole events.
+
+use cinderspoke_core::gateway::event::Splitter;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+#[test]
+fn events_are_whole_however_their_bytes_arrive() {
+    let stream: Vec<u8> = (0..40)
+        .flat_map(|id| format!("id: {id}\ndata: {}\n\n", "x".repeat(id * 7 % 50)).into_bytes())
+        .collect();
+    for seed in 0..200 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut splitter = Splitter::default();
+        let (mut passed, mut rest) = (Vec::<u8>::new(), stream.as_slice());
+        let mut last = None;
+        while !rest.is_empty() {
+            let (piece, after) = rest.split_at(random.random_range(1..=rest.len().min(90)));
+            rest = after;
+            if let Some(whole) = splitter.push(piece).unwrap() {
+                assert!(whole.bytes.ends_with(b"\n\n"));
+                passed.extend(&whole.bytes);
+                last = whole.last.or(last);
+                let count = passed.windows(2).filter(|pair| *pair == b"\n\n").count();
+                assert_eq!(last, Some(count as u64 - 1), "the number of the last event passed on");
+            }
+        }
+        assert_eq!(passed, stream);
+        assert!(!splitter.is_torn());
+    }
+}
+
+#[test]
+fn an_event_that_breaks_off_is_not_passed_on() {
+    let mut splitter = Splitter::default();
+    let whole = splitter.push(b"id: 1\ndata: a\n\nid: 2\ndata: b\n").unwrap().unwrap();
+    assert_eq!(whole.bytes, b"id: 1\ndata: a\n\n");
+    assert_eq!((whole.count, whole.last), (1, Some(1)));
+    assert!(splitter.is_torn());
+}
--- /dev/null
+++ b/tests/testsuite/gateway/load.rs
@@ -0,0 +1,112 @@
+//! What endpoints are busy with, and when they are out of reach.
+
+use cinderspoke_core::gateway::call::Size;
+use cinderspoke_core::gateway::catalog::Engine;
+use cinderspoke_core::gateway::load::{Load, Report, first_token, in_turn};
+use cinderspoke_core::gateway::rollout::Version;
+use yare::parameterized;
+
+use super::ms;
+
+fn engine() -> Engine {
+    Engine {
+        slots: 16,
+        capacity: 300_000,
+        step_ms: 9.0,
+        per_request_ms: 0.02,
+        per_context_ms: 0.03,
+        read_per_s: 20_000.0,
+        per_pairs_ms: 1.2,
+        chunk: 2048,
+        stride: 5,
+        usual_prompt: 1000,
+        usual_answer: 90,
+        models: vec!["m".into()],
+        layers: 16,
+        chunks: 96,
+        chunk_bytes: 24_576,
+        load: ms(300),
+    }
+}
+
+const SIZE: Size = Size { prompt: 1000, most: 100, guess: None };
+
+fn report(running: u32, queued: u32) -> Report {
+    let version = Some(Version(1));
+    Report { running, queued, pace: 1.0, version, open: true, ..Report::default() }
+}
+
+#[test]
+fn a_first_token_waits_for_the_prompts_ahead_and_for_a_slot() {
+    let first = |running, queued| {
+        let mut load = Load::default();
+        load.reported(report(running, queued), ms(0), ms(1000));
+        first_token(&engine(), &load.estimate(Some(&engine()), 7, ms(1000)), SIZE)
+    };
+    assert!(first(0, 0) < first(4, 0));
+    assert!(first(4, 2) > first(4, 0) + ms(90), "two prompts of 50 ms are ahead");
+    assert!(first(16, 4) > first(11, 4) + ms(100), "no slot is free");
+}
+
+#[test]
+fn what_was_sent_since_the_report_counts() {
+    let mut load = Load::default();
+    load.reported(report(2, 0), ms(0), ms(1000));
+    let before = load.estimate(Some(&engine()), 7, ms(1001));
+    load.sent(1, 3000, ms(100), ms(1001));
+    let after = load.estimate(Some(&engine()), 7, ms(1002));
+    assert_eq!(after.requests, before.requests + 1.0);
+    assert_eq!(after.unread, before.unread + 3000.0);
+    load.begun(1);
+    assert_eq!(load.estimate(Some(&engine()), 7, ms(1003)).unread, before.unread);
+}
+
+#[test]
+fn an_endpoint_whose_agent_falls_silent_is_out_of_reach() {
+    let mut load = Load::default();
+    assert!(!load.is_out_of_reach(ms(5000)), "nothing was ever reported");
+    load.reported(report(0, 0), ms(0), ms(1000));
+    assert!(!load.is_out_of_reach(ms(1100)));
+    assert!(load.is_out_of_reach(ms(3000)));
+}
+
+#[test]
+fn an_endpoint_whose_reports_come_late_is_out_of_reach() {
+    let mut load = Load::default();
+    load.reported(report(0, 0), ms(100), ms(1000));
+    load.reported(report(0, 0), ms(200), ms(1500));
+    assert!(load.is_out_of_reach(ms(1501)), "400 ms later than the first");
+    load.reported(report(0, 0), ms(600), ms(1502));
+    assert!(!load.is_out_of_reach(ms(1503)));
+}
+
+#[test]
+fn an_endpoint_that_hears_no_gateway_is_out_of_reach() {
+    let mut load = Load::default();
+    load.reported(Report { deaf: ms(900), ..report(0, 0) }, ms(0), ms(1000));
+    assert!(load.is_out_of_reach(ms(1001)));
+}
+
+#[test]
+fn an_endpoint_with_a_request_that_does_not_begin_is_stuck() {
+    let mut load = Load::default();
+    load.sent(1, 1000, ms(100), ms(1000));
+    assert!(!load.is_stuck(ms(1200)));
+    assert!(load.is_stuck(ms(1600)));
+    load.begun(1);
+    assert!(!load.is_stuck(ms(1700)));
+}
+
+#[parameterized(
+    few = { 7, 1 },
+    more = { 20, 2 },
+    many = { 40, 3 },
+    hundreds = { 500, 3 },
+)]
+fn gateways_take_turns_in_being_told(gateways: usize, turns: usize) {
+    let told: Vec<usize> = (5..5 + turns).flat_map(|tick| in_turn(gateways, tick)).collect();
+    let mut all = told.clone();
+    all.sort_unstable();
+    assert!(all.into_iter().eq(0..gateways), "each is told once in {turns} turns");
+    assert!(in_turn(gateways, 0).count() <= gateways.div_ceil(turns));
+}
--- /dev/null
+++ b/tests/testsuite/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! The decisions of a gateway, each against what would break a promise.
+//!
+//! Each module tests the one of the same name in the core.
+
+mod attempt;
+mod budget;
+mod catalog;
+mod changeover;
+mod directory;
+mod event;
+mod health;
+mod listing;
+mod load;
+mod pick;
+mod rollout;
+
+use std::time::Duration;
+
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
