Plans of agents are made in a module of their own

The relay received, gossiped, fetched and also made plans and kept their hashes. Making plans needs no socket and none of the relay's state, so it moves to `plan::Planner`; a kept hash has named fields instead of a pair of numbers. Gateways that others name are taken in at one place instead of two, and the pauses say what they wait for.

--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! - [`knowledge`] keeps the facts of its [`belief`] and shows them to requests
 //!   in a [`view`]; what it asks of decisions is in [`terms`].
 //! - [`follow`] learns facts from the platform; [`relay`] learns them from other
-//!   gateways, and tells those and [`agents`] of them in a [`message`].
+//!   gateways, and tells those and [`agents`] of them in a [`message`]. What
+//!   agents have to know is a [`plan`].
 //! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
 //!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
 //!   [`send`] sends over the connections of a [`pool`], [`answer`] reads what
@@ -24,6 +25,7 @@
 pub mod knowledge;
 pub mod message;
 pub mod passing;
+pub mod plan;
 pub mod pool;
 pub mod record;
 pub mod refusal;
--- /dev/null
+++ b/src/cinderspoke/gateway/plan.rs
@@ -0,0 +1,95 @@
+//! Plans: what the agents of a service have to know, made of what a gateway knows.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cinderspoke_core::gateway::directory::{Directory, Entry};
+use cinderspoke_core::gateway::name::Service;
+use cinderspoke_schema::settings;
+
+use super::knowledge::Knowledge;
+use super::message::{Peer, Plan};
+use crate::util::settings::inner_address;
+
+/// A plan's hash, and the number of the view that the plan is of.
+#[derive(Debug, Clone, Copy)]
+struct Hashed {
+    view: u64,
+    hash: u64,
+}
+
+/// Makes plans, and keeps their hashes.
+pub struct Planner {
+    own: SocketAddr,
+    regions: HashMap<String, String>,
+    knowledge: Arc<Knowledge>,
+    hashes: Mutex<HashMap<Service, Hashed>>,
+}
+
+impl Planner {
+    /// A planner of what a gateway knows.
+    #[must_use]
+    pub fn new(settings: &settings::Node, knowledge: Arc<Knowledge>) -> Self {
+        let own = inner_address(settings);
+        let regions = settings.regions.clone();
+        Self { own, regions, knowledge, hashes: Mutex::default() }
+    }
+
+    /// The hash of a service's plan, made anew only when something is known anew:
+    /// it is asked for with each report.
+    #[must_use]
+    pub fn hash(&self, service: &Service) -> u64 {
+        let view = self.knowledge.view().number;
+        let mut hashes = self.hashes.lock().unwrap_or_else(PoisonError::into_inner);
+        match hashes.get(service) {
+            Some(kept) if kept.view == view => kept.hash,
+            _ => {
+                let hash = self.plan(service).hash();
+                hashes.insert(service.clone(), Hashed { view, hash });
+                hash
+            }
+        }
+    }
+
+    /// What agents of a service have to know.
+    #[must_use]
+    pub fn plan(&self, service: &Service) -> Plan {
+        let view = self.knowledge.view();
+        let directory = self.knowledge.directory();
+        let engine = view.engine(service);
+        let models = engine.map(|engine| engine.models.iter().map(ToString::to_string).collect());
+        let origins = view.catalog.as_ref().map(|catalog| catalog.origins().collect());
+        Plan {
+            revision: directory.revision,
+            rollout: view.rollout.clone(),
+            models: models.unwrap_or_default(),
+            origins: origins.unwrap_or_default(),
+            peers: self.peers(&directory.value, service),
+            gateways: self.gateways(),
+        }
+    }
+
+    /// The gateways that are known, this one among them, in the order of their
+    /// addresses.
+    fn gateways(&self) -> Vec<SocketAddr> {
+        let mut gateways = self.knowledge.gateways();
+        gateways.retain(|other| *other != self.own);
+        gateways.push(self.own);
+        gateways.sort();
+        gateways
+    }
+
+    /// The engines of a service, in the order of their addresses.
+    fn peers(&self, directory: &Directory, service: &Service) -> Vec<Peer> {
+        let entries = directory.entries.values().filter(|entry| entry.service == *service);
+        let peer = |entry: &Entry| Peer {
+            engine: entry.address,
+            zone: entry.zone.to_string(),
+            region: self.regions.get(entry.zone.as_str()).cloned().unwrap_or_default(),
+        };
+        let mut peers: Vec<_> = entries.map(peer).collect();
+        peers.sort_by_key(|peer| peer.engine);
+        peers
+    }
+}
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -3,12 +3,11 @@
 //! Gateways say in datagrams what they know, at once when there is news and
 //! from time to time to one of the others, so that a lost datagram is made
 //! good. Whoever knows less fetches it over HTTP. Agents report what their
-//! engines are busy with, and learn from gateways which weights are wanted.
+//! engines are busy with, and are hinted at plans that they do not know.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -16,7 +15,6 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
-use cinderspoke_core::gateway::directory::{Directory, Entry};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_schema::settings;
@@ -28,7 +26,8 @@
 
 use super::agents::Agents;
 use super::knowledge::Knowledge;
-use super::message::{Datagram, Facts, Known, Peer, Plan, buffer, pack, receive, send};
+use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
+use super::plan::Planner;
 use crate::util::http::{Call, Client};
 use crate::util::settings::{inner_address, seed_addresses};
 use crate::util::stop;
@@ -36,16 +35,18 @@
 /// How often a gateway tells another one what it knows, news or not.
 const GOSSIP: Duration = Duration::from_millis(500);
 
-/// How long what a peer knows more is left to come from the store by itself.
+/// How long the store's own word is waited for before another gateway is asked
+/// for what it knows more.
 const OWN_WORD: Duration = Duration::from_millis(60);
 
-/// The same for the list of endpoints, of which the store's news gather a while.
+/// How much longer where only the list of endpoints is newer: the store's news of
+/// endpoints gather a while.
 const OWN_LIST: Duration = Duration::from_millis(500);
 
-/// The least time between two rounds of telling news to all.
+/// How long after a round of telling news to all the next one may begin.
 const PUSH_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long a peer may take to tell what it knows.
+/// How long another gateway may take to tell what it knows.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// How many gateways a digest names at most.
@@ -55,14 +56,13 @@
 pub struct Relay {
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
-    regions: HashMap<String, String>,
     knowledge: Arc<Knowledge>,
     client: Client,
     socket: UdpSocket,
     agents: Agents,
+    planner: Planner,
+    // Set while another gateway is asked for facts.
     fetching: AtomicBool,
-    // The hash of each service's plan, and the number of the view that it is of.
-    plan_hashes: Mutex<HashMap<Service, (u64, u64)>>,
 }
 
 impl Relay {
@@ -76,11 +76,10 @@
     ) -> Self {
         let own = inner_address(settings);
         let seeds = seed_addresses(settings).into_iter().filter(|seed| *seed != own).collect();
-        let regions = settings.regions.clone();
+        let planner = Planner::new(settings, Arc::clone(&knowledge));
         let agents = Agents::default();
         let fetching = AtomicBool::new(false);
-        let plan_hashes = Mutex::default();
-        Self { own, seeds, regions, knowledge, client, socket, agents, fetching, plan_hashes }
+        Self { own, seeds, knowledge, client, socket, agents, planner, fetching }
     }
 
     /// What other processes may ask.
@@ -129,9 +128,7 @@
             return;
         }
         self.knowledge.met(from, true);
-        for other in others.into_iter().filter(|other| *other != self.own) {
-            self.knowledge.met(other, false);
-        }
+        self.meet(others);
         let own = self.knowledge.known();
         let named = Fact::new(Revision::default(), known.rollout.clone());
         self.knowledge.named(named, "gateway");
@@ -147,7 +144,8 @@
     /// Asks a gateway for what it knows more, unless that comes by itself.
     async fn catch_up(self: Arc<Self>, from: SocketAddr, known: Known) {
         sleep(OWN_WORD).await;
-        if known.configuration <= self.knowledge.known().configuration {
+        let list_only = known.configuration <= self.knowledge.known().configuration;
+        if list_only {
             sleep(OWN_LIST).await;
         }
         if knows_more(&known, &self.knowledge.known())
@@ -171,15 +169,20 @@
         if facts.directory.revision > known.directory {
             self.knowledge.listed(facts.directory, "gateway");
         }
-        for gateway in facts.gateways.into_iter().filter(|gateway| *gateway != self.own) {
+        self.meet(facts.gateways);
+        Ok(())
+    }
+
+    /// Takes in gateways that another one names.
+    fn meet(&self, gateways: Vec<SocketAddr>) {
+        for gateway in gateways.into_iter().filter(|gateway| *gateway != self.own) {
             self.knowledge.met(gateway, false);
         }
-        Ok(())
     }
 
     /// Hints an agent at its service's plan if it does not know it.
     async fn on_agent(&self, from: SocketAddr, service: Service, plan: u64) {
-        let wanted = self.plan_hash(&service);
+        let wanted = self.planner.hash(&service);
         if self.agents.reported(from, service, plan, wanted) {
             self.hint(from, wanted).await;
         }
@@ -206,7 +209,7 @@
 
     /// Hints every agent that does not know its service's plan.
     async fn hint_all(&self) {
-        for (agent, plan) in self.agents.behind(|service| self.plan_hash(service)) {
+        for (agent, plan) in self.agents.behind(|service| self.planner.hash(service)) {
             self.hint(agent, plan).await;
         }
     }
@@ -241,55 +244,6 @@
         gateways.truncate(NAMED_GATEWAYS);
         pack(&Datagram::Digest { from: self.own, known: self.knowledge.known(), gateways })
     }
-
-    /// The hash of a service's plan, made anew only when something is known anew:
-    /// it is asked for with each report.
-    fn plan_hash(&self, service: &Service) -> u64 {
-        let number = self.knowledge.view().number;
-        let mut hashes = self.plan_hashes.lock().unwrap_or_else(PoisonError::into_inner);
-        match hashes.get(service) {
-            Some((of, hash)) if *of == number => *hash,
-            _ => {
-                let hash = self.plan_of(service).hash();
-                hashes.insert(service.clone(), (number, hash));
-                hash
-            }
-        }
-    }
-
-    /// What agents of a service have to know.
-    fn plan_of(&self, service: &Service) -> Plan {
-        let view = self.knowledge.view();
-        let directory = self.knowledge.directory();
-        let catalog = view.catalog.as_ref();
-        let engine = catalog.and_then(|catalog| catalog.backend(service)?.engine.as_ref());
-        let models = engine.map(|engine| engine.models.iter().map(ToString::to_string).collect());
-        let origins = catalog.map(|catalog| catalog.origins().collect());
-        let mut gateways = self.others();
-        gateways.push(self.own);
-        gateways.sort();
-        Plan {
-            revision: directory.revision,
-            rollout: view.rollout.clone(),
-            models: models.unwrap_or_default(),
-            origins: origins.unwrap_or_default(),
-            peers: self.peers(&directory.value, service),
-            gateways,
-        }
-    }
-
-    /// The engines of a service, in the order of their addresses.
-    fn peers(&self, directory: &Directory, service: &Service) -> Vec<Peer> {
-        let entries = directory.entries.values().filter(|entry| entry.service == *service);
-        let peer = |entry: &Entry| Peer {
-            engine: entry.address,
-            zone: entry.zone.to_string(),
-            region: self.regions.get(entry.zone.as_str()).cloned().unwrap_or_default(),
-        };
-        let mut peers: Vec<_> = entries.map(peer).collect();
-        peers.sort_by_key(|peer| peer.engine);
-        peers
-    }
 }
 
 /// Whether one knows something that the other does not.
@@ -330,5 +284,5 @@
     if relay.knowledge.view().catalog.is_none() {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
-    Ok(pack(&relay.plan_of(&wanted.service.into())).into())
+    Ok(pack(&relay.planner.plan(&wanted.service.into())).into())
 }
