What brings versions gets a collector instead of seven arguments

`Bringer::new` took what it only passed on to the collector, which is now made where its parts are made. A version's text for hashes was written in two places that have to be the same, and is now how `Wanted` is displayed. The origin is declared or opened instead of a pair of which half was thrown away, and the handler that tells a listing no longer has nearly the name of its module.

--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -1,6 +1,5 @@
 //! Bringing the wanted version into the engine.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,18 +7,13 @@
 use cinderspoke_core::gateway::changeover::{Changeover, wave};
 use cinderspoke_core::manifest::Manifest;
 use cinderspoke_ports::gateway::Engine;
-use cinderspoke_schema::settings;
 use cinderspoke_types::digest::Digest;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::Parts;
 use super::collect::Collector;
-use super::listings::Listings;
 use super::load::Load;
 use super::plan::{Plans, Wanted};
 use super::report::Reporter;
-use super::swarm::peer;
-use crate::agent::transfer;
 
 /// How long to wait after something failed.
 const RETRY: Duration = Duration::from_millis(200);
@@ -28,12 +22,12 @@
 /// newer one is wanted.
 const WORTH_FINISHING: f64 = 0.65;
 
-/// How long the rest of such a version's chunks may take to come: somewhat more
-/// than its part of a whole spread.
+/// How long the rest of the chunks of a version that is finished may take to come:
+/// somewhat more than its part of a whole spread.
 const COLLECT_REST: Duration = Duration::from_millis(2000);
 
-/// How long such a version may take to be finished: what is left of its spread,
-/// and the changeover.
+/// How long a version may take to be finished: what is left of its spread, and
+/// the changeover.
 const FINISH: Duration = Duration::from_millis(3800);
 
 /// The part of a version's chunks at which the first wave closes: the rest
@@ -57,28 +51,11 @@
 }
 
 impl Bringer {
-    /// Brings versions into the engine beside an agent.
+    /// Brings what a collector collects into its engine.
     #[must_use]
-    pub(super) fn new(
-        settings: &settings::Node,
-        own: SocketAddr,
-        reporter: Arc<Reporter>,
-        plans: Arc<Plans>,
-        transfers: transfer::Context,
-        listings: Arc<Listings>,
-        parts: Parts,
-    ) -> Self {
-        let collector = Collector {
-            own: peer(own.ip(), own.port(), &settings.zone, &settings.region),
-            port: own.port(),
-            plans: Arc::clone(&plans),
-            engine: Arc::clone(&parts.engine),
-            open_origin: parts.open_origin,
-            transfers,
-            listings,
-        };
-        let current = Mutex::default();
-        Self { reporter, plans, engine: parts.engine, collector, current }
+    pub(super) fn new(reporter: Arc<Reporter>, collector: Collector) -> Self {
+        let (plans, engine) = (Arc::clone(&collector.plans), Arc::clone(&collector.engine));
+        Self { reporter, plans, engine, collector, current: Mutex::default() }
     }
 
     fn current(&self) -> MutexGuard<'_, Option<Digest>> {
@@ -149,7 +126,8 @@
         }
     }
 
-    /// Brings a version into the engine; ends when it has to be looked at anew.
+    /// Brings a version into the engine; ends when what is wanted has to be looked
+    /// at anew.
     async fn bring(&self, wanted: &Wanted) -> Result<()> {
         let manifest = self.collector.manifest(wanted).await;
         *self.current() = Some(manifest.digest());
@@ -205,8 +183,7 @@
         let engines: Vec<_> =
             engines.map(|(peer, name)| (peer.zone.as_str(), name.as_str())).collect();
         let own = (self.collector.own.zone.as_str(), self.collector.own.instance.as_str());
-        let version = format!("{} {}", wanted.model, wanted.version);
-        Changeover::of_wave(wave(&version, own, &engines))
+        Changeover::of_wave(wave(&wanted.to_string(), own, &engines))
     }
 
     /// Closes the engine once most of its weights have come in.
--- a/src/cinderspoke/stager/collect.rs
+++ b/src/cinderspoke/stager/collect.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
+use cinderspoke_core::gateway::catalog::Origin as Declared;
 use cinderspoke_core::gateway::listing::Tree;
 use cinderspoke_core::gateway::name::Model;
 use cinderspoke_core::gateway::rollout::Version;
@@ -56,11 +57,11 @@
 }
 
 impl Collector {
-    /// The chunks of a version, as the origin lists them.
+    /// The chunks of a version, as the origin lists them; asks until they are known.
     pub(super) async fn manifest(&self, wanted: &Wanted) -> Manifest {
-        let subject = Key::of(&format!("{} {}", wanted.model, wanted.version));
-        let tree = || Tree::new(subject, &self.own, &self.members(&self.plans.newest()).peers);
-        self.listings.find(wanted, tree, || Ok(self.origin()?.0)).await
+        let version = Key::of(&wanted.to_string());
+        let tree = || Tree::new(version, &self.own, &self.members(&self.plans.newest()).peers);
+        self.listings.find(wanted, tree, || Ok(self.open(self.origin()?))).await
     }
 
     /// Waits until the origin lists other chunks for a version than before.
@@ -69,7 +70,7 @@
     pub(super) async fn listed_anew(&self, wanted: &Wanted) {
         loop {
             sleep(DOUBT).await;
-            let origin = self.origin().map(|(origin, _)| origin);
+            let origin = self.origin().map(|origin| self.open(origin));
             match self.listings.read_again(wanted, origin).await {
                 Ok(true) => return,
                 Ok(false) => {}
@@ -92,11 +93,14 @@
         }
     }
 
-    /// The origin, and the bytes a second that its link carries.
-    fn origin(&self) -> Result<(Arc<dyn Origin>, f64)> {
-        let plan = self.plans.newest();
-        let origin = plan.origins.first().context("no origin is known")?;
-        Ok(((self.open_origin)(origin.address), origin.rate))
+    /// The origin, as plans declare it.
+    fn origin(&self) -> Result<Declared> {
+        self.plans.newest().origins.first().copied().context("no origin is known")
+    }
+
+    /// The origin, ready to be read from.
+    fn open(&self, origin: Declared) -> Arc<dyn Origin> {
+        (self.open_origin)(origin.address)
     }
 
     /// Takes in what is staged already: it outlives the agent and the engine.
@@ -143,10 +147,10 @@
 
     /// What the transfer of one version needs.
     fn context(&self, wanted: &Wanted, manifest: &Manifest) -> Result<transfer::Context> {
-        let (origin, rate) = self.origin()?;
+        let declared = self.origin()?;
         let chunk_bytes = manifest.as_raw().chunk_size.as_u64();
-        let spacing = if rate > 0.0 { chunk_bytes as f64 / rate } else { 0.0 };
         let (model, version) = (wanted.model.clone(), wanted.version);
+        let origin = self.open(declared);
         let source = VersionSource { origin, model, version, chunk_bytes };
         let transfers = &self.transfers;
         Ok(transfer::Context {
@@ -154,7 +158,7 @@
             origin: Arc::new(source),
             client: transfers.client.clone(),
             pacer: Arc::clone(&transfers.pacer),
-            origin_spacing: Duration::from_secs_f64(spacing.min(MOST_SPACING_S)),
+            origin_spacing: spacing(chunk_bytes, declared.rate),
             ..*transfers
         })
     }
@@ -184,3 +188,10 @@
         Members { own: self.own.clone(), peers: peers.collect(), origin_weight: ORIGIN_WEIGHT }
     }
 }
+
+/// How long chunks are held apart for the origin: as long as its link takes for
+/// one, by the bytes a second that it is said to carry; zero if that is not known.
+fn spacing(chunk_bytes: u64, rate: f64) -> Duration {
+    let seconds = if rate > 0.0 { chunk_bytes as f64 / rate } else { 0.0 };
+    Duration::from_secs_f64(seconds.min(MOST_SPACING_S))
+}
--- a/src/cinderspoke/stager/listings.rs
+++ b/src/cinderspoke/stager/listings.rs
@@ -57,13 +57,12 @@
 
     /// What other agents may ask.
     pub(super) fn app(self: &Arc<Self>) -> Router {
-        Router::new().route("/v1/listings", get(listing)).with_state(Arc::clone(self))
+        Router::new().route("/v1/listings", get(tell)).with_state(Arc::clone(self))
     }
 
     /// The chunks of a version, if its listing is known.
     pub(super) fn known(&self, wanted: &Wanted) -> Option<Manifest> {
-        let key = (wanted.model.clone(), wanted.version);
-        self.known.borrow().get(&key).map(manifest)
+        self.known.borrow().get(&key(wanted)).map(manifest)
     }
 
     /// The chunks of a version; asks as its tree says until someone tells them.
@@ -80,8 +79,7 @@
             if let Some(manifest) = self.known(wanted) {
                 return manifest;
             }
-            let tree = tree();
-            let (from, result) = match tree.ask(attempt) {
+            let (from, result) = match tree().ask(attempt) {
                 Ask::Origin => ("origin", self.read(wanted, origin()).await),
                 Ask::Peer(peer) => ("agent", self.ask(wanted, peer.address).await),
             };
@@ -121,7 +119,7 @@
         Ok(())
     }
 
-    /// Asks another agent for a listing.
+    /// Asks another agent for a listing; it may wait for that itself.
     async fn ask(&self, wanted: &Wanted, address: SocketAddr) -> Result<()> {
         let Wanted { model, version, .. } = wanted;
         let path =
@@ -131,9 +129,9 @@
         Ok(())
     }
 
+    /// Keeps a listing, and gives it to the agents that wait for it.
     fn keep(&self, wanted: &Wanted, listing: Listing) {
-        let key = (wanted.model.clone(), wanted.version);
-        self.known.send_modify(|known| _ = known.insert(key, listing));
+        self.known.send_modify(|known| _ = known.insert(key(wanted), listing));
     }
 
     /// Forgets all versions but those that are kept; gives the others' chunks.
@@ -152,6 +150,11 @@
     }
 }
 
+/// The version that is wanted, as listings are kept by it.
+fn key(wanted: &Wanted) -> Key {
+    (wanted.model.clone(), wanted.version)
+}
+
 /// A listing as transfers use it.
 fn manifest(listing: &Listing) -> Manifest {
     let digests = listing.digests.iter().copied().map(Digest::new).collect();
@@ -167,7 +170,7 @@
 }
 
 /// Tells a listing as soon as it is known; 404 when the wait is over.
-async fn listing(
+async fn tell(
     State(listings): State<Arc<Listings>>,
     Query(asked): Query<Asked>,
 ) -> Result<Bytes, StatusCode> {
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -3,9 +3,10 @@
 //! - [`report`] asks the engine what it does, often and free of charge, tells
 //!   gateways of it, and learns from them what is wanted.
 //! - [`plan`] is what gateways tell of the service, and the version wanted by it.
-//! - [`bring`] brings that version into the engine: `collect` draws its chunks
-//!   from peers (`swarm`) and the origin (`source`) as `listings` name them; `load` stages them whole and
-//!   checked, and has the engine go over to them in its turn.
+//! - [`bring`] brings that version into the engine: `listings` find out of which
+//!   chunks it consists, `collect` draws them from peers (`swarm`) and the origin
+//!   (`source`), and `load` stages them whole and checked, and has the engine go
+//!   over to them in its turn.
 
 pub mod bring;
 mod collect;
@@ -16,6 +17,7 @@
 mod source;
 mod swarm;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,9 +31,13 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::sync::CancellationToken;
 
+use self::bring::Bringer;
+use self::collect::Collector;
 use self::listings::Listings;
 use self::plan::Plans;
+use self::report::Reporter;
 use self::source::NoOrigin;
+use self::swarm::peer;
 use crate::agent::fetch::Times;
 use crate::agent::peers::{self, Giver};
 use crate::agent::shelf::Shelf;
@@ -82,7 +88,7 @@
 const INTRODUCTION: Duration = Duration::from_millis(40);
 
 /// How an origin is reached, by its address.
-pub type OpenOrigin = Arc<dyn Fn(std::net::SocketAddr) -> Arc<dyn Origin> + Send + Sync>;
+pub type OpenOrigin = Arc<dyn Fn(SocketAddr) -> Arc<dyn Origin> + Send + Sync>;
 
 /// What the program is made of besides its settings.
 pub struct Parts {
@@ -113,34 +119,26 @@
         let listener =
             TcpListener::bind(own).await.with_context(|| format!("listening to {own}"))?;
         let socket = UdpSocket::bind(own).await.context("binding the port for datagrams")?;
-        let shelf = Arc::new(Shelf::new(Bytes::new(KEPT_VERSIONS * VERSION_MEMORY)));
-        let out = Arc::new(Pacer::new(upload_rate(settings)));
-        let giver = Arc::new(Giver::new(Arc::clone(&shelf), out, UPLOADS, QUEUE));
         let stop = CancellationToken::new();
+        let shelf = Arc::new(Shelf::new(Bytes::new(KEPT_VERSIONS * VERSION_MEMORY)));
         let listings = Arc::new(Listings::new(parts.client.clone()));
-        let app = peers::app(giver).merge(listings.app());
-        let app = app.merge(serve::scraped(parts.metrics.clone()));
+        let giver = giver(settings, Arc::clone(&shelf));
+        let app = peers::app(giver).merge(listings.app()).merge(serve::scraped(parts.metrics));
         tokio::spawn(serve::router(listener, app, stop.clone()));
         let service = beside.service.as_str().into();
         let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
-        let transfers = transfers(shelf, parts.client.clone());
-        let reporter = report::Reporter::new(
-            own,
-            beside,
-            Arc::clone(&plans),
-            Arc::clone(&parts.engine),
-            socket,
-        );
-        let reporter = Arc::new(reporter);
-        let bringer = bring::Bringer::new(
-            settings,
-            own,
-            Arc::clone(&reporter),
+        let (known, engine) = (Arc::clone(&plans), Arc::clone(&parts.engine));
+        let reporter = Arc::new(Reporter::new(own, beside, known, engine, socket));
+        let collector = Collector {
+            own: peer(own.ip(), own.port(), &settings.zone, &settings.region),
+            port: own.port(),
             plans,
-            transfers,
+            engine: parts.engine,
+            open_origin: parts.open_origin,
+            transfers: transfers(shelf, parts.client),
             listings,
-            parts,
-        );
+        };
+        let bringer = Bringer::new(Arc::clone(&reporter), collector);
         tokio::spawn(stop::until(stop.clone(), Arc::clone(&reporter).report()));
         tokio::spawn(stop::until(stop.clone(), reporter.listen()));
         tokio::spawn(stop::until(stop.clone(), bringer.run()));
@@ -154,6 +152,12 @@
     }
 }
 
+/// Gives chunks to other agents.
+fn giver(settings: &settings::Node, shelf: Arc<Shelf>) -> Arc<Giver> {
+    let out = Arc::new(Pacer::new(upload_rate(settings)));
+    Arc::new(Giver::new(shelf, out, UPLOADS, QUEUE))
+}
+
 /// What all transfers share.
 fn transfers(shelf: Arc<Shelf>, client: Client) -> transfer::Context {
     transfer::Context {
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -1,5 +1,6 @@
 //! What gateways want of the service's engines.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -39,6 +40,13 @@
     }
 }
 
+/// The text by whose hash versions are told apart.
+impl fmt::Display for Wanted {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} {}", self.model, self.version)
+    }
+}
+
 /// The newest plan, merged from what gateways tell.
 pub struct Plans {
     service: Service,
