The turns in which agents tell gateways are a module of the core

They stood between the constants of a gateway's estimates, with which they share only how long a report is fresh; who looked for the turns did not find them by a name. The comment on freshness said that each gateway hears of an endpoint ten times a second, which has not been so since there are turns.

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -13,23 +13,10 @@
 use super::catalog::Engine;
 use super::rollout::Version;
 
-/// A report older than this says nothing: agents report ten times a second, and
-/// some reports in a row may be lost.
+/// A report older than this says nothing: agents ask their engines ten times a
+/// second and tell each gateway at least every third time, and a report may be lost.
 pub const FRESH: Duration = Duration::from_millis(700);
 
-/// How many gateways an agent tells at a time: where there are more, they take
-/// turns, so that what it sends grows less than their number.
-const TOLD_AT_ONCE: usize = 14;
-
-/// The most turns: a report is fresh for twice as long, so one may be lost.
-const MOST_TURNS: usize = 3;
-
-/// Which of so many gateways an agent tells at its next tick.
-pub fn in_turn(gateways: usize, tick: usize) -> impl Iterator<Item = usize> {
-    let turns = gateways.div_ceil(TOLD_AT_ONCE).clamp(1, MOST_TURNS);
-    (0..gateways).skip(tick % turns).step_by(turns)
-}
-
 /// How late a first token may be before its endpoint is taken to stand still.
 const STUCK: Duration = Duration::from_millis(400);
 
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -4,8 +4,9 @@
 //! - What is known: [`catalog`] holds the configuration in force, [`directory`]
 //!   the endpoints as the platform lists them, [`rollout`] the versions that
 //!   models are to have. Each is a [`fact`] that only a newer one replaces.
-//! - Where a request goes: [`load`] estimates what endpoints are busy with,
-//!   [`pick`] chooses one or refuses, [`health`] leaves out those that fail.
+//! - Where a request goes: [`load`] estimates what endpoints are busy with
+//!   by what agents tell each gateway in its [`turn`], [`pick`] chooses one or
+//!   refuses, [`health`] leaves out those that fail.
 //! - How engines change weights: [`listing`] says whom to ask for what a version
 //!   consists of, [`changeover`] when each engine goes over.
 //! - What may be repeated: [`attempt`] knows what became of each send, and
@@ -26,3 +27,4 @@
 pub mod name;
 pub mod pick;
 pub mod rollout;
+pub mod turn;
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cinderspoke_core::gateway::load::in_turn;
+use cinderspoke_core::gateway::turn::in_turn;
 use cinderspoke_ports::gateway::{Engine, EngineReport};
 use cinderspoke_schema::settings;
 use tokio::net::UdpSocket;
@@ -33,7 +33,7 @@
     latest: watch::Sender<Latest>,
     // Cleared while the engine is to take no new requests.
     open: AtomicBool,
-    // Counts the times that gateways were told.
+    // Counts the times that the engine answered: who is told then goes by turns.
     tick: AtomicUsize,
     heard: Mutex<Heard>,
 }
@@ -82,17 +82,6 @@
         }
     }
 
-    /// The gateways whose turn it is to be told.
-    fn next_told(&self) -> Vec<SocketAddr> {
-        let gateways = self.plans.gateways();
-        let tick = self.tick.fetch_add(1, Ordering::Relaxed);
-        let mut told: Vec<_> = in_turn(gateways.len(), tick).map(|turn| gateways[turn]).collect();
-        // Who answered last is always told, so that it can answer again.
-        let last = self.heard().from.filter(|last| gateways.contains(last));
-        told.extend(last.filter(|last| !told.contains(last)));
-        told
-    }
-
     /// Whether the engine is to get new requests.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -109,7 +98,7 @@
         }
     }
 
-    /// Asks the engine once and tells gateways what it said.
+    /// Asks the engine once and tells the gateways whose turn it is what it said.
     pub async fn ask(&self) {
         match self.engine.report().await {
             Ok(report) => {
@@ -125,7 +114,7 @@
         }
     }
 
-    /// Tells some gateways what the engine said; one of them is asked to answer.
+    /// Tells gateways what the engine said; one of them is asked to answer.
     async fn tell(&self, report: &EngineReport, gateways: Vec<SocketAddr>) {
         let asked = self.next_asked(&gateways);
         let now = self.clock.now();
@@ -154,6 +143,18 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The gateways whose turn it is to be told.
+    fn next_told(&self) -> Vec<SocketAddr> {
+        let gateways = self.plans.gateways();
+        let tick = self.tick.fetch_add(1, Ordering::Relaxed);
+        let mut told: Vec<_> =
+            in_turn(gateways.len(), tick).map(|number| gateways[number]).collect();
+        // Who answered last is always told, so that it can answer again.
+        let last = self.heard().from.filter(|last| gateways.contains(last));
+        told.extend(last.filter(|last| !told.contains(last)));
+        told
+    }
+
     /// The gateway that is to answer next: by turns the one that answered last,
     /// which most likely lives, and any other.
     fn next_asked(&self, gateways: &[SocketAddr]) -> Option<SocketAddr> {
--- a/tests/testsuite/gateway/load.rs
+++ b/tests/testsuite/gateway/load.rs
@@ -2,9 +2,8 @@
 
 use cinderspoke_core::gateway::call::Size;
 use cinderspoke_core::gateway::catalog::Engine;
-use cinderspoke_core::gateway::load::{Load, Report, first_token, in_turn};
+use cinderspoke_core::gateway::load::{Load, Report, first_token};
 use cinderspoke_core::gateway::rollout::Version;
-use yare::parameterized;
 
 use super::ms;
 
@@ -96,17 +95,3 @@
     load.begun(1);
     assert!(!load.is_stuck(ms(1700)));
 }
-
-#[parameterized(
-    few = { 7, 1 },
-    more = { 20, 2 },
-    many = { 40, 3 },
-    hundreds = { 500, 3 },
-)]
-fn gateways_take_turns_in_being_told(gateways: usize, turns: usize) {
-    let told: Vec<usize> = (5..5 + turns).flat_map(|tick| in_turn(gateways, tick)).collect();
-    let mut all = told.clone();
-    all.sort_unstable();
-    assert!(all.into_iter().eq(0..gateways), "each is told once in {turns} turns");
-    assert!(in_turn(gateways, 0).count() <= gateways.div_ceil(turns));
-}
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod pick;
 mod rollout;
+mod turn;
 
 use std::time::Duration;
 
