Given-up connections are reset; a configuration never waits behind a list

Tests: a_connection_whose_request_is_given_ up_is_reset and no_turn_is_left_out_of_the_questions, both fail without the change.

--- a/crates/core/src/gateway/turn.rs
+++ b/crates/core/src/gateway/turn.rs
@@ -17,3 +17,14 @@
     let turns = gateways.div_ceil(TOLD_AT_ONCE).clamp(1, MOST_TURNS);
     (0..gateways).skip(tick % turns).step_by(turns)
 }
+
+/// After how many questions the ones that go to the last answerer recur: no
+/// multiple of any number of turns, so that all gateways are asked in the end.
+const ROUND: usize = 5;
+
+/// Whether an agent's next question goes to whoever answered last, which most
+/// likely lives, and not to any other gateway.
+#[must_use]
+pub fn asks_last(question: usize) -> bool {
+    matches!(question % ROUND, 0 | 2)
+}
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -8,8 +8,9 @@
 //!   agents have to know is a [`plan`].
 //! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
 //!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
-//!   [`send`] sends over the connections of a [`pool`], [`answer`] reads what
-//!   comes back, and what no endpoint answers ends in a [`refusal`].
+//!   [`send`] sends over the connections of a [`pool`], each a [`socket`],
+//!   [`answer`] reads what comes back, and what no endpoint answers ends in a
+//!   [`refusal`].
 //! - [`stream`] is an answer in events; [`passing`] passes it on and has another
 //!   endpoint go on with it.
 //! - [`context`] is what all requests share, [`target`] what is kept of each
@@ -32,6 +33,7 @@
 pub mod relay;
 pub mod send;
 pub mod serve;
+pub mod socket;
 pub mod stream;
 pub mod target;
 pub mod terms;
--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -9,10 +9,10 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use super::socket::Socket;
+
 /// How long connecting may take: some round trips on a link that is not harmed.
 const CONNECT: Duration = Duration::from_millis(400);
 
@@ -102,10 +102,8 @@
 
 /// Opens a connection, and has it carried by a task of its own.
 async fn connect(address: SocketAddr) -> Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let socket = Socket::open(address, UNACKNOWLEDGED).await?;
+    let (sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
     tokio::spawn(async move {
         // Whoever uses the connection learns of its end by its own request.
         if let Err(error) = connection.await {
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -61,8 +61,9 @@
     socket: UdpSocket,
     agents: Agents,
     planner: Planner,
-    // Set while another gateway is asked for facts.
-    fetching: AtomicBool,
+    // Whether a newer configuration, or a newer list, is waited for or fetched.
+    awaiting_configuration: Arc<AtomicBool>,
+    awaiting_list: Arc<AtomicBool>,
 }
 
 impl Relay {
@@ -78,8 +79,17 @@
         let seeds = seed_addresses(settings).into_iter().filter(|seed| *seed != own).collect();
         let planner = Planner::new(settings, Arc::clone(&knowledge));
         let agents = Agents::default();
-        let fetching = AtomicBool::new(false);
-        Self { own, seeds, knowledge, client, socket, agents, planner, fetching }
+        Self {
+            own,
+            seeds,
+            knowledge,
+            client,
+            socket,
+            agents,
+            planner,
+            awaiting_configuration: Arc::default(),
+            awaiting_list: Arc::default(),
+        }
     }
 
     /// What other processes may ask.
@@ -133,27 +143,38 @@
         let named = Fact::new(Revision::default(), known.rollout.clone());
         self.knowledge.named(named, "gateway");
         let behind = knows_more(&own, &known);
-        if knows_more(&known, &own) && !self.fetching.swap(true, Ordering::Relaxed) {
-            tokio::spawn(Arc::clone(self).catch_up(from, known));
+        if known.configuration > own.configuration {
+            self.catch_up(&self.awaiting_configuration, OWN_WORD, from, &known);
+        } else if knows_more(&known, &own) {
+            self.catch_up(&self.awaiting_list, OWN_LIST, from, &known);
         }
         if behind {
             send(&self.socket, from, &self.digest()).await;
         }
     }
 
-    /// Asks a gateway for what it knows more, unless that comes by itself.
-    async fn catch_up(self: Arc<Self>, from: SocketAddr, known: Known) {
-        sleep(OWN_WORD).await;
-        let list_only = known.configuration <= self.knowledge.known().configuration;
-        if list_only {
-            sleep(OWN_LIST).await;
-        }
-        if knows_more(&known, &self.knowledge.known())
-            && let Err(error) = self.fetch(from).await
-        {
-            tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
+    /// Asks a gateway for what it knows more, unless that comes by itself in time
+    /// or is waited for already: a configuration never waits behind a list.
+    fn catch_up(
+        self: &Arc<Self>,
+        awaiting: &Arc<AtomicBool>,
+        wait: Duration,
+        from: SocketAddr,
+        known: &Known,
+    ) {
+        if awaiting.swap(true, Ordering::Relaxed) {
+            return;
         }
-        self.fetching.store(false, Ordering::Relaxed);
+        let (relay, awaiting, known) = (Arc::clone(self), Arc::clone(awaiting), known.clone());
+        tokio::spawn(async move {
+            sleep(wait).await;
+            if knows_more(&known, &relay.knowledge.known())
+                && let Err(error) = relay.fetch(from).await
+            {
+                tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
+            }
+            awaiting.store(false, Ordering::Relaxed);
+        });
     }
 
     /// Asks a gateway for what it knows more.
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -129,6 +129,8 @@
     /// Brings a version into the engine; ends when what is wanted has to be looked
     /// at anew.
     async fn bring(&self, wanted: &Wanted) -> Result<()> {
+        // Until its listing is known, nothing of it is there.
+        *self.current() = None;
         let manifest = self.collector.manifest(wanted).await;
         *self.current() = Some(manifest.digest());
         let latest = self.reporter.subscribe().borrow().clone();
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cinderspoke_core::gateway::turn::in_turn;
+use cinderspoke_core::gateway::turn::{asks_last, in_turn};
 use cinderspoke_ports::gateway::{Engine, EngineReport};
 use cinderspoke_schema::settings;
 use tokio::net::UdpSocket;
@@ -161,10 +161,10 @@
         let mut heard = self.heard();
         heard.turn = heard.turn.wrapping_add(1);
         let last = heard.from.filter(|last| gateways.contains(last));
-        if last.is_some() && heard.turn.is_multiple_of(2) {
+        if last.is_some() && asks_last(heard.turn) {
             return last;
         }
-        let number = (heard.turn / 2).checked_rem(gateways.len())?;
+        let number = heard.turn.checked_rem(gateways.len())?;
         gateways.get(number).copied()
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod once;
 mod operations;
 mod path;
+mod pool;
 mod processes;
 mod requests;
 mod settings;
