A request's line names the version it was sent for and what that had left

Cause: an incident in which requests began on an old version could not be told apart by its logs: sent too late by a gateway's own belief, or held up on the way. Ruled out: reading it from other lines; the belief at the moment of the choice was written nowhere. Conclusion: weights and weights_left_ms stand on each request's line.

--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::context::Context;
-use super::record::Record;
+use super::record::{self, Record};
 use super::target::Target;
 use super::understand::Asked;
 use super::view::{Member, View};
@@ -93,8 +93,10 @@
                 let option = options.iter().find(|option| option.candidate.number == number);
                 let version = option.and_then(|option| option.version);
                 member.target.tracking().health.try_out(now);
-                record.chose(&member.target.name, first, candidates.len());
-                Ok(Chosen { target: Arc::clone(&member.target), version, first })
+                let chosen = Chosen { target: Arc::clone(&member.target), version, first };
+                let weights = version.map(|version| survey.weights_of(version));
+                record.chose(&chosen, weights, candidates.len());
+                Ok(chosen)
             }
             Choice::Refuse { come_back, best } => {
                 record.found_none(members.len(), candidates.len(), best);
@@ -208,11 +210,20 @@
         }
     }
 
+    /// How much longer a version may begin requests; none while it is the newest.
+    fn version_left(&self, version: Version) -> Option<Duration> {
+        let model = self.asked.call.model.as_ref()?;
+        self.context.knowledge.version_left(model, version)
+    }
+
+    /// What is logged of the weights that a request is sent for.
+    fn weights_of(&self, version: Version) -> record::Weights {
+        record::Weights { version, left: self.version_left(version) }
+    }
+
     /// Whether a request would begin while its version may still begin requests.
     fn begins_in_time(&self, version: Version, first: Duration, well: bool) -> bool {
-        let model = self.asked.call.model.as_ref();
-        let left = model.and_then(|model| self.context.knowledge.version_left(model, version));
         // What is held up on the way may begin long after it was given up.
-        left.is_none_or(|left| well && left >= first)
+        self.version_left(version).is_none_or(|left| well && left >= first)
     }
 }
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -4,10 +4,12 @@
 
 use cinderspoke_core::gateway::attempt::Fate;
 use cinderspoke_core::gateway::name::{Endpoint, Request};
+use cinderspoke_core::gateway::rollout::Version;
 use http::StatusCode;
 use metrics::{counter, histogram};
 use tokio::time::Instant;
 
+use super::choose::Chosen;
 use super::context::InProgress;
 use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, REQUESTS};
 
@@ -35,6 +37,15 @@
     }
 }
 
+/// The weights that a request was last sent for.
+#[derive(Debug, Clone, Copy)]
+pub struct Weights {
+    /// Their version.
+    pub version: Version,
+    /// How much longer it could begin requests then; none while it was the newest.
+    pub left: Option<Duration>,
+}
+
 /// One request's record; it is logged when it is dropped.
 pub struct Record {
     id: Request,
@@ -46,6 +57,7 @@
     /// Whether its caller was refused before.
     pub returning: bool,
     endpoint: Option<Endpoint>,
+    weights: Option<Weights>,
     predicted: Option<Duration>,
     candidates: usize,
     sends: u32,
@@ -68,6 +80,7 @@
             route: String::new(),
             returning: false,
             endpoint: None,
+            weights: None,
             predicted: None,
             candidates: 0,
             sends: 0,
@@ -81,9 +94,10 @@
     }
 
     /// Takes in that an endpoint was chosen.
-    pub fn chose(&mut self, endpoint: &Endpoint, first: Duration, candidates: usize) {
-        self.endpoint = Some(endpoint.clone());
-        self.predicted = Some(first);
+    pub fn chose(&mut self, chosen: &Chosen, weights: Option<Weights>, candidates: usize) {
+        self.endpoint = Some(chosen.target.name.clone());
+        self.weights = weights;
+        self.predicted = Some(chosen.first);
         self.candidates = candidates;
         self.sends += 1;
     }
@@ -163,6 +177,8 @@
             configuration = self.version,
             returning = self.returning,
             endpoint = self.endpoint.as_ref().map(Endpoint::as_str),
+            weights = self.weights.map(|weights| weights.version.0),
+            weights_left_ms = ms(self.weights.and_then(|weights| weights.left)),
             candidates = self.candidates,
             predicted_ms = ms(self.predicted),
             first_ms = ms(self.first),
