Processes tell each other for how long a version has been named

Cause: a gateway counted a version that it found from its own start; the head start meant for found versions was subtracted from a clock that begins at zero and so cut off to nothing. Each restart gave an old version its whole overlap again. Class: an age that one process alone holds is lost with it. Now ages travel as durations in digests, facts, plans and agents' reports; whoever saw a version named goes before whoever found it, and the greatest age counts. A found version of which nobody tells the age leaves older ones no time.

--- a/crates/core/src/gateway/rollout.rs
+++ b/crates/core/src/gateway/rollout.rs
@@ -1,4 +1,4 @@
-//! The versions that models are to have.
+//! The versions that models are to have, and for how long they have been named.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -48,36 +48,140 @@
     }
 }
 
-/// How long after its start a process takes versions to be older than its knowledge.
-const FOUND: Duration = Duration::from_secs(2);
+/// What is known of the time since a version was named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Age {
+    /// It was named while someone watched, at least so long ago.
+    Seen(Duration),
+    /// It was there already when whoever knows of it started.
+    Found,
+}
+
+impl Age {
+    /// The age after more time has passed.
+    #[must_use]
+    pub fn after(self, time: Duration) -> Self {
+        match self {
+            Self::Seen(age) => Self::Seen(age + time),
+            Self::Found => Self::Found,
+        }
+    }
+
+    /// The better of two ages of the same version: all that were seen are at
+    /// most the true one.
+    #[must_use]
+    fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Seen(one), Self::Seen(other)) => Self::Seen(one.max(other)),
+            (Self::Found, seen) | (seen, Self::Found) => seen,
+        }
+    }
+}
+
+/// How many versions of a model are kept: a third may be named while the first
+/// is still in use.
+const KEPT: usize = 3;
+
+/// The ages of the newest versions of each model, as one process tells another.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ages(BTreeMap<Model, BTreeMap<Version, Age>>);
+
+impl Ages {
+    /// The newest of the versions.
+    #[must_use]
+    pub fn rollout(&self) -> Rollout {
+        let mut rollout = Rollout::default();
+        for (model, versions) in &self.0 {
+            if let Some((newest, _)) = versions.last_key_value() {
+                rollout.name(model.clone(), *newest);
+            }
+        }
+        rollout
+    }
+}
 
-/// When versions became known here, to tell how long an older one may still answer.
+/// An age and when, by the process's own clock, it was so.
+#[derive(Debug, Clone, Copy)]
+struct Noted {
+    age: Age,
+    at: Duration,
+}
+
+impl Noted {
+    /// The age now.
+    fn now(self, now: Duration) -> Age {
+        self.age.after(now.saturating_sub(self.at))
+    }
+}
+
+/// For how long versions have been named, to tell how long an older one may
+/// still begin requests.
+// Invariant: at most `KEPT` versions of a model, its newest ones.
 #[derive(Debug, Default)]
-// Invariant: the versions of a model are in rising order.
 pub struct Timeline {
-    known: BTreeMap<Model, Vec<(Version, Duration)>>,
+    noted: BTreeMap<Model, BTreeMap<Version, Noted>>,
 }
 
 impl Timeline {
-    /// Takes in what is known now. A version that is found soon after the
-    /// process has started may have been named `head_start` earlier.
-    pub fn learn(&mut self, rollout: &Rollout, now: Duration, head_start: Duration) {
+    /// Takes in the newest versions as they are now; those that are news have
+    /// the given age.
+    pub fn learn(&mut self, rollout: &Rollout, age: Age, now: Duration) {
         for (model, version) in &rollout.0 {
-            let found = now < FOUND;
-            let versions = self.known.entry(model.clone()).or_default();
-            if versions.last().is_some_and(|(last, _)| last >= version) {
-                continue;
+            let newest = self.noted.get(model).and_then(|noted| noted.keys().next_back());
+            if newest.is_none_or(|newest| newest < version) {
+                self.note(model, *version, Noted { age, at: now });
             }
-            let since = if found { now.saturating_sub(head_start) } else { now };
-            versions.push((*version, since));
         }
     }
 
-    /// Until when a version may begin requests, so long after a newer one was
-    /// named; none while it is the newest.
+    /// Takes in what another process knows of ages.
+    pub fn merge(&mut self, ages: &Ages, now: Duration) {
+        for (model, versions) in &ages.0 {
+            for (version, age) in versions {
+                self.note(model, *version, Noted { age: *age, at: now });
+            }
+        }
+    }
+
+    /// Notes an age, if it is better than the one that is known.
+    fn note(&mut self, model: &Model, version: Version, noted: Noted) {
+        let versions = self.noted.entry(model.clone()).or_default();
+        let age = match versions.get(&version) {
+            Some(known) => known.now(noted.at).or(noted.age),
+            None => noted.age,
+        };
+        versions.insert(version, Noted { age, at: noted.at });
+        while versions.len() > KEPT {
+            versions.pop_first();
+        }
+    }
+
+    /// What is known of ages, for another process.
+    #[must_use]
+    pub fn ages(&self, now: Duration) -> Ages {
+        let versions = |noted: &BTreeMap<Version, Noted>| {
+            noted.iter().map(|(version, noted)| (*version, noted.now(now))).collect()
+        };
+        Ages(self.noted.iter().map(|(model, noted)| (model.clone(), versions(noted))).collect())
+    }
+
+    /// How much longer a version may begin requests, so long after a newer one
+    /// was named; none while it is the newest.
     #[must_use]
-    pub fn ends(&self, model: &Model, version: Version, overlap: Duration) -> Option<Duration> {
-        let newer = self.known.get(model)?.iter().find(|(known, _)| *known > version);
-        newer.map(|(_, since)| *since + overlap)
+    pub fn left(
+        &self,
+        model: &Model,
+        version: Version,
+        overlap: Duration,
+        now: Duration,
+    ) -> Option<Duration> {
+        let newer = self.noted.get(model)?.iter().filter(|(known, _)| **known > version);
+        let left = |noted: &Noted| match noted.now(now) {
+            Age::Seen(age) => overlap.saturating_sub(age),
+            // It may be the oldest of all: an old version that goes on too long
+            // breaks a promise, one that ends too soon costs a few seconds' service.
+            Age::Found => Duration::ZERO,
+        };
+        newer.map(|(_, noted)| left(noted)).min()
     }
 }
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -24,9 +24,11 @@
     /// The configuration; none before the first.
     pub configuration: Fact<Option<Arc<Catalog>>>,
     /// The versions that models are to have.
-    pub rollout: Fact<Rollout>,
-    /// When versions became known.
+    pub rollout: Rollout,
+    /// For how long they have been named.
     pub timeline: Timeline,
+    /// Whether the store has told which versions are named: others are news then.
+    pub versions_read: bool,
     /// The list of endpoints.
     pub keeper: Keeper,
     /// Tells lists of endpoints apart; kept, since it is asked for with each digest.
@@ -67,12 +69,12 @@
             targets.values().map(|target| (target.pool.address(), Arc::clone(target))).collect();
     }
 
-    /// What is known, in a few words that tell whether another process knows more.
+    /// What is known now, in a few words that tell whether another process knows more.
     #[must_use]
-    pub fn known(&self) -> Known {
+    pub fn known(&self, now: Duration) -> Known {
         Known {
             configuration: self.version(),
-            rollout: self.rollout.value.clone(),
+            ages: self.timeline.ages(now),
             directory: self.keeper.revision(),
             directory_hash: self.directory_hash,
         }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -122,7 +122,7 @@
 
 impl Versions {
     fn learn(&self, fact: Fact<Rollout>) {
-        self.0.knowledge.named(fact, STORE);
+        self.0.knowledge.named(&fact.value);
     }
 }
 
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -11,7 +11,7 @@
 use cinderspoke_core::gateway::fact::Fact;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
-use cinderspoke_core::gateway::rollout::{Rollout, Version};
+use cinderspoke_core::gateway::rollout::{Age, Ages, Rollout, Version};
 use cinderspoke_core::swarm::Distance;
 use cinderspoke_schema::settings;
 
@@ -97,21 +97,39 @@
         true
     }
 
-    /// Takes in named versions; true when any of them is news.
-    pub fn named(&self, fact: Fact<Rollout>, from: &str) -> bool {
-        let mut state = self.lock();
-        state.rollout.revision = state.rollout.revision.max(fact.revision);
-        let news = state.rollout.value.merge(&fact.value);
+    /// Takes in what the store says of named versions. What a process finds when
+    /// it first reads the store may have been named long before it started.
+    pub fn named(&self, rollout: &Rollout) {
         let now = self.clock.now();
-        let Belief { timeline, rollout, .. } = &mut *state;
-        timeline.learn(&rollout.value, now, self.terms.head_start);
-        if news {
-            self.show(&mut state);
-            tracing::info!(rollout = ?state.rollout.value, from, "versions named");
-            drop(state);
-            self.changes.raise();
+        self.learn_versions("store", |state| {
+            let age = if state.versions_read { Age::Seen(Duration::ZERO) } else { Age::Found };
+            state.versions_read = true;
+            state.timeline.learn(rollout, age, now);
+            rollout.clone()
+        });
+    }
+
+    /// Takes in for how long versions have been named, as another process knows it.
+    pub fn told_ages(&self, ages: &Ages, from: &str) {
+        let now = self.clock.now();
+        self.learn_versions(from, |state| {
+            state.timeline.merge(ages, now);
+            ages.rollout()
+        });
+    }
+
+    /// Has versions learned; makes them known if any is news.
+    fn learn_versions(&self, from: &str, learn: impl FnOnce(&mut Belief) -> Rollout) {
+        let mut state = self.lock();
+        let rollout = learn(&mut state);
+        if !state.rollout.merge(&rollout) {
+            return;
         }
-        news
+        self.show(&mut state);
+        let ages = state.timeline.ages(self.clock.now());
+        drop(state);
+        tracing::info!(?ages, from, "versions named");
+        self.changes.raise();
     }
 
     /// Takes in the whole list of endpoints.
@@ -183,16 +201,16 @@
         self.lock().gateways.keys().copied().collect()
     }
 
-    /// The versions that models are to have.
+    /// The versions that were named, and for how long.
     #[must_use]
-    pub fn rollout(&self) -> Fact<Rollout> {
-        self.lock().rollout.clone()
+    pub fn ages(&self) -> Ages {
+        self.lock().timeline.ages(self.clock.now())
     }
 
     /// What is known, in a few words that tell whether another process knows more.
     #[must_use]
     pub fn known(&self) -> Known {
-        self.lock().known()
+        self.lock().known(self.clock.now())
     }
 
     /// The configuration, if it is newer than a version.
@@ -214,8 +232,7 @@
     /// How much longer a model's version may begin requests; none for no end.
     #[must_use]
     pub fn version_left(&self, model: &Model, version: Version) -> Option<Duration> {
-        let ends = self.lock().timeline.ends(model, version, self.terms.overlap)?;
-        Some(ends.saturating_sub(self.clock.now()))
+        self.lock().timeline.left(model, version, self.terms.overlap, self.clock.now())
     }
 
     /// Makes what is known visible to requests.
@@ -237,7 +254,7 @@
             number: self.view.load().number + 1,
             catalog: state.configuration.value.clone(),
             members,
-            rollout: state.rollout.value.clone(),
+            rollout: state.rollout.clone(),
             gateways,
         }));
     }
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -12,7 +12,7 @@
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Service;
-use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_core::gateway::rollout::{Ages, Rollout};
 use cinderspoke_core::rendezvous::Key;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -29,8 +29,8 @@
 pub struct Known {
     /// The version of the configuration in force.
     pub configuration: u64,
-    /// The versions that models are to have.
-    pub rollout: Rollout,
+    /// The versions that were named, and for how long.
+    pub ages: Ages,
     /// The revision of the list of endpoints.
     pub directory: Revision,
     /// Tells lists of endpoints apart.
@@ -65,6 +65,9 @@
         told: Duration,
         /// Whether the agent asks for an echo.
         echo: bool,
+        /// The versions that were named, and for how long, where it asks: agents
+        /// outlive gateways, which learn from them what no other gateway knows.
+        ages: Ages,
     },
     /// A gateway answers a report, so that the agent knows that it is reached.
     Echo {
@@ -87,8 +90,8 @@
 pub struct Facts {
     /// The configuration, if it is newer than the asker's.
     pub configuration: Option<Fact<Declared>>,
-    /// The versions that models are to have.
-    pub rollout: Fact<Rollout>,
+    /// The versions that were named, and for how long.
+    pub ages: Ages,
     /// The endpoints.
     pub directory: Fact<Directory>,
     /// Other gateways.
@@ -113,6 +116,8 @@
     pub revision: Revision,
     /// The versions that models are to have.
     pub rollout: Rollout,
+    /// For how long they have been named.
+    pub ages: Ages,
     /// The models of the service.
     pub models: Vec<String>,
     /// Where weights come from at first.
@@ -124,7 +129,7 @@
 }
 
 impl Plan {
-    /// Tells plans apart, whenever they held.
+    /// Tells plans apart, whenever they held and however old their versions are.
     #[must_use]
     pub fn hash(&self) -> u64 {
         let Self { rollout, models, origins, peers, gateways, .. } = self;
--- a/src/cinderspoke/gateway/plan.rs
+++ b/src/cinderspoke/gateway/plan.rs
@@ -63,6 +63,7 @@
         Plan {
             revision: directory.revision,
             rollout: view.rollout.clone(),
+            ages: self.knowledge.ages(),
             models: models.unwrap_or_default(),
             origins: origins.unwrap_or_default(),
             peers: self.peers(&directory.value, service),
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -15,7 +15,6 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
-use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_schema::settings;
 use http::StatusCode;
@@ -118,12 +117,13 @@
                 Datagram::Digest { from, known, gateways } => {
                     self.on_digest(from, known, gateways).await;
                 }
-                Datagram::Report { from, engine, service, report, plan, told, echo } => {
+                Datagram::Report { from, engine, service, report, plan, told, echo, ages } => {
                     if echo {
                         let echo = Datagram::Echo { from: self.own, told };
                         send(&self.socket, from, &pack(&echo)).await;
                     }
                     self.knowledge.reported(engine, report, told);
+                    self.knowledge.told_ages(&ages, "agent");
                     self.on_agent(from, service, plan).await;
                 }
                 // Only agents are told of plans, and only their reports are answered.
@@ -140,8 +140,7 @@
         self.knowledge.met(from, true);
         self.meet(others);
         let own = self.knowledge.known();
-        let named = Fact::new(Revision::default(), known.rollout.clone());
-        self.knowledge.named(named, "gateway");
+        self.knowledge.told_ages(&known.ages, "gateway");
         let behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
             self.catch_up(&self.awaiting_configuration, OWN_WORD, from, &known);
@@ -186,7 +185,7 @@
         if let Some(configuration) = facts.configuration {
             self.knowledge.configured(configuration, "gateway");
         }
-        self.knowledge.named(facts.rollout, "gateway");
+        self.knowledge.told_ages(&facts.ages, "gateway");
         if facts.directory.revision > known.directory {
             self.knowledge.listed(facts.directory, "gateway");
         }
@@ -284,7 +283,7 @@
     let knowledge = &relay.knowledge;
     let facts = Facts {
         configuration: knowledge.configuration_after(asked.configuration),
-        rollout: knowledge.rollout(),
+        ages: knowledge.ages(),
         directory: knowledge.directory(),
         gateways: relay.others(),
     };
--- a/src/cinderspoke/gateway/terms.rs
+++ b/src/cinderspoke/gateway/terms.rs
@@ -17,9 +17,6 @@
     pub budget: budget::Terms,
     /// How long after a version was named an older one may begin requests.
     pub overlap: Duration,
-    /// How much earlier than this process started a version may have been named
-    /// that it finds.
-    pub head_start: Duration,
 }
 
 impl Terms {
@@ -35,7 +32,6 @@
                 slack: bounds.budget_slack,
             },
             overlap,
-            head_start: overlap.saturating_sub(Duration::from_millis(bounds.contact_ms) / 2),
         }
     }
 }
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -2,18 +2,19 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use cinderspoke_core::gateway::name::{Model, Service};
-use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_core::gateway::rollout::{Ages, Timeline, Version};
 use cinderspoke_ports::gateway::EngineReport;
 use cinderspoke_schema::settings;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::gateway::message::Plan;
+use crate::util::clock::Clock;
 use crate::util::http::{Call, Client};
 use crate::util::settings::seed_addresses;
 
@@ -54,14 +55,24 @@
     seeds: Vec<SocketAddr>,
     plan: watch::Sender<Plan>,
     wanted: Mutex<Option<Wanted>>,
+    // Kept for gateways that start when no other one is left to ask.
+    timeline: Mutex<Timeline>,
+    clock: Clock,
 }
 
 impl Plans {
     /// No plan is known yet.
     #[must_use]
     pub fn new(settings: &settings::Node, service: Service, client: Client) -> Self {
-        let plan = watch::Sender::new(Plan::default());
-        Self { service, client, seeds: seed_addresses(settings), plan, wanted: Mutex::default() }
+        Self {
+            service,
+            client,
+            seeds: seed_addresses(settings),
+            plan: watch::Sender::new(Plan::default()),
+            wanted: Mutex::default(),
+            timeline: Mutex::default(),
+            clock: Clock::start(),
+        }
     }
 
     /// The service of the engine.
@@ -95,6 +106,16 @@
         self.wanted.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    fn timeline(&self) -> MutexGuard<'_, Timeline> {
+        self.timeline.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The versions that were named, and for how long.
+    #[must_use]
+    pub fn ages(&self) -> Ages {
+        self.timeline().ages(self.clock.now())
+    }
+
     /// Reads the plan of a gateway.
     ///
     /// # Errors
@@ -109,6 +130,7 @@
 
     /// Takes in a plan: versions never go back, and the newest list of peers counts.
     fn take(&self, plan: Plan) {
+        self.timeline().merge(&plan.ages, self.clock.now());
         self.plan.send_if_modified(|known| {
             let mut rollout = known.rollout.clone();
             let news = rollout.merge(&plan.rollout);
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cinderspoke_core::gateway::rollout::Ages;
 use cinderspoke_core::gateway::turn::{asks_last, in_turn};
 use cinderspoke_ports::gateway::{Engine, EngineReport};
 use cinderspoke_schema::settings;
@@ -130,6 +131,7 @@
                 plan: self.plans.newest().hash(),
                 told: now,
                 echo,
+                ages: if echo { self.plans.ages() } else { Ages::default() },
             })
         };
         let (plain, asking) = (datagram(false), datagram(true));
