--- a/tests/testsuite/stagers.rs
+++ b/tests/testsuite/stagers.rs
@@ -12,6 +12,8 @@
 use axum::routing::get;
 use bytes::Bytes;
 use cinderspoke::gateway::message::{Datagram, Peer, Plan, buffer, pack, receive, send};
+use cinderspoke::stager::plan::Plans;
+use cinderspoke::stager::report::Reporter;
 use cinderspoke::stager::{Parts, Stager};
 use cinderspoke_core::gateway::catalog::Origin as Declared;
 use cinderspoke_core::gateway::name::Model;
@@ -213,3 +215,21 @@
     let (engines, _stagers) = start(4, &Few::new(usize::MAX, 2)).await;
     timeout(LONG, all_run(&engines)).await.expect("agents wait for chunks that do not exist");
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_no_gateway_has_answered_since_it_started_says_so() {
+    // Its instance may lie behind a full link since before it started.
+    let gateway = UdpSocket::bind((address::free().unwrap().ip(), SHARED_PORT)).await.unwrap();
+    let seed = gateway.local_addr().unwrap();
+    let settings = settings("127.0.0.1:9".parse().unwrap(), "a", seed);
+    let plans = Arc::new(Plans::new(&settings, "svc".into(), Client::new()));
+    let socket = UdpSocket::bind((seed.ip(), 0)).await.unwrap();
+    let (own, beside) = (socket.local_addr().unwrap(), settings.beside.as_ref().unwrap());
+    let reporter = Reporter::new(own, beside, plans, Arc::new(Empty::default()), socket);
+    tokio::time::advance(Duration::from_secs(2)).await;
+    reporter.ask().await;
+    let Datagram::Report { report, .. } = receive(&gateway, &mut buffer()).await else {
+        panic!("no report came");
+    };
+    assert!(report.deaf >= Duration::from_secs(2), "{:?}", report.deaf);
+}
