Nothing goes to an old version where nothing was heard since the start

Cause: silence counted only after a first word, so a process that started while an instance was out of reach took it for well. Ruled out: keeping what the process before it knew (no disk, and peers see other links). Conclusion: an old version needs a report that is fresh, and an agent counts its silence from its own start.

--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -176,7 +176,10 @@
             Weights::Unfit => return None,
         };
         let first = self.first(&tracking.load);
-        let well = !stands && state == health::State::Well;
+        // Silence from the start tells as little as silence since: an instance that
+        // was out of reach before this gateway started has never reported here.
+        let heard = tracking.load.report(self.now).is_some();
+        let well = heard && !stands && state == health::State::Well;
         if version.is_some_and(|version| !self.begins_in_time(version, first, well)) {
             return None;
         }
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -170,9 +170,10 @@
         gateways.get(number).copied()
     }
 
-    /// The age of the newest word from a gateway.
+    /// The age of the newest word from a gateway; the time since the start, where
+    /// none came: a link that was full before is as full after.
     fn deaf(&self, now: Duration) -> Duration {
-        self.heard().told.map_or(Duration::ZERO, |told| now.saturating_sub(told))
+        now.saturating_sub(self.heard().told.unwrap_or_default())
     }
 
     /// Takes in that a gateway answered.
