A reload ends no program: signals are listened to first, settings read again

Cause: nothing handled SIGHUP, whose default action ends the process and all of its requests in progress. Signals were also listened to only after all had been bound, so that a SIGTERM at the start ended the process out of order. Ruled out: ignoring the signal, since the settings have changed then; a look at the file's metadata for changes without a signal, since two texts of one length within a tick of the clock look the same: the text itself is compared each second, and taken in once it stood still for two looks, as half a file may read like a whole one. Conclusion: what takes effect at once is named beside the schema of each kind of settings; what is published differs from the start in just these fields.

--- a/crates/bench/src/commands/serve.rs
+++ b/crates/bench/src/commands/serve.rs
@@ -1,7 +1,7 @@
 //! `cinderspoke-bench serve`: stand-ins and a fleet to try the command line against.
 
 use anyhow::{Context, Result};
-use cinderspoke::util::stop;
+use cinderspoke::util::signals::Signals;
 use cinderspoke_test_support::fleet::{Fleet, Options};
 use clap::{ArgMatches, Command};
 
@@ -18,6 +18,7 @@
 }
 
 pub(crate) async fn exec(matches: &ArgMatches) -> Result<()> {
+    let mut signals = Signals::open()?;
     let sample = sample_of(matches);
     let fleet = Fleet::spawn(&sample.files(), &Options::default()).await?;
     let first = fleet.entries.first().context("the sample has no availability zone")?;
@@ -32,6 +33,6 @@
     println!("  cinderspoke status");
     println!("Callers are answered at http://{}", first.settings.callers);
     println!("Stop with Ctrl-C.");
-    stop::requested().await?;
+    signals.stop.requested().await;
     Ok(())
 }
--- a/src/bin/agent/main.rs
+++ b/src/bin/agent/main.rs
@@ -9,15 +9,14 @@
 use cinderspoke::ports::http::Weights;
 use cinderspoke::stager::{self, Stager};
 use cinderspoke::util::http::Client;
+use cinderspoke::util::metrics;
 use cinderspoke::util::program::{
-    Threads, cli, exit, run_on_platform, runs_on_platform, settings_path,
+    Running, cli, exit, run_on_own, run_on_platform, runs_on_platform,
 };
-use cinderspoke::util::{log, metrics, settings, stop};
 use cinderspoke_core::transfer::Policy;
 use cinderspoke_platform::engine::LocalEngine;
 use cinderspoke_platform::origin::RemoteOrigin;
 use cinderspoke_schema::settings::{Agent as Settings, EndpointKind};
-use cinderspoke_schema::text;
 
 fn main() -> ExitCode {
     let about = "Collects and gives weights, gives its endpoint orders and passes requests on";
@@ -30,7 +29,8 @@
 
 /// Runs beside a model engine of a platform that names the versions.
 fn on_platform(matches: &clap::ArgMatches) -> Result<()> {
-    run_on_platform(matches, async |settings| {
+    run_on_platform(matches, async |mut running| {
+        let settings = running.settings();
         let client = Client::new();
         let beside = settings.beside.as_ref().context("the settings name no engine beside")?;
         let to_origin = client.clone();
@@ -43,7 +43,7 @@
             metrics: Some(metrics::open()?),
         };
         let stager = Stager::bind(&settings, parts).await?;
-        stop::requested().await?;
+        running.until_stop(|settings| stager.reload(settings)).await;
         stager.stop();
         Ok(())
     })
@@ -51,28 +51,25 @@
 
 /// Runs with orders from entry instances.
 fn on_own(matches: &clap::ArgMatches) -> Result<()> {
-    let settings: Settings = settings::open(&settings_path(matches), &text::agent_settings())?;
-    if matches.get_flag("check") {
-        return Ok(());
-    }
-    log::open(&settings.log)?;
-    let metrics = Some(metrics::open()?);
-    let threads = Threads::spawn(settings.traffic_threads.get() as usize)?;
-    let client = Client::new();
-    let weights = Arc::new(Weights::new(client.clone(), settings.weight_store, settings.origin));
-    let parts = Parts {
-        endpoint: endpoint(&settings, client.clone()),
-        weight_store: weights.clone(),
-        origin: weights,
-        policy: Policy::default(),
-        client,
-        metrics,
-        control: threads.control(),
-    };
-    threads.run(async {
+    let threads = |settings: &Settings| settings.traffic_threads;
+    run_on_own(matches, threads, async |mut running: Running<Settings>, control| {
+        let settings = running.settings();
+        let metrics = Some(metrics::open()?);
+        let client = Client::new();
+        let weights = Weights::new(client.clone(), settings.weight_store, settings.origin);
+        let weights = Arc::new(weights);
+        let parts = Parts {
+            endpoint: endpoint(&settings, client.clone()),
+            weight_store: weights.clone(),
+            origin: weights,
+            policy: Policy::default(),
+            client,
+            metrics,
+            control,
+        };
         let mut agent = Agent::open(&settings, parts);
         agent.bind(&settings).await?;
-        stop::requested().await?;
+        running.until_stop(|_| {}).await;
         agent.stop().await;
         Ok(())
     })
--- a/src/bin/entry/main.rs
+++ b/src/bin/entry/main.rs
@@ -8,14 +8,13 @@
 use cinderspoke::gateway::{self, Gateway};
 use cinderspoke::ports::http::Platform;
 use cinderspoke::util::http::Client;
+use cinderspoke::util::metrics;
 use cinderspoke::util::program::{
-    Threads, cli, exit, run_on_platform, runs_on_platform, settings_path,
+    Running, cli, exit, run_on_own, run_on_platform, runs_on_platform,
 };
-use cinderspoke::util::{log, metrics, settings, stop};
 use cinderspoke_platform::dialect::Headers;
 use cinderspoke_platform::store::Store;
 use cinderspoke_schema::settings::Entry as Settings;
-use cinderspoke_schema::text;
 
 fn main() -> ExitCode {
     let about = "Answers callers and operators, and relays configuration in its availability zone";
@@ -28,7 +27,8 @@
 
 /// Runs behind a platform that keeps configuration, versions and endpoints.
 fn on_platform(matches: &clap::ArgMatches) -> Result<()> {
-    run_on_platform(matches, async |settings| {
+    run_on_platform(matches, async |mut running| {
+        let settings = running.settings();
         let client = Client::new();
         let parts = gateway::Parts {
             registry: Arc::new(Store::new(client.clone(), settings.store)),
@@ -37,7 +37,7 @@
             metrics: Some(metrics::open()?),
         };
         let gateway = Gateway::bind(&settings, parts).await?;
-        stop::requested().await?;
+        running.until_stop(|settings| gateway.reload(settings)).await;
         gateway.stop().await;
         Ok(())
     })
@@ -45,22 +45,17 @@
 
 /// Runs with a configuration of its own behind the object API.
 fn on_own(matches: &clap::ArgMatches) -> Result<()> {
-    let settings: Settings = settings::open(&settings_path(matches), &text::entry_settings())?;
-    if matches.get_flag("check") {
-        return Ok(());
-    }
-    log::open(&settings.log)?;
-    let metrics = Some(metrics::open()?);
-    let threads = Threads::spawn(settings.traffic_threads.get() as usize)?;
-    let client = Client::new();
-    let platform = Arc::new(Platform::new(client.clone(), settings.platform));
-    let control = threads.control();
-    let store = platform.clone();
-    let parts = Parts { store, live_list: platform, client, metrics, control };
-    threads.run(async {
+    let threads = |settings: &Settings| settings.traffic_threads;
+    run_on_own(matches, threads, async |mut running: Running<Settings>, control| {
+        let settings = running.settings();
+        let metrics = Some(metrics::open()?);
+        let client = Client::new();
+        let platform = Arc::new(Platform::new(client.clone(), settings.platform));
+        let store = platform.clone();
+        let parts = Parts { store, live_list: platform, client, metrics, control };
         let mut entry = Entry::open(&settings, parts)?;
         entry.bind(&settings).await?;
-        stop::requested().await?;
+        running.until_stop(|_| {}).await;
         entry.stop().await;
         Ok(())
     })
--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -126,16 +126,16 @@
 
     /// Takes in that a request for a service came, which earns sends beyond the first.
     pub fn earn_repeat(&self, service: &Service) {
-        let (now, terms) = (self.clock.now(), &self.knowledge.terms().budget);
-        self.budget(service, |budget| budget.request(now, terms));
+        let (now, terms) = (self.clock.now(), self.knowledge.terms().budget);
+        self.budget(service, |budget| budget.request(now, &terms));
     }
 
     /// Whether another send of a request is within the budget; counts it if it is.
     pub fn spend_repeat(&self, service: &Service) -> bool {
-        let (now, terms) = (self.clock.now(), &self.knowledge.terms().budget);
+        let (now, terms) = (self.clock.now(), self.knowledge.terms().budget);
         let gateways = self.knowledge.view().gateways;
         self.budget(service, |budget| {
-            let affords = budget.affords(now, terms, gateways);
+            let affords = budget.affords(now, &terms, gateways);
             if affords {
                 budget.repeat(now);
             }
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows: facts are taken in, and shown to requests as a view.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -31,9 +31,8 @@
     // Made anew from the state at each change.
     view: ArcSwap<View>,
     changes: Signal,
-    terms: Terms,
+    terms: ArcSwap<Terms>,
     zone: Zone,
-    regions: HashMap<String, String>,
     clock: Clock,
 }
 
@@ -45,9 +44,8 @@
             state: Mutex::default(),
             view: ArcSwap::default(),
             changes: Signal::default(),
-            terms,
+            terms: ArcSwap::from_pointee(terms),
             zone: settings.zone.as_str().into(),
-            regions: settings.regions.clone(),
             clock,
         }
     }
@@ -64,8 +62,17 @@
 
     /// What the settings ask.
     #[must_use]
-    pub fn terms(&self) -> &Terms {
-        &self.terms
+    pub fn terms(&self) -> Arc<Terms> {
+        self.terms.load_full()
+    }
+
+    /// Takes in that the settings ask something else.
+    pub fn asked(&self, terms: Terms) {
+        let mut state = self.lock();
+        self.terms.store(Arc::new(terms));
+        self.show(&mut state);
+        drop(state);
+        self.changes.raise();
     }
 
     /// The gateway's clock.
@@ -104,7 +111,7 @@
         let news = state.rollout.value.merge(&fact.value);
         let now = self.clock.now();
         let Belief { timeline, rollout, .. } = &mut *state;
-        timeline.learn(&rollout.value, now, self.terms.head_start);
+        timeline.learn(&rollout.value, now, self.terms().head_start);
         if news {
             self.show(&mut state);
             tracing::info!(rollout = ?state.rollout.value, from, "versions named");
@@ -214,7 +221,7 @@
     /// How much longer a model's version may begin requests; none for no end.
     #[must_use]
     pub fn version_left(&self, model: &Model, version: Version) -> Option<Duration> {
-        let ends = self.lock().timeline.ends(model, version, self.terms.overlap)?;
+        let ends = self.lock().timeline.ends(model, version, self.terms().overlap)?;
         Some(ends.saturating_sub(self.clock.now()))
     }
 
@@ -244,7 +251,8 @@
 
     /// How near an availability zone is to this gateway.
     fn distance(&self, zone: &Zone) -> Distance {
-        let region = |zone: &Zone| self.regions.get(zone.as_str());
+        let terms = self.terms();
+        let region = |zone: &Zone| terms.regions.get(zone.as_str());
         if *zone == self.zone {
             Distance::Zone
         } else if region(zone).is_some() && region(zone) == region(&self.zone) {
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -89,7 +89,6 @@
 pub struct Gateway {
     context: Arc<Context>,
     stop: CancellationToken,
-    grace: Duration,
 }
 
 impl Gateway {
@@ -122,16 +121,21 @@
         relay.spawn(stop.clone());
         follow::spawn(&knowledge, &parts.registry, settings, stop.clone());
         tracing::info!(instance = %*settings.instance, callers = %listen.callers, "gateway started");
-        Ok(Self { context, stop, grace: Duration::from_secs_f64(settings.bounds.grace_s) })
+        Ok(Self { context, stop })
+    }
+
+    /// Goes by other settings, in what may change while it runs.
+    pub fn reload(&self, settings: &settings::Node) {
+        self.context.knowledge.asked(Terms::new(settings));
     }
 
     /// Stops in order: no request in progress is cut off.
     pub async fn stop(self) {
-        let began = Instant::now();
-        let end = began + self.grace.saturating_sub(MARGIN);
+        let (began, grace) = (Instant::now(), self.context.knowledge.terms().grace);
+        let end = began + grace.saturating_sub(MARGIN);
         tracing::info!(in_progress = self.context.in_progress(), "stopping");
         self.context.leave();
-        sleep(UNNOTICED.min(self.grace / 2)).await;
+        sleep(UNNOTICED.min(grace / 2)).await;
         self.context.close_connections();
         let quiet = async {
             sleep(QUIET).await;
--- a/src/cinderspoke/gateway/plan.rs
+++ b/src/cinderspoke/gateway/plan.rs
@@ -22,7 +22,6 @@
 /// Makes plans, and keeps their hashes.
 pub struct Planner {
     own: SocketAddr,
-    regions: HashMap<String, String>,
     knowledge: Arc<Knowledge>,
     hashes: Mutex<HashMap<Service, Hashed>>,
 }
@@ -31,9 +30,7 @@
     /// A planner of what a gateway knows.
     #[must_use]
     pub fn new(settings: &settings::Node, knowledge: Arc<Knowledge>) -> Self {
-        let own = inner_address(settings);
-        let regions = settings.regions.clone();
-        Self { own, regions, knowledge, hashes: Mutex::default() }
+        Self { own: inner_address(settings), knowledge, hashes: Mutex::default() }
     }
 
     /// The hash of a service's plan, made anew only when something is known anew:
@@ -82,11 +79,12 @@
 
     /// The engines of a service, in the order of their addresses.
     fn peers(&self, directory: &Directory, service: &Service) -> Vec<Peer> {
+        let terms = self.knowledge.terms();
         let entries = directory.entries.values().filter(|entry| entry.service == *service);
         let peer = |entry: &Entry| Peer {
             engine: entry.address,
             zone: entry.zone.to_string(),
-            region: self.regions.get(entry.zone.as_str()).cloned().unwrap_or_default(),
+            region: terms.regions.get(entry.zone.as_str()).cloned().unwrap_or_default(),
         };
         let mut peers: Vec<_> = entries.map(peer).collect();
         peers.sort_by_key(|peer| peer.engine);
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -29,7 +29,7 @@
 use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
 use super::plan::Planner;
 use crate::util::http::{Call, Client};
-use crate::util::settings::{inner_address, seed_addresses};
+use crate::util::settings::inner_address;
 use crate::util::stop;
 
 /// How often a gateway tells another one what it knows, news or not.
@@ -55,7 +55,6 @@
 /// Tells other processes what this gateway knows, and learns from them.
 pub struct Relay {
     own: SocketAddr,
-    seeds: Vec<SocketAddr>,
     knowledge: Arc<Knowledge>,
     client: Client,
     socket: UdpSocket,
@@ -76,12 +75,10 @@
         socket: UdpSocket,
     ) -> Self {
         let own = inner_address(settings);
-        let seeds = seed_addresses(settings).into_iter().filter(|seed| *seed != own).collect();
         let planner = Planner::new(settings, Arc::clone(&knowledge));
         let agents = Agents::default();
         Self {
             own,
-            seeds,
             knowledge,
             client,
             socket,
@@ -242,7 +239,7 @@
             ticks.tick().await;
             let others = self.others();
             let targets = match others.len() {
-                0 => self.seeds.clone(),
+                0 => self.knowledge.terms().seeds.clone(),
                 count => vec![others[rand::random_range(0..count)]],
             };
             let digest = self.digest();
--- a/src/cinderspoke/gateway/terms.rs
+++ b/src/cinderspoke/gateway/terms.rs
@@ -1,16 +1,20 @@
-//! What the settings ask of a gateway's decisions.
+//! What the settings ask of a gateway.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cinderspoke_core::gateway::budget;
 use cinderspoke_schema::settings;
 
+use crate::util::settings::{inner_address, seed_addresses};
+
 /// The part of the time for a new version within which requests are sent to
 /// the old one. What is sent may be held up on a full link for seconds and begin
 /// although it was given up; by this time most engines have gone over.
 const OVERLAP: f64 = 0.6;
 
-/// What the settings ask of a gateway's decisions.
+/// What the settings ask of a gateway, as far as it may change while it runs.
 #[derive(Debug, Clone)]
 pub struct Terms {
     /// The budget of sends beyond the first.
@@ -20,13 +24,19 @@
     /// How much earlier than this process started a version may have been named
     /// that it finds.
     pub head_start: Duration,
+    /// How long the gateway may take to stop.
+    pub grace: Duration,
+    /// The region of each availability zone.
+    pub regions: HashMap<String, String>,
+    /// Gateways to be told of this one while it knows of no others.
+    pub seeds: Vec<SocketAddr>,
 }
 
 impl Terms {
     /// The terms of some settings.
     #[must_use]
     pub fn new(settings: &settings::Node) -> Self {
-        let bounds = &settings.bounds;
+        let (bounds, own) = (&settings.bounds, inner_address(settings));
         let overlap = Duration::from_millis(bounds.version_ms).mul_f64(OVERLAP);
         Self {
             budget: budget::Terms {
@@ -36,6 +46,9 @@
             },
             overlap,
             head_start: overlap.saturating_sub(Duration::from_millis(bounds.contact_ms) / 2),
+            grace: Duration::from_secs_f64(bounds.grace_s),
+            regions: settings.regions.clone(),
+            seeds: seed_addresses(settings).into_iter().filter(|seed| *seed != own).collect(),
         }
     }
 }
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -104,6 +104,9 @@
 
 /// The running program; dropping it ends its tasks.
 pub struct Stager {
+    plans: Arc<Plans>,
+    // What chunks go out by.
+    out: Arc<Pacer>,
     stop: CancellationToken,
 }
 
@@ -122,8 +125,10 @@
         let stop = CancellationToken::new();
         let shelf = Arc::new(Shelf::new(Bytes::new(KEPT_VERSIONS * VERSION_MEMORY)));
         let listings = Arc::new(Listings::new(parts.client.clone()));
-        let giver = giver(settings, Arc::clone(&shelf));
-        let app = peers::app(giver).merge(listings.app()).merge(serve::scraped(parts.metrics));
+        let out = Arc::new(Pacer::new(upload_rate(settings)));
+        let giver = Giver::new(Arc::clone(&shelf), Arc::clone(&out), UPLOADS, QUEUE);
+        let app =
+            peers::app(Arc::new(giver)).merge(listings.app()).merge(serve::scraped(parts.metrics));
         tokio::spawn(serve::router(listener, app, stop.clone()));
         let service = beside.service.as_str().into();
         let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
@@ -132,7 +137,7 @@
         let collector = Collector {
             own: peer(own.ip(), own.port(), &settings.zone, &settings.region),
             port: own.port(),
-            plans,
+            plans: Arc::clone(&plans),
             engine: parts.engine,
             open_origin: parts.open_origin,
             transfers: transfers(shelf, parts.client),
@@ -143,7 +148,13 @@
         tokio::spawn(stop::until(stop.clone(), reporter.listen()));
         tokio::spawn(stop::until(stop.clone(), bringer.run()));
         tracing::info!(instance = %*settings.instance, engine = %beside.address, "agent started");
-        Ok(Self { stop })
+        Ok(Self { plans, out, stop })
+    }
+
+    /// Goes by other settings, in what may change while it runs.
+    pub fn reload(&self, settings: &settings::Node) {
+        self.plans.reload(settings);
+        self.out.set_rate(upload_rate(settings));
     }
 
     /// Stops: nothing waits on an agent, since peers find chunks elsewhere.
@@ -152,12 +163,6 @@
     }
 }
 
-/// Gives chunks to other agents.
-fn giver(settings: &settings::Node, shelf: Arc<Shelf>) -> Arc<Giver> {
-    let out = Arc::new(Pacer::new(upload_rate(settings)));
-    Arc::new(Giver::new(shelf, out, UPLOADS, QUEUE))
-}
-
 /// What all transfers share.
 fn transfers(shelf: Arc<Shelf>, client: Client) -> transfer::Context {
     transfer::Context {
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use arc_swap::ArcSwap;
 use cinderspoke_core::gateway::name::{Model, Service};
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_ports::gateway::EngineReport;
@@ -51,7 +52,7 @@
 pub struct Plans {
     service: Service,
     client: Client,
-    seeds: Vec<SocketAddr>,
+    seeds: ArcSwap<Vec<SocketAddr>>,
     plan: watch::Sender<Plan>,
     wanted: Mutex<Option<Wanted>>,
 }
@@ -61,7 +62,13 @@
     #[must_use]
     pub fn new(settings: &settings::Node, service: Service, client: Client) -> Self {
         let plan = watch::Sender::new(Plan::default());
-        Self { service, client, seeds: seed_addresses(settings), plan, wanted: Mutex::default() }
+        let seeds = ArcSwap::from_pointee(seed_addresses(settings));
+        Self { service, client, seeds, plan, wanted: Mutex::default() }
+    }
+
+    /// Goes by the seeds of other settings.
+    pub fn reload(&self, settings: &settings::Node) {
+        self.seeds.store(Arc::new(seed_addresses(settings)));
     }
 
     /// The service of the engine.
@@ -86,7 +93,7 @@
     #[must_use]
     pub fn gateways(&self) -> Vec<SocketAddr> {
         let plan = self.plan.borrow();
-        if plan.gateways.is_empty() { self.seeds.clone() } else { plan.gateways.clone() }
+        if plan.gateways.is_empty() { self.seeds.load().to_vec() } else { plan.gateways.clone() }
     }
 
     /// The version that is wanted, once a plan is known.
--- a/src/cinderspoke/util/log.rs
+++ b/src/cinderspoke/util/log.rs
@@ -2,23 +2,54 @@
 
 use std::time::Duration;
 
+use anyhow::Context;
 use cinderspoke_schema::settings::{Log, LogFormat};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::{Layer, Layered, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{EnvFilter, Registry, fmt, reload};
+
+/// What decides on events before they are written.
+type Filtered = Layered<reload::Layer<EnvFilter, Registry>, Registry>;
+
+/// Which events are logged.
+#[derive(Debug, Clone)]
+pub struct Filter(reload::Handle<EnvFilter, Registry>);
+
+impl Filter {
+    /// Has other events logged from now on.
+    ///
+    /// # Errors
+    ///
+    /// When the filter cannot be read; the last one stays.
+    pub fn set(&self, filter: &str) -> anyhow::Result<()> {
+        Ok(self.0.reload(read(filter)?)?)
+    }
+}
+
+fn read(filter: &str) -> anyhow::Result<EnvFilter> {
+    EnvFilter::try_new(filter).with_context(|| format!("the log filter {filter:?}"))
+}
 
 /// Sends the process's log events to standard error, as its settings say.
 ///
 /// # Errors
 ///
 /// When the filter cannot be read, or logs already go somewhere.
-pub fn open(log: &Log) -> anyhow::Result<()> {
-    let filter = EnvFilter::try_new(&log.filter)?;
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    let opened = match log.format {
-        LogFormat::Text => builder.try_init(),
-        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+pub fn open(log: &Log) -> anyhow::Result<Filter> {
+    let layer = fmt::layer().with_writer(std::io::stderr);
+    let layer = match log.format {
+        LogFormat::Text => layer.boxed(),
+        LogFormat::Json => layer.json().flatten_event(true).boxed(),
     };
-    opened.map_err(|error| anyhow::anyhow!("{error}"))
+    install(log, layer)
+}
+
+/// Sends what passes the filter to where it is written.
+fn install(log: &Log, layer: Box<dyn Layer<Filtered> + Send + Sync>) -> anyhow::Result<Filter> {
+    let (filter, handle) = reload::Layer::new(read(&log.filter)?);
+    tracing_subscriber::registry().with(filter).with(layer).try_init()?;
+    Ok(Filter(handle))
 }
 
 /// Lines that may wait to be written; more are dropped and counted.
@@ -35,21 +66,20 @@
 /// # Errors
 ///
 /// When the filter cannot be read, or logs already go somewhere.
-pub fn open_bounded(log: &Log) -> anyhow::Result<Guard> {
-    let filter = EnvFilter::try_new(&log.filter)?;
+pub fn open_bounded(log: &Log) -> anyhow::Result<(Guard, Filter)> {
     let (writer, worker) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(WAITING_LINES)
         .finish(std::io::stdout());
     let dropped = writer.error_counter();
-    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer);
-    let opened = match log.format {
-        LogFormat::Text => builder.try_init(),
-        LogFormat::Json => builder.json().flatten_event(true).with_target(false).try_init(),
+    let layer = fmt::layer().with_writer(writer);
+    let layer = match log.format {
+        LogFormat::Text => layer.boxed(),
+        LogFormat::Json => layer.json().flatten_event(true).with_target(false).boxed(),
     };
-    opened.map_err(|error| anyhow::anyhow!("{error}"))?;
+    let filter = install(log, layer)?;
     tokio::spawn(count_dropped(dropped));
-    Ok(Guard { _worker: worker })
+    Ok((Guard { _worker: worker }, filter))
 }
 
 /// How often lines that were dropped are counted.
--- a/src/cinderspoke/util/mod.rs
+++ b/src/cinderspoke/util/mod.rs
@@ -5,9 +5,11 @@
 pub mod metrics;
 pub mod pace;
 pub mod program;
+pub mod reload;
 pub mod rpc;
 pub mod settings;
 pub mod signal;
+pub mod signals;
 pub mod stop;
 
 pub use cinderspoke_ports::client as http;
--- a/src/cinderspoke/util/settings.rs
+++ b/src/cinderspoke/util/settings.rs
@@ -3,13 +3,64 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use anyhow::{Context, Result};
 use cinderspoke_core::document::Document;
 use cinderspoke_schema::control::Finding;
-use cinderspoke_schema::settings::Node;
+use cinderspoke_schema::settings::{Agent, Entry, Log, Node};
+use cinderspoke_schema::text;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+/// The settings of a program.
+pub trait Settings: DeserializeOwned + Serialize + Send + Sync + 'static {
+    /// The fields, those of tables as `table.field`, that take effect while the
+    /// program runs. All others do at its next start.
+    const AT_ONCE: &'static [&'static str];
+
+    /// Their schema.
+    fn schema() -> Value;
+
+    /// What is logged and how.
+    fn log(&self) -> &Log;
+}
+
+impl Settings for Entry {
+    const AT_ONCE: &'static [&'static str] = &["log.filter"];
+
+    fn schema() -> Value {
+        text::entry_settings()
+    }
+
+    fn log(&self) -> &Log {
+        &self.log
+    }
+}
+
+impl Settings for Agent {
+    const AT_ONCE: &'static [&'static str] = &["log.filter"];
+
+    fn schema() -> Value {
+        text::agent_settings()
+    }
+
+    fn log(&self) -> &Log {
+        &self.log
+    }
+}
+
+impl Settings for Node {
+    const AT_ONCE: &'static [&'static str] =
+        &["bounds", "limits.link_mbps", "log.filter", "regions", "seeds"];
+
+    fn schema() -> Value {
+        text::node_settings()
+    }
+
+    fn log(&self) -> &Log {
+        &self.log
+    }
+}
+
 /// Settings with something wrong in them.
 #[derive(Debug, displaydoc::Display)]
 #[displaydoc("the settings cannot be used:\n{report}")]
@@ -19,16 +70,22 @@
 
 impl std::error::Error for Error {}
 
-/// Reads a settings file against its schema.
+impl Error {
+    /// All findings in one line.
+    #[must_use]
+    pub fn findings(&self) -> String {
+        self.report.replace('\n', "; ")
+    }
+}
+
+/// Checks the text of a settings file.
 ///
 /// # Errors
 ///
-/// When the file cannot be read, or with all findings in it.
-pub fn open<T: DeserializeOwned>(path: &Path, schema: &Value) -> Result<T> {
-    let text =
-        std::fs::read_to_string(path).with_context(|| format!("reading {}", path.display()))?;
-    let mut document = Document::read(&path.display().to_string(), &text);
-    Ok(document.check(schema).map_err(|findings| Error { report: report(&findings) })?)
+/// All findings in it.
+pub fn check<T: Settings>(path: &Path, text: &str) -> Result<T, Error> {
+    let mut document = Document::read(&path.display().to_string(), text);
+    document.check(&T::schema()).map_err(|findings| Error { report: report(&findings) })
 }
 
 /// Findings as lines for people to read.
