--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows: facts are taken in, and shown to requests as a view.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -31,9 +31,8 @@
     // Made anew from the state at each change.
     view: ArcSwap<View>,
     changes: Signal,
-    terms: Terms,
+    terms: ArcSwap<Terms>,
     zone: Zone,
-    regions: HashMap<String, String>,
     clock: Clock,
 }
 
@@ -45,9 +44,8 @@
             state: Mutex::default(),
             view: ArcSwap::default(),
             changes: Signal::default(),
-            terms,
+            terms: ArcSwap::from_pointee(terms),
             zone: settings.zone.as_str().into(),
-            regions: settings.regions.clone(),
             clock,
         }
     }
@@ -64,8 +62,17 @@
 
     /// What the settings ask.
     #[must_use]
-    pub fn terms(&self) -> &Terms {
-        &self.terms
+    pub fn terms(&self) -> Arc<Terms> {
+        self.terms.load_full()
+    }
+
+    /// Takes in that the settings ask something else.
+    pub fn asked(&self, terms: Terms) {
+        let mut state = self.lock();
+        self.terms.store(Arc::new(terms));
+        self.show(&mut state);
+        drop(state);
+        self.changes.raise();
     }
 
     /// The gateway's clock.
@@ -232,7 +239,7 @@
     /// How much longer a model's version may begin requests; none for no end.
     #[must_use]
     pub fn version_left(&self, model: &Model, version: Version) -> Option<Duration> {
-        self.lock().timeline.left(model, version, self.terms.overlap, self.clock.now())
+        self.lock().timeline.left(model, version, self.terms().overlap, self.clock.now())
     }
 
     /// Makes what is known visible to requests.
@@ -261,7 +268,8 @@
 
     /// How near an availability zone is to this gateway.
     fn distance(&self, zone: &Zone) -> Distance {
-        let region = |zone: &Zone| self.regions.get(zone.as_str());
+        let terms = self.terms();
+        let region = |zone: &Zone| terms.regions.get(zone.as_str());
         if *zone == self.zone {
             Distance::Zone
         } else if region(zone).is_some() && region(zone) == region(&self.zone) {
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use arc_swap::ArcSwap;
 use cinderspoke_core::gateway::name::{Model, Service};
 use cinderspoke_core::gateway::rollout::{Ages, Timeline, Version};
 use cinderspoke_ports::gateway::EngineReport;
@@ -52,7 +53,7 @@
 pub struct Plans {
     service: Service,
     client: Client,
-    seeds: Vec<SocketAddr>,
+    seeds: ArcSwap<Vec<SocketAddr>>,
     plan: watch::Sender<Plan>,
     wanted: Mutex<Option<Wanted>>,
     // Kept for gateways that start when no other one is left to ask.
@@ -67,7 +68,7 @@
         Self {
             service,
             client,
-            seeds: seed_addresses(settings),
+            seeds: ArcSwap::from_pointee(seed_addresses(settings)),
             plan: watch::Sender::new(Plan::default()),
             wanted: Mutex::default(),
             timeline: Mutex::default(),
@@ -75,6 +76,11 @@
         }
     }
 
+    /// Goes by the seeds of other settings.
+    pub fn reload(&self, settings: &settings::Node) {
+        self.seeds.store(Arc::new(seed_addresses(settings)));
+    }
+
     /// The service of the engine.
     #[must_use]
     pub fn service(&self) -> &Service {
@@ -97,7 +103,7 @@
     #[must_use]
     pub fn gateways(&self) -> Vec<SocketAddr> {
         let plan = self.plan.borrow();
-        if plan.gateways.is_empty() { self.seeds.clone() } else { plan.gateways.clone() }
+        if plan.gateways.is_empty() { self.seeds.load().to_vec() } else { plan.gateways.clone() }
     }
 
     /// The version that is wanted, once a plan is known.
