Who starts again spends nothing of the slack for one window

Cause: what was spent within a window is lost with the process, so each start gives a gateway its share of the slack again. Ruled out: a share that grows over the window (the old and the new share still meet within it at its end); telling spends to others (a message for each repeat). At the whole system's first start nothing was spent, so the slack is there at once, as before. Conclusion: mended; a gateway that starts again repeats by what its own requests earn.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -16,6 +16,10 @@
     pub window: Duration,
     /// Sends beyond the first that all gateways together may add.
     pub slack: f64,
+    /// From when on, after its start, a gateway may spend of the slack. What the
+    /// process before it spent is not known: for as long as that counts, its share
+    /// would be spent twice.
+    pub slack_from: Duration,
 }
 
 /// The part of what is allowed that is spent; the rest is for what is counted
@@ -41,7 +45,8 @@
     pub fn affords(&mut self, now: Duration, terms: &Terms, gateways: usize) -> bool {
         forget(&mut self.requests, now, terms.window);
         forget(&mut self.repeats, now, terms.window);
-        let slack = terms.slack / gateways.max(1) as f64;
+        let slack = if now < terms.slack_from { 0.0 } else { terms.slack };
+        let slack = slack / gateways.max(1) as f64;
         let allowed = PART * (terms.ratio * self.requests.len() as f64 + slack);
         (self.repeats.len() as f64) + 1.0 <= allowed
     }
--- a/src/cinderspoke/gateway/terms.rs
+++ b/src/cinderspoke/gateway/terms.rs
@@ -35,11 +35,14 @@
     pub fn new(settings: &settings::Node) -> Self {
         let (bounds, own) = (&settings.bounds, inner_address(settings));
         let overlap = Duration::from_millis(bounds.version_ms).mul_f64(OVERLAP);
+        let window = Duration::from_secs_f64(bounds.budget_window_s);
         Self {
             budget: budget::Terms {
                 ratio: bounds.retry_budget_ratio,
-                window: Duration::from_secs_f64(bounds.budget_window_s),
+                window,
                 slack: bounds.budget_slack,
+                // Before the whole system's first start nothing was spent.
+                slack_from: if settings.first_start { Duration::ZERO } else { window },
             },
             overlap,
             grace: Duration::from_secs_f64(bounds.grace_s),
--- a/tests/testsuite/gateway/budget.rs
+++ b/tests/testsuite/gateway/budget.rs
@@ -8,9 +8,13 @@
 
 use super::ms;
 
+fn terms() -> Terms {
+    Terms { ratio: 0.2, window: ms(10_000), slack: 100.0, slack_from: Duration::ZERO }
+}
+
 #[test]
 fn gateways_together_stay_within_the_budget() {
-    let terms = Terms { ratio: 0.2, window: ms(10_000), slack: 100.0 };
+    let terms = terms();
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let mut budgets: Vec<Budget> = (0..7).map(|_| Budget::default()).collect();
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
@@ -40,7 +44,7 @@
 fn gateways_that_start_again_do_not_spend_the_slack_a_second_time() {
     // Each gateway has spent its share of the slack and starts again, one after
     // the other, with its clock at zero and nothing known of what it spent.
-    let terms = Terms { ratio: 0.2, window: ms(10_000), slack: 100.0 };
+    let terms = Terms { slack_from: ms(10_000), ..terms() };
     let spend_all = |budget: &mut Budget, now| {
         let spent =
             std::iter::from_fn(|| budget.affords(now, &terms, 7).then(|| budget.repeat(now)));
