Tests: what a reload leaves in force, brings into force and says

Ruled out: reading it from exit codes alone; each test reads the program's own lines, replaces the file at one go and waits for the line that names the change, so that no verdict hangs on when the file is looked at. Conclusion: findings, a missing file and a filter that cannot be read leave the last settings in force; a request in progress at a plain endpoint is answered whole while all programs on its way are told to reload; a change without a signal is taken in once.

--- a/tests/testsuite/reload.rs
+++ b/tests/testsuite/reload.rs
@@ -10,14 +10,23 @@
 use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
+use axum::Router;
+use axum::routing::get;
+use cinderspoke::util::signals::Signals;
+use cinderspoke_schema::settings::EndpointKind;
 use cinderspoke_test_support::address;
+use cinderspoke_test_support::caller::{Answer, Caller};
 use cinderspoke_test_support::fleet::{Fleet, Options};
 use cinderspoke_test_support::samples::small;
+use cinderspoke_test_support::service::answer;
 use serde_json::json;
 use tempfile::TempDir;
+use tokio::sync::Semaphore;
+use yare::parameterized;
 
 /// How long a program may take to say something: long, since machines are busy.
 const LONG: Duration = Duration::from_secs(20);
@@ -132,3 +141,219 @@
         assert_eq!(program.stop(), Some(0));
     }
 }
+
+/// An endpoint that answers when it is told to.
+#[derive(Debug)]
+struct Gate {
+    // A permit for each request that came.
+    came: Semaphore,
+    // A permit for each request that may be answered.
+    open: Semaphore,
+}
+
+impl Gate {
+    async fn spawn() -> (Arc<Self>, std::net::SocketAddr) {
+        let gate = Arc::new(Self { came: Semaphore::new(0), open: Semaphore::new(0) });
+        let shared = Arc::clone(&gate);
+        let run = async move |body: String| {
+            shared.came.add_permits(1);
+            shared.open.acquire().await.unwrap().forget();
+            answer(&"jobs".parse().unwrap(), "POST", "/run", &body)
+        };
+        let app = Router::new().route("/healthz", get(|| async { "ok" }));
+        let app = app.route("/run", axum::routing::post(run));
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, app).await });
+        (gate, address)
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_in_progress_outlasts_a_reload_of_all_programs_on_its_way() {
+    let mut fleet =
+        Fleet::prepare(&small(), &Options { entries: 1, ..Options::default() }).await.unwrap();
+    let (gate, address) = Gate::spawn().await;
+    let plain = fleet.agents.iter_mut().map(|agent| &mut agent.settings.endpoint);
+    plain.filter(|it| it.kind == EndpointKind::Plain).for_each(|it| it.address = address);
+    let directory = tempfile::tempdir().unwrap();
+    let mut programs = Vec::new();
+    for (number, entry) in fleet.entries.iter().enumerate() {
+        let entry = write(&directory, &format!("entry-{number}"), &entry.settings);
+        programs.push(Program::spawn(ENTRY, &[], &entry));
+    }
+    for (number, agent) in fleet.agents.iter().enumerate() {
+        let agent = write(&directory, &format!("agent-{number}"), &agent.settings);
+        programs.push(Program::spawn(AGENT, &[], &agent));
+    }
+    for program in &programs {
+        program.says("started");
+    }
+    for file in small() {
+        std::fs::write(directory.path().join(&file.name), &file.text).unwrap();
+    }
+    let admin = fleet.entries[0].settings.admin.to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cinderspoke"));
+    let command = command.args(["apply", ".", "--base", "0", "--author", "me", "--wait", "120"]);
+    let command = command.current_dir(directory.path()).env("CINDERSPOKE_ADMIN", admin);
+    let applied = command.output().unwrap();
+    assert!(applied.status.success(), "{applied:?}");
+    let (caller, callers) =
+        (Caller::new("readers".parse().unwrap()), fleet.entries[0].settings.callers);
+    let call = tokio::spawn(async move {
+        caller.call(callers, &"jobs".parse().unwrap(), "/run", "one", true).await.answer
+    });
+    gate.came.acquire().await.unwrap().forget();
+    for program in &programs {
+        program.signal("-HUP");
+        program.says("settings read again");
+    }
+    gate.open.add_permits(1);
+    assert_eq!(call.await.unwrap(), Answer::Whole { manifest: None });
+}
+
+/// Puts other settings in the place of a file, at one go.
+fn replace(path: &Path, settings: &serde_json::Value) {
+    let next = path.with_extension("next");
+    std::fs::write(&next, toml::to_string(settings).unwrap()).unwrap();
+    std::fs::rename(next, path).unwrap();
+}
+
+/// The fields of a line that took effect, and those that wait for the next start.
+fn named(line: &str) -> (String, String) {
+    let line: serde_json::Value = serde_json::from_str(line).unwrap();
+    let field = |name: &str| line[name].as_str().unwrap().to_owned();
+    (field("changed"), field("at_next_start"))
+}
+
+/// A gateway that runs, and the file and the text of its settings.
+fn gateway(directory: &TempDir, filter: &str) -> (Program, PathBuf, serde_json::Value) {
+    let settings = node(filter);
+    let path = write(directory, "gateway", &settings);
+    let gateway = Program::spawn(ENTRY, &["--adapter", "platform"], &path);
+    gateway.says("gateway started");
+    (gateway, path, settings)
+}
+
+#[test]
+fn settings_with_findings_leave_the_last_ones_in_force_and_are_reported_whole() {
+    let directory = tempfile::tempdir().unwrap();
+    let (gateway, path, good) = gateway(&directory, "info");
+    let mut wrong = good.clone();
+    wrong["log"]["filter"] = "off".into();
+    wrong["colour"] = "red".into();
+    wrong["limits"]["link_mbps"] = "fast".into();
+    replace(&path, &wrong);
+    // The filter that they ask for would let no line through.
+    for _ in 0..2 {
+        gateway.signal("-HUP");
+        let line = gateway.says("settings cannot be used");
+        assert!(line.contains("unknown key `colour`"), "{line}");
+        assert!(line.contains("\\\"fast\\\" is not allowed here"), "{line}");
+    }
+    let mut other = good;
+    other["bounds"]["version_ms"] = 7000.into();
+    replace(&path, &other);
+    gateway.signal("-HUP");
+    let changed = named(&gateway.says("settings read again"));
+    assert_eq!(changed, ("bounds.version_ms".into(), String::new()));
+    assert_eq!(gateway.stop(), Some(0));
+}
+
+#[parameterized(
+    a_filter = { "/log/filter", json!("cinderspoke=loud"), "the log filter" },
+    a_window_without_end = { "/bounds/budget_window_s", json!(1e300), "at most 86400" },
+    no_time_to_stop = { "/bounds/grace_s", json!(1e300), "at most 86400" },
+)]
+fn what_would_end_the_program_is_a_finding(place: &str, value: serde_json::Value, finding: &str) {
+    let directory = tempfile::tempdir().unwrap();
+    let (gateway, path, mut settings) = gateway(&directory, "info");
+    *settings.pointer_mut(place).unwrap() = value;
+    replace(&path, &settings);
+    gateway.signal("-HUP");
+    let line = gateway.says("settings cannot be used");
+    assert!(line.contains(finding), "{line}");
+    assert_eq!(gateway.stop(), Some(0));
+}
+
+#[test]
+fn a_file_that_is_gone_leaves_the_last_settings_in_force() {
+    let directory = tempfile::tempdir().unwrap();
+    let (gateway, path, settings) = gateway(&directory, "info");
+    std::fs::remove_file(&path).unwrap();
+    gateway.signal("-HUP");
+    assert!(gateway.says("settings cannot be used").contains("not found"));
+    replace(&path, &settings);
+    gateway.signal("-HUP");
+    gateway.says("settings read again");
+    assert_eq!(gateway.stop(), Some(0));
+}
+
+/// Lets through nothing but word of a reload.
+const QUIET: &str = "warn,cinderspoke::util::reload=info";
+
+#[parameterized(
+    fewer = { &[QUIET], false },
+    fewer_and_more_again = { &[QUIET, "info"], true },
+)]
+fn a_changed_log_filter_takes_effect_at_once(filters: &[&str], says_more: bool) {
+    let directory = tempfile::tempdir().unwrap();
+    let (gateway, path, mut settings) = gateway(&directory, "info");
+    for filter in filters {
+        settings["log"]["filter"] = (*filter).into();
+        replace(&path, &settings);
+        gateway.signal("-HUP");
+        gateway.says("log.filter");
+    }
+    gateway.signal("-TERM");
+    // Ends with the process.
+    let rest: Vec<String> = gateway.lines.iter().collect();
+    assert_eq!(rest.iter().any(|line| line.contains("stopping")), says_more, "{rest:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_log_filter_that_operators_change_takes_effect_at_once() {
+    let fleet =
+        Fleet::prepare(&small(), &Options { entries: 1, ..Options::default() }).await.unwrap();
+    let directory = tempfile::tempdir().unwrap();
+    let mut settings = serde_json::to_value(&fleet.entries[0].settings).unwrap();
+    let path = write(&directory, "entry", &settings);
+    let entry = Program::spawn(ENTRY, &[], &path);
+    entry.says("started");
+    settings["log"]["filter"] = QUIET.into();
+    settings["lease_ms"] = 6000.into();
+    replace(&path, &settings);
+    let line = entry.says("settings read again");
+    assert!(line.contains("log.filter") && line.contains("lease_ms"), "{line}");
+    entry.signal("-TERM");
+    let rest: Vec<String> = entry.lines.iter().collect();
+    assert!(!rest.iter().any(|line| line.contains("stopping")), "{rest:?}");
+}
+
+#[test]
+fn a_change_without_a_signal_is_taken_in_once() {
+    let directory = tempfile::tempdir().unwrap();
+    let (gateway, path, mut settings) = gateway(&directory, "info");
+    settings["seeds"] = json!(["10.0.0.1:1"]);
+    settings["limits"]["link_mbps"] = 500.0.into();
+    replace(&path, &settings);
+    let changed = named(&gateway.says("settings read again"));
+    assert_eq!(changed, ("limits.link_mbps, seeds".into(), String::new()));
+    settings["zone"] = "b".into();
+    settings["seeds"] = json!([]);
+    replace(&path, &settings);
+    let changed = named(&gateway.says("settings read again"));
+    assert_eq!(changed, ("seeds".into(), "zone".into()));
+    assert_eq!(gateway.stop(), Some(0));
+}
+
+#[tokio::test]
+async fn signals_that_come_before_they_are_asked_for_are_kept() {
+    let mut signals = Signals::open().unwrap();
+    let own = std::process::id().to_string();
+    for name in ["-HUP", "-TERM"] {
+        assert!(Command::new("kill").args([name, &own]).status().unwrap().success());
+    }
+    signals.reload.requested().await;
+    signals.stop.requested().await;
+}
