--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -52,6 +52,8 @@
     pub open: bool,
     /// The age of the newest word that its instance had from a gateway.
     pub deaf: Duration,
+    /// Tells the processes of an agent apart: each has a clock of its own.
+    pub process: u64,
 }
 
 /// An instance that has had no word for so long has a full link: gateways answer
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -31,6 +31,8 @@
     engine: Arc<dyn Engine>,
     socket: UdpSocket,
     clock: Clock,
+    // Drawn at the start; tells this process from those before it.
+    process: u64,
     latest: watch::Sender<Latest>,
     // Cleared while the engine is to take no new requests.
     open: AtomicBool,
@@ -65,7 +67,8 @@
         let tick = AtomicUsize::new(0);
         let clock = Clock::start();
         let heard = Mutex::default();
-        Self { own, address, plans, engine, socket, clock, latest, open, tick, heard }
+        let process = rand::random();
+        Self { own, address, plans, engine, socket, clock, process, latest, open, tick, heard }
     }
 
     /// What the engine says, as it changes.
@@ -122,6 +125,7 @@
         let mut load = report.load.clone();
         load.open = self.is_open();
         load.deaf = self.deaf(now);
+        load.process = self.process;
         let datagram = |echo| {
             pack(&Datagram::Report {
                 from: self.own,
--- a/tests/testsuite/gateway/load.rs
+++ b/tests/testsuite/gateway/load.rs
@@ -95,3 +95,23 @@
     load.begun(1);
     assert!(!load.is_stuck(ms(1700)));
 }
+
+#[test]
+fn an_agent_that_starts_again_is_in_reach_however_young_it_ended() {
+    // The new process's clock begins at zero: its reports look late by all that
+    // the process before it had lived, and by the time between the two.
+    for lived in [300, 5000, 60_000] {
+        let mut load = Load::default();
+        let from = |process| Report { process, ..report(1, 0) };
+        load.reported(from(1), ms(0), ms(1000));
+        load.reported(from(1), ms(lived), ms(1000 + lived));
+        assert!(!load.is_out_of_reach(ms(1000 + lived)));
+        let again = 1500 + lived;
+        for told in [0, 100, 200] {
+            load.reported(from(2), ms(told), ms(again + told));
+        }
+        assert!(!load.is_out_of_reach(ms(again + 200)), "after {lived} ms of life");
+        load.reported(from(2), ms(300), ms(again + 300 + 200));
+        assert!(load.is_out_of_reach(ms(again + 500)), "a late report still tells of a full link");
+    }
+}
--- a/tests/testsuite/gateway/rollout.rs
+++ b/tests/testsuite/gateway/rollout.rs
@@ -89,6 +89,17 @@
     assert_eq!(one.ages(ms(10_000)).rollout(), named(3));
 }
 
+#[test]
+fn a_version_that_has_ended_never_begins_again_however_many_follow() {
+    let mut timeline = Timeline::default();
+    for (version, at) in [(2, 0), (3, 3500), (4, 4000), (5, 4500), (6, 4900), (7, 5100)] {
+        timeline.learn(&named(version), NEW, ms(at));
+        let first = left(&timeline, 1, at);
+        assert_eq!(first, Some(5000_u64.saturating_sub(at)), "once {version} is named");
+    }
+    assert_eq!(left(&timeline, 6, 5100), Some(5000));
+}
+
 #[test]
 fn versions_never_go_back() {
     let mut rollout = named(3);
