Agents' processes are told apart; ages survive what finds or forgets them

Ruled out: a smaller jump of the clock (a process may live as short as it likes); keeping all versions (messages grow); upgrading every version that the store repeats (a found one would begin anew at each re-read, so only what the store did not say before counts as news). Figures: the three known red tests pass: in reach with the first report of the new process, 500 ms left where 4,000 were, the old version served after the store's own news. Conclusion: mended; a better age is told to all at once.

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -23,10 +23,6 @@
 /// A report that was on its way for so much longer than others tells of a full link.
 const DELAYED: Duration = Duration::from_millis(120);
 
-/// A difference of clocks, in microseconds, that no link makes: the agent has
-/// started anew.
-const RESTARTED: i128 = 8_000_000;
-
 /// What a report is older than when it arrives: asking the engine and the way here.
 const REPORT_AGE: Duration = Duration::from_millis(10);
 
@@ -100,9 +96,10 @@
     /// Takes in a report that has just come, with the agent's own time.
     pub fn reported(&mut self, report: Report, told: Duration, now: Duration) {
         let offset = now.as_micros() as i128 - told.as_micros() as i128;
-        let restarted = self.offset.is_some_and(|least| offset - least > RESTARTED);
+        let before = self.report.as_ref().map(|(_, report)| report.process);
         let least = match self.offset {
-            Some(least) if !restarted => least.min(offset),
+            Some(least) if before == Some(report.process) => least.min(offset),
+            // Another process has another clock.
             _ => offset,
         };
         self.offset = Some(least);
--- a/crates/core/src/gateway/rollout.rs
+++ b/crates/core/src/gateway/rollout.rs
@@ -41,6 +41,13 @@
         self.0.get(model).copied().unwrap_or(FIRST)
     }
 
+    /// The versions that are newer than those of another rollout.
+    #[must_use]
+    pub fn newer_than(&self, other: &Self) -> Self {
+        let newer = self.0.iter().filter(|(model, version)| **version > other.version(model));
+        Self(newer.map(|(model, version)| (model.clone(), *version)).collect())
+    }
+
     /// Takes in what another process knows; true when any of it was news.
     pub fn merge(&mut self, other: &Self) -> bool {
         let named = other.0.iter().map(|(model, version)| self.name(model.clone(), *version));
@@ -62,7 +69,7 @@
     #[must_use]
     pub fn after(self, time: Duration) -> Self {
         match self {
-            Self::Seen(age) => Self::Seen(age + time),
+            Self::Seen(age) => Self::Seen(age.saturating_add(time)),
             Self::Found => Self::Found,
         }
     }
@@ -78,8 +85,8 @@
     }
 }
 
-/// How many versions of a model are kept: a third may be named while the first
-/// is still in use.
+/// How many versions of a model are kept, so that messages stay small: engines
+/// hold the newest or one of the two before it.
 const KEPT: usize = 3;
 
 /// The ages of the newest versions of each model, as one process tells another.
@@ -114,46 +121,59 @@
     }
 }
 
+/// Keeps only the newest versions. The oldest that stays takes over the age of
+/// the one before it: what that one ended must not begin again.
+fn forget_oldest(versions: &mut BTreeMap<Version, Noted>, now: Duration) {
+    while versions.len() > KEPT {
+        let Some((_, forgotten)) = versions.pop_first() else { return };
+        if let Some(mut oldest) = versions.first_entry() {
+            let age = oldest.get().now(now).or(forgotten.now(now));
+            oldest.insert(Noted { age, at: now });
+        }
+    }
+}
+
 /// For how long versions have been named, to tell how long an older one may
 /// still begin requests.
-// Invariant: at most `KEPT` versions of a model, its newest ones.
+// Invariant: at most `KEPT` versions of a model, its newest ones; the oldest of
+// them has at least the age of all that are no longer kept.
 #[derive(Debug, Default)]
 pub struct Timeline {
     noted: BTreeMap<Model, BTreeMap<Version, Noted>>,
 }
 
 impl Timeline {
-    /// Takes in the newest versions as they are now; those that are news have
-    /// the given age.
-    pub fn learn(&mut self, rollout: &Rollout, age: Age, now: Duration) {
-        for (model, version) in &rollout.0 {
-            let newest = self.noted.get(model).and_then(|noted| noted.keys().next_back());
-            if newest.is_none_or(|newest| newest < version) {
-                self.note(model, *version, Noted { age, at: now });
-            }
-        }
+    /// Takes in that versions have the given age now; true when any is news or
+    /// was only found before.
+    pub fn learn(&mut self, rollout: &Rollout, age: Age, now: Duration) -> bool {
+        let noted = rollout.0.iter().map(|(model, version)| self.note(model, *version, age, now));
+        noted.fold(false, |any, better| any | better)
     }
 
-    /// Takes in what another process knows of ages.
-    pub fn merge(&mut self, ages: &Ages, now: Duration) {
+    /// Takes in what another process knows of ages; true when any version is news
+    /// or was only found before.
+    pub fn merge(&mut self, ages: &Ages, now: Duration) -> bool {
+        let mut any = false;
         for (model, versions) in &ages.0 {
             for (version, age) in versions {
-                self.note(model, *version, Noted { age: *age, at: now });
+                any |= self.note(model, *version, *age, now);
             }
         }
+        any
     }
 
     /// Notes an age, if it is better than the one that is known.
-    fn note(&mut self, model: &Model, version: Version, noted: Noted) {
+    fn note(&mut self, model: &Model, version: Version, age: Age, now: Duration) -> bool {
         let versions = self.noted.entry(model.clone()).or_default();
-        let age = match versions.get(&version) {
-            Some(known) => known.now(noted.at).or(noted.age),
-            None => noted.age,
-        };
-        versions.insert(version, Noted { age, at: noted.at });
-        while versions.len() > KEPT {
-            versions.pop_first();
+        let oldest = versions.first_key_value().map(|(oldest, _)| *oldest);
+        if versions.len() == KEPT && oldest.is_some_and(|oldest| version < oldest) {
+            return false;
         }
+        let known = versions.get(&version).map(|noted| noted.now(now));
+        let better = known.map_or(age, |known| known.or(age));
+        versions.insert(version, Noted { age: better, at: now });
+        forget_oldest(versions, now);
+        known.is_none() || (known == Some(Age::Found) && better != Age::Found)
     }
 
     /// What is known of ages, for another process.
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -27,8 +27,8 @@
     pub rollout: Rollout,
     /// For how long they have been named.
     pub timeline: Timeline,
-    /// Whether the store has told which versions are named: others are news then.
-    pub versions_read: bool,
+    /// The versions that the store itself told of last; none before it first did.
+    pub stored: Option<Rollout>,
     /// The list of endpoints.
     pub keeper: Keeper,
     /// Tells lists of endpoints apart; kept, since it is asked for with each digest.
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -105,14 +105,23 @@
     }
 
     /// Takes in what the store says of named versions. What a process finds when
-    /// it first reads the store may have been named long before it started.
+    /// it first reads the store may have been named long before it started; what
+    /// the store did not say before was named just now.
     pub fn named(&self, rollout: &Rollout) {
         let now = self.clock.now();
         self.learn_versions("store", |state| {
-            let age = if state.versions_read { Age::Seen(Duration::ZERO) } else { Age::Found };
-            state.versions_read = true;
-            state.timeline.learn(rollout, age, now);
-            rollout.clone()
+            state.rollout.merge(rollout);
+            match &mut state.stored {
+                Some(stored) => {
+                    let news = rollout.newer_than(stored);
+                    stored.merge(rollout);
+                    state.timeline.learn(&news, Age::Seen(Duration::ZERO), now)
+                }
+                none => {
+                    *none = Some(rollout.clone());
+                    state.timeline.learn(rollout, Age::Found, now)
+                }
+            }
         });
     }
 
@@ -120,16 +129,15 @@
     pub fn told_ages(&self, ages: &Ages, from: &str) {
         let now = self.clock.now();
         self.learn_versions(from, |state| {
-            state.timeline.merge(ages, now);
-            ages.rollout()
+            state.rollout.merge(&ages.rollout());
+            state.timeline.merge(ages, now)
         });
     }
 
-    /// Has versions learned; makes them known if any is news.
-    fn learn_versions(&self, from: &str, learn: impl FnOnce(&mut Belief) -> Rollout) {
+    /// Has versions learned; makes them known if any is news, or its age is.
+    fn learn_versions(&self, from: &str, learn: impl FnOnce(&mut Belief) -> bool) {
         let mut state = self.lock();
-        let rollout = learn(&mut state);
-        if !state.rollout.merge(&rollout) {
+        if !learn(&mut state) {
             return;
         }
         self.show(&mut state);
