--- a/crates/bench/src/commands/serve.rs
+++ b/crates/bench/src/commands/serve.rs
@@ -1,7 +1,7 @@
 //! `cinderspoke-bench serve`: stand-ins and a fleet to try the command line against.
 
 use anyhow::{Context, Result};
-use cinderspoke::util::signals::Signals;
+use cinderspoke::util::unix::Signals;
 use cinderspoke_test_support::fleet::{Fleet, Options};
 use clap::{ArgMatches, Command};
 
@@ -33,6 +33,10 @@
     println!("  cinderspoke status");
     println!("Callers are answered at http://{}", first.settings.callers);
     println!("Stop with Ctrl-C.");
-    signals.stop.requested().await;
+    tokio::select! {
+        () = signals.stop.requested() => {}
+        // The terminal is gone.
+        () = signals.reload.requested() => {}
+    }
     Ok(())
 }
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -90,8 +90,6 @@
 pub struct Facts {
     /// The configuration, if it is newer than the asker's.
     pub configuration: Option<Fact<Declared>>,
-    /// The versions that were named, and for how long.
-    pub ages: Ages,
     /// The endpoints.
     pub directory: Fact<Directory>,
     /// Other gateways.
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -115,12 +115,12 @@
                     self.on_digest(from, known, gateways).await;
                 }
                 Datagram::Report { from, engine, service, report, plan, told, echo, ages } => {
+                    self.knowledge.reported(engine, report, told);
+                    self.knowledge.told_ages(&ages, "agent");
                     if echo {
                         let echo = Datagram::Echo { from: self.own, told };
                         send(&self.socket, from, &pack(&echo)).await;
                     }
-                    self.knowledge.reported(engine, report, told);
-                    self.knowledge.told_ages(&ages, "agent");
                     self.on_agent(from, service, plan).await;
                 }
                 // Only agents are told of plans, and only their reports are answered.
@@ -182,7 +182,6 @@
         if let Some(configuration) = facts.configuration {
             self.knowledge.configured(configuration, "gateway");
         }
-        self.knowledge.told_ages(&facts.ages, "gateway");
         if facts.directory.revision > known.directory {
             self.knowledge.listed(facts.directory, "gateway");
         }
@@ -280,7 +279,6 @@
     let knowledge = &relay.knowledge;
     let facts = Facts {
         configuration: knowledge.configuration_after(asked.configuration),
-        ages: knowledge.ages(),
         directory: knowledge.directory(),
         gateways: relay.others(),
     };
--- a/src/cinderspoke/util/mod.rs
+++ b/src/cinderspoke/util/mod.rs
@@ -9,7 +9,7 @@
 pub mod rpc;
 pub mod settings;
 pub mod signal;
-pub mod signals;
 pub mod stop;
+pub mod unix;
 
 pub use cinderspoke_ports::client as http;
--- a/src/cinderspoke/util/program.rs
+++ b/src/cinderspoke/util/program.rs
@@ -14,7 +14,7 @@
 use super::log;
 use super::reload::File;
 use super::settings::{self, Settings};
-use super::signals::{Signals, Stop};
+use super::unix::{Signals, Stop};
 
 /// The exit code for settings that cannot be used.
 pub const EXIT_SETTINGS: u8 = 2;
--- a/src/cinderspoke/util/reload.rs
+++ b/src/cinderspoke/util/reload.rs
@@ -17,10 +17,10 @@
 
 use super::log::Filter;
 use super::settings::{self, Settings};
-use super::signals::Reload;
+use super::unix::Reload;
 
 /// How often the file is looked at: a change that nobody tells of is in force
-/// within seconds, and a look at so small a file costs some ten microseconds.
+/// within seconds, and a look reads one small file.
 const LOOK: Duration = Duration::from_secs(1);
 
 /// What a file holds, or why it cannot be read.
--- a/src/cinderspoke/util/signals.rs
+++ b/src/cinderspoke/util/unix.rs
@@ -1,8 +1,8 @@
 //! Signals that the system sends the process.
 //!
 //! What nobody listens to ends the process, and all its requests with it. So all
-//! signals are listened to before anything else is done; one that comes before
-//! it is asked for is kept until then.
+//! signals are listened to before settings are read and any request can come; one
+//! that comes before it is asked for is kept until then.
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
--- a/tests/testsuite/reload.rs
+++ b/tests/testsuite/reload.rs
@@ -16,7 +16,8 @@
 
 use axum::Router;
 use axum::routing::get;
-use cinderspoke::util::signals::Signals;
+use cinderspoke::gateway::terms::Terms;
+use cinderspoke::util::unix::Signals;
 use cinderspoke_schema::settings::EndpointKind;
 use cinderspoke_test_support::address;
 use cinderspoke_test_support::caller::{Answer, Caller};
@@ -347,6 +348,17 @@
     assert_eq!(gateway.stop(), Some(0));
 }
 
+#[parameterized(
+    of_the_whole_system = { true, 0 },
+    of_a_process = { false, 10 },
+)]
+fn only_after_the_first_start_is_the_slack_there_at_once(first_start: bool, from_s: u64) {
+    let mut settings = node("info");
+    settings["first_start"] = first_start.into();
+    let terms = Terms::new(&serde_json::from_value(settings).unwrap());
+    assert_eq!(terms.budget.slack_from, Duration::from_secs(from_s));
+}
+
 #[tokio::test]
 async fn signals_that_come_before_they_are_asked_for_are_kept() {
     let mut signals = Signals::open().unwrap();
--- a/tests/testsuite/stagers.rs
+++ b/tests/testsuite/stagers.rs
@@ -17,7 +17,7 @@
 use cinderspoke::stager::{Parts, Stager};
 use cinderspoke_core::gateway::catalog::Origin as Declared;
 use cinderspoke_core::gateway::name::Model;
-use cinderspoke_core::gateway::rollout::{Rollout, Version};
+use cinderspoke_core::gateway::rollout::{Age, Rollout, Timeline, Version};
 use cinderspoke_core::manifest::Algorithm;
 use cinderspoke_ports::Error;
 use cinderspoke_ports::client::Client;
@@ -233,3 +233,53 @@
     };
     assert!(report.deaf >= Duration::from_secs(2), "{:?}", report.deaf);
 }
+
+#[tokio::test]
+async fn an_agent_tells_a_gateway_that_it_asks_for_how_long_versions_have_been_named() {
+    let gateway = address::free().unwrap();
+    let mut rollout = Rollout::default();
+    rollout.name(model(), Version(2));
+    let mut timeline = Timeline::default();
+    timeline.learn(&rollout, Age::Seen(Duration::from_secs(60)), Duration::ZERO);
+    let ages = timeline.ages(Duration::ZERO);
+    let plan = Plan { rollout, ages, models: vec!["m".into()], ..Plan::default() };
+    let app = Router::new().route("/v1/plan", get(async move || pack(&plan)));
+    let listener = TcpListener::bind(gateway).await.unwrap();
+    tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
+    let ear = UdpSocket::bind((gateway.ip(), SHARED_PORT)).await.unwrap();
+    let settings = settings("127.0.0.1:9".parse().unwrap(), "a", ear.local_addr().unwrap());
+    let plans = Arc::new(Plans::new(&settings, "svc".into(), Client::new()));
+    plans.fetch(gateway).await.unwrap();
+    let socket = UdpSocket::bind((gateway.ip(), 0)).await.unwrap();
+    let (own, beside) = (socket.local_addr().unwrap(), settings.beside.as_ref().unwrap());
+    let reporter = Reporter::new(own, beside, plans, Arc::new(Empty::default()), socket);
+    reporter.ask().await;
+    let Datagram::Report { ages, echo: true, .. } = receive(&ear, &mut buffer()).await else {
+        panic!("no report came that asks for an echo");
+    };
+    let mut learned = Timeline::default();
+    learned.merge(&ages, Duration::ZERO);
+    let left =
+        |overlap| learned.left(&model(), Version(1), Duration::from_secs(overlap), Duration::ZERO);
+    assert_eq!(left(60), Some(Duration::ZERO));
+    assert!(left(120) > Some(Duration::ZERO), "it is known to have been seen");
+}
+
+#[tokio::test]
+async fn an_agent_goes_by_seeds_that_come_while_it_runs() {
+    let [engine, nobody, gateway] = [(); 3].map(|()| address::free().unwrap());
+    let ear = UdpSocket::bind((gateway.ip(), SHARED_PORT)).await.unwrap();
+    let before = settings(engine, "a", nobody);
+    let parts = Parts {
+        engine: Arc::new(Empty::default()),
+        open_origin: Arc::new(|_| Few::new(0, 0)),
+        client: Client::new(),
+        metrics: None,
+    };
+    let stager = Stager::bind(&before, parts).await.unwrap();
+    let mut after = before.clone();
+    after.seeds = vec![gateway];
+    stager.reload(&after);
+    let heard = timeout(LONG, receive(&ear, &mut buffer())).await.unwrap();
+    assert!(matches!(heard, Datagram::Report { .. }), "{heard:?}");
+}
