A test that fails: entries are dropped by the answer that ends an outage

Cause: the watch that succeeds first after an outage applies its removals, and only then are entries taken to settle. Ready endpoints whose entries lapsed while the store was away are gone until they have written again, up to two seconds. The test goes through `follow` with a store in memory on a paused clock: three failures, an answer that removes two entries, and one of them back 1.9 s later.

--- /dev/null
+++ b/tests/testsuite/follow.rs
@@ -0,0 +1,162 @@
+//! What a gateway makes of the store's answers, on a paused clock.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::future::pending;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use cinderspoke::gateway::follow;
+use cinderspoke::gateway::knowledge::Knowledge;
+use cinderspoke::gateway::terms::Terms;
+use cinderspoke::util::clock::Clock;
+use cinderspoke_core::gateway::catalog::Declared;
+use cinderspoke_core::gateway::directory::{Change, Directory, Entry, SETTLE, State};
+use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::name::Endpoint;
+use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_ports::Error;
+use cinderspoke_ports::gateway::{Registry, Seen};
+use cinderspoke_schema::settings::Node;
+use serde_json::json;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+/// How long an endpoint whose entry lapsed takes to be back after the store's return.
+const BACK_AFTER: Duration = Duration::from_millis(1900);
+
+/// Settings of a gateway.
+pub(crate) fn settings() -> Node {
+    serde_json::from_value(json!({
+        "instance": "g", "zone": "a", "region": "r", "regions": { "a": "r" },
+        "address": "10.0.0.1", "ports": { "first": 1, "last": 1 },
+        "store": "10.0.0.2:1", "seeds": [], "first_start": true,
+        "limits": { "link_mbps": 1000.0, "descriptors": 4000, "memory_mb": 200 },
+        "bounds": {
+            "drain_ms": 2000, "grace_s": 8.0, "config_apply_ms": 2000,
+            "rollback_slack_ms": 250, "max_skew_ms": 5000, "contact_ms": 3000,
+            "retry_budget_ratio": 0.2, "budget_window_s": 10.0, "budget_slack": 1000.0,
+            "version_ms": 8000, "pass_ms": 120, "loss_slack_ms": 200,
+        },
+    }))
+    .unwrap()
+}
+
+fn entry(address: &str) -> Entry {
+    Entry {
+        service: "svc".into(),
+        address: address.parse().unwrap(),
+        zone: "a".into(),
+        slots: 4,
+        state: State::Ready,
+        models: Vec::new(),
+        reports_models: false,
+    }
+}
+
+/// An answer to a watch of endpoints, and how long it takes.
+type Step = (Duration, Result<Seen<Vec<Change>>, Error>);
+
+/// A store that lists two endpoints and answers watches as it is told, then never.
+struct Script {
+    steps: Mutex<VecDeque<Step>>,
+}
+
+#[async_trait]
+impl Registry for Script {
+    async fn configuration(&self) -> Result<Fact<Option<Declared>>, Error> {
+        pending().await
+    }
+
+    async fn watch_configuration(
+        &self,
+        _: Revision,
+        _: Duration,
+    ) -> Result<Seen<Option<Declared>>, Error> {
+        pending().await
+    }
+
+    async fn rollout(&self) -> Result<Fact<Rollout>, Error> {
+        pending().await
+    }
+
+    async fn watch_rollout(&self, _: Revision, _: Duration) -> Result<Seen<Rollout>, Error> {
+        pending().await
+    }
+
+    async fn endpoints(&self) -> Result<Fact<Directory>, Error> {
+        let entries = [("back", "10.0.1.1:1"), ("gone", "10.0.1.2:1")];
+        let entries: BTreeMap<Endpoint, Entry> =
+            entries.into_iter().map(|(name, address)| (name.into(), entry(address))).collect();
+        Ok(Fact::new(Revision(1), Directory { entries }))
+    }
+
+    async fn watch_endpoints(&self, _: Revision, _: Duration) -> Result<Seen<Vec<Change>>, Error> {
+        let step = self.steps.lock().unwrap().pop_front();
+        let Some((takes, answer)) = step else { return pending().await };
+        sleep(takes).await;
+        answer
+    }
+
+    async fn gateways(&self) -> Result<Vec<SocketAddr>, Error> {
+        pending().await
+    }
+
+    async fn announce(&self, _: &str, _: SocketAddr) -> Result<(), Error> {
+        pending().await
+    }
+}
+
+/// A gateway's knowledge, which follows a store that answers so.
+fn following(steps: impl IntoIterator<Item = Step>) -> Arc<Knowledge> {
+    let settings = settings();
+    let knowledge = Knowledge::new(&settings, Terms::new(&settings), Clock::start());
+    let knowledge = Arc::new(knowledge);
+    let registry: Arc<dyn Registry> =
+        Arc::new(Script { steps: Mutex::new(steps.into_iter().collect()) });
+    follow::spawn(&knowledge, &registry, &settings, CancellationToken::new());
+    knowledge
+}
+
+fn listed(knowledge: &Knowledge) -> Vec<String> {
+    knowledge.directory().value.entries.keys().map(ToString::to_string).collect()
+}
+
+/// Waits until a gateway has taken in the store's revision.
+async fn learned(knowledge: &Knowledge, revision: u64) {
+    while knowledge.directory().revision < Revision(revision) {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn news(revision: u64, changes: Vec<Change>) -> Result<Seen<Vec<Change>>, Error> {
+    Ok(Seen::News(Fact::new(Revision(revision), changes)))
+}
+
+fn away() -> Step {
+    (Duration::ZERO, Err(Error::Unavailable("away".into())))
+}
+
+#[tokio::test(start_paused = true)]
+async fn entries_that_lapsed_while_the_store_was_away_stay_until_they_had_time_to_be_back() {
+    let lapsed = vec![Change::Removed("back".into()), Change::Removed("gone".into())];
+    let back = vec![Change::Put("back".into(), entry("10.0.1.1:1"))];
+    let steps =
+        [away(), away(), away(), (Duration::ZERO, news(2, lapsed)), (BACK_AFTER, news(3, back))];
+    let knowledge = following(steps);
+    learned(&knowledge, 2).await;
+    assert_eq!(listed(&knowledge), ["back", "gone"], "the last list is kept");
+    learned(&knowledge, 3).await;
+    assert_eq!(listed(&knowledge), ["back", "gone"]);
+    sleep(SETTLE).await;
+    assert_eq!(listed(&knowledge), ["back"], "whoever is not back is gone");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_goes_after_a_watch_was_cut_once_is_gone_at_once() {
+    let gone = vec![Change::Removed("gone".into())];
+    let knowledge = following([away(), (Duration::ZERO, news(2, gone))]);
+    learned(&knowledge, 2).await;
+    assert_eq!(listed(&knowledge), ["back"]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod decisions;
 mod examples;
 mod files;
+mod follow;
 mod gateway;
 mod kills;
 mod memory;
