A test that fails: quiet gateways together spend more than the slack

Cause: each gateway divides the slack by the gateways that it heard of within 5 s, but each is told by one of the others only once in (others x 0.5 s) on average, and those that the store has named but that were never heard of do not count at all. The test has 2, 7, 30 and 120 gateways gossip as the relay does for 200 s on a paused clock (fixed seed) and adds up what they would spend.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod reload;
 mod requests;
 mod settings;
+mod shares;
 mod spread;
 mod stagers;
 mod turns;
--- /dev/null
+++ b/tests/testsuite/shares.rs
@@ -0,0 +1,66 @@
+//! The shares that gateways take of what all of them together may spend, on a
+//! paused clock.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cinderspoke::gateway::knowledge::Knowledge;
+use cinderspoke::gateway::terms::Terms;
+use cinderspoke::util::clock::Clock;
+use cinderspoke_core::gateway::budget::Budget;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::advance;
+
+use crate::follow::settings;
+
+/// How often a gateway tells another one what it knows.
+const GOSSIP: Duration = Duration::from_millis(500);
+
+fn address(number: usize) -> SocketAddr {
+    format!("10.1.{}.{}:1", number / 200, number % 200 + 1).parse().unwrap()
+}
+
+/// How many repeats gateways would send now at a service without requests, if
+/// each spent its whole share.
+fn spent(gateways: &[Knowledge]) -> usize {
+    let spent = gateways.iter().map(|knowledge| {
+        let (now, terms) = (knowledge.clock().now(), knowledge.terms().budget);
+        let known = knowledge.view().gateways;
+        let mut budget = Budget::default();
+        let repeats =
+            std::iter::from_fn(|| budget.affords(now, &terms, known).then(|| budget.repeat(now)));
+        repeats.count()
+    });
+    spent.sum()
+}
+
+async fn quiet_gateways_share(count: usize) {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let (settings, clock) = (settings(), Clock::start());
+    let new = || Knowledge::new(&settings, Terms::new(&settings), clock);
+    let gateways: Vec<_> = (0..count).map(|_| new()).collect();
+    for (own, knowledge) in gateways.iter().enumerate() {
+        // What the store names at the start.
+        let others = (0..count).filter(|other| *other != own);
+        others.for_each(|other| knowledge.met(address(other), false));
+    }
+    let slack = gateways[0].terms().budget.slack;
+    for tick in 0..400 {
+        for from in 0..count {
+            let other = (from + random.random_range(1..count)) % count;
+            gateways[other].met(address(from), true);
+        }
+        let spent = spent(&gateways);
+        assert!(spent as f64 <= slack, "{spent} of {slack} by {count} in tick {tick}");
+        assert!(spent as f64 >= slack / 2.0, "the slack is there to be spent");
+        advance(GOSSIP).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn quiet_gateways_together_keep_to_the_slack() {
+    for count in [2, 7, 30, 120] {
+        quiet_gateways_share(count).await;
+    }
+}
