A stop waits until answers are written, not only until they are formed

Cause: the record of a request, and with it the count of those in progress, is dropped when its response is formed. A stop saw nothing in progress and ended the process while a large body still flowed to a slow reader: a request read whole and passed on, without its whole answer, around planned work.

Now connections are counted as well. One that came before the closing counts until it ends, which hyper's graceful shutdown brings about once its answer is flushed; one that comes late counts from its request on, so that an idle one does not hold the stop up. The end by the grace less a margin stays as it was. The line `stopped` says how many connections were left.

Ruled out: keeping the record until the body is dropped, since hyper drops a body when it is buffered, not when it is flushed. Counting at the accept: a connection accepted before the closing whose task runs only after it would no longer be taken for a late one, and its request be closed unread. tokio_util's TaskTracker: the stop polls counts already, and a late connection counts for a part of its life.

--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -28,6 +28,8 @@
     leaving: AtomicBool,
     closing: CancellationToken,
     in_progress: AtomicUsize,
+    // Connections on which an answer may still be on its way.
+    open: AtomicUsize,
     numbers: AtomicU64,
     budgets: Mutex<HashMap<Service, Budget>>,
     // The longest deadline seen on each route: who has less has waited before.
@@ -43,6 +45,15 @@
     }
 }
 
+/// Counts a connection as one to wait for until it is dropped.
+pub struct Open(Arc<Context>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Context {
     /// A context for a gateway that has just started.
     #[must_use]
@@ -54,6 +65,7 @@
             leaving: AtomicBool::new(false),
             closing: CancellationToken::new(),
             in_progress: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
             numbers: AtomicU64::new(1),
             budgets: Mutex::default(),
             deadlines: Mutex::default(),
@@ -100,6 +112,13 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
+    /// How many connections a stop has to wait for: an answer that was formed is
+    /// not written yet, and is lost if the process ends.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// What callers may send.
     #[must_use]
     pub fn limits(&self) -> Limits {
@@ -118,6 +137,12 @@
         InProgress(Arc::clone(self))
     }
 
+    /// Counts a connection as one to wait for.
+    pub fn open(self: &Arc<Self>) -> Open {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        Open(Arc::clone(self))
+    }
+
     /// Acts on a service's budget; nothing else does meanwhile.
     fn budget<T>(&self, service: &Service, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -64,13 +64,13 @@
 /// connections: the balancer asks each second and believes the second answer.
 const UNNOTICED: Duration = Duration::from_millis(2600);
 
-/// How long a gateway that stops waits for requests after its last connection closed.
+/// How long a gateway that stops waits for late connections after it closed those at rest.
 const QUIET: Duration = Duration::from_millis(400);
 
 /// What is left of the time to stop when the process ends by itself.
 const MARGIN: Duration = Duration::from_millis(300);
 
-/// How often a gateway that stops looks whether requests are in progress.
+/// How often a gateway that stops looks whether anything is left to wait for.
 const LOOK: Duration = Duration::from_millis(50);
 
 /// What a gateway is made of besides its settings.
@@ -129,7 +129,7 @@
         self.context.knowledge.asked(Terms::new(settings));
     }
 
-    /// Stops in order: no request in progress is cut off.
+    /// Stops in order: no request in progress is cut off, and no answer on its way.
     pub async fn stop(self) {
         let (began, grace) = (Instant::now(), self.context.knowledge.terms().grace);
         let end = began + grace.saturating_sub(MARGIN);
@@ -139,7 +139,7 @@
         self.context.close_connections();
         let quiet = async {
             sleep(QUIET).await;
-            while self.context.in_progress() > 0 {
+            while self.context.in_progress() > 0 || self.context.open_connections() > 0 {
                 sleep(LOOK).await;
             }
         };
@@ -147,9 +147,9 @@
             () = quiet => {}
             () = sleep_until(end) => {}
         }
-        let in_progress = self.context.in_progress();
+        let (in_progress, open) = (self.context.in_progress(), self.context.open_connections());
         let took_ms = began.elapsed().as_millis() as u64;
-        tracing::info!(in_progress, took_ms, "stopped");
+        tracing::info!(in_progress, open, took_ms, "stopped");
     }
 }
 
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -1,7 +1,7 @@
 //! Listening: callers' connections, and what the platform asks.
 
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use axum::Router;
@@ -52,6 +52,9 @@
 }
 
 /// Answers the requests of one connection.
+///
+/// One that comes late in a stop is waited for from its request on: one without
+/// any must not hold the stop up.
 async fn caller(stream: TcpStream, context: Arc<Context>) {
     let prepared = stream
         .set_nodelay(true)
@@ -62,8 +65,10 @@
     }
     let limits = context.limits();
     let late = context.is_closing();
+    let open = if late { OnceLock::new() } else { OnceLock::from(context.open()) };
     let answers = Arc::clone(&context);
     let service = service_fn(move |request| {
+        open.get_or_init(|| answers.open());
         let context = Arc::clone(&answers);
         async move { Ok::<_, Infallible>(forward::answer(&context, request).await) }
     });
