What ends an outage is taken in only once it is known to end one

Cause: a watch took in what it had seen before `follow` looked at the failures before it, so that the removals in the very answer that ends an outage were applied as if the store had been there all along; only a store that had forgotten its history was read again while entries settled.

Now asking and taking in are apart: `follow` marks the store's return first, and the removals then fall into the time in which entries settle. One that is back within it was never gone, one that is not is given up when it is over.

Ruled out: settling from the first failure on. A gateway that alone is cut off from the store would keep endpoints that others have given up for as long as that lasts, and a watch that was cut once is no outage (a test holds this).

--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -44,17 +44,24 @@
 /// How many failures in a row mean that the platform was away.
 const AWAY: u32 = 2;
 
+/// What the store has answered, to be taken in; gives the revision from which to
+/// watch, none when all has to be read anew.
+///
+/// Apart from the asking, since what ends an outage must not be taken in before
+/// it is known to end one: the entries that it removes may have lapsed meanwhile.
+type Answer<'a> = Box<dyn FnOnce() -> Option<Revision> + Send + 'a>;
+
 /// How a kind of fact is read.
 #[async_trait]
 trait Source: Send + Sync {
     /// Its name, for logs.
     fn name(&self) -> &'static str;
 
-    /// Reads all of it; gives the revision from which to watch.
-    async fn read(&self) -> Result<Revision, Error>;
+    /// Reads all of it.
+    async fn read(&self) -> Result<Answer<'_>, Error>;
 
-    /// Waits for news after a revision; none when it has to be read anew.
-    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error>;
+    /// Waits for news after a revision.
+    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error>;
 
     /// How long news gather before the next watch.
     fn gather(&self) -> Duration {
@@ -110,13 +117,14 @@
         "configuration"
     }
 
-    async fn read(&self) -> Result<Revision, Error> {
-        Ok(take(self.0.registry.configuration().await?, |fact| self.learn(fact)))
+    async fn read(&self) -> Result<Answer<'_>, Error> {
+        let read = self.0.registry.configuration().await?;
+        Ok(Box::new(move || Some(take(read, |fact| self.learn(fact)))))
     }
 
-    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
+    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error> {
         let seen = self.0.registry.watch_configuration(after, WAIT).await?;
-        Ok(take_news(seen, |fact| self.learn(fact)))
+        Ok(Box::new(move || take_news(seen, |fact| self.learn(fact))))
     }
 }
 
@@ -132,13 +140,14 @@
         "versions"
     }
 
-    async fn read(&self) -> Result<Revision, Error> {
-        Ok(take(self.0.registry.rollout().await?, |fact| self.learn(fact)))
+    async fn read(&self) -> Result<Answer<'_>, Error> {
+        let read = self.0.registry.rollout().await?;
+        Ok(Box::new(move || Some(take(read, |fact| self.learn(fact)))))
     }
 
-    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
+    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error> {
         let seen = self.0.registry.watch_rollout(after, WAIT).await?;
-        Ok(take_news(seen, |fact| self.learn(fact)))
+        Ok(Box::new(move || take_news(seen, |fact| self.learn(fact))))
     }
 }
 
@@ -148,14 +157,16 @@
         "endpoints"
     }
 
-    async fn read(&self) -> Result<Revision, Error> {
+    async fn read(&self) -> Result<Answer<'_>, Error> {
+        let read = self.0.registry.endpoints().await?;
         let listed = |fact| _ = self.0.knowledge.listed(fact, STORE);
-        Ok(take(self.0.registry.endpoints().await?, listed))
+        Ok(Box::new(move || Some(take(read, listed))))
     }
 
-    async fn watch(&self, after: Revision) -> Result<Option<Revision>, Error> {
+    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error> {
+        let seen = self.0.registry.watch_endpoints(after, WAIT).await?;
         let changed = |fact| _ = self.0.knowledge.changed(fact, STORE);
-        Ok(take_news(self.0.registry.watch_endpoints(after, WAIT).await?, changed))
+        Ok(Box::new(move || take_news(seen, changed)))
     }
 
     fn gather(&self) -> Duration {
@@ -191,18 +202,18 @@
     let mut failures = 0_u32;
     loop {
         let result = match revision {
-            None => source.read().await.map(Some),
+            None => source.read().await,
             Some(after) => source.watch(after).await,
         };
         match result {
-            Ok(next) => {
+            Ok(answer) => {
                 if failures >= AWAY {
                     tracing::info!(kind = source.name(), failures, "store answers again");
                     knowledge.platform_returned();
                     settle_later(&knowledge);
                 }
                 failures = 0;
-                revision = next;
+                revision = answer();
                 sleep(source.gather()).await;
             }
             Err(error) => {
