Silent gateways count for longer the more there are

Cause: a gateway counted as alive for 5 s after it was heard of, but is told by any one of the others only once in (others x 0.5 s) on average: 14.5 s among 30. And one that the store or others had named, but that had not been heard of itself, did not count at all, so that right after a start each took the whole slack for its own.

Now a silent one counts for four times that mean, at least 5 s as before (a pure function in the core, beside the period of gossip that it rests on), and one that is named for the first time counts from then on.

Weighed: the number is used besides the budget only where an engine's report is older than 0.7 s, to estimate what all gateways sent there since; too high a number shortly after some ended makes such an engine look busier than it is, too low a one (9 or so of 30 until now) made it look idle. A gateway that has ended takes up its share for up to 2 s x the others: shares too small break no promise. Ruled out: a longer fixed time, right for one number of gateways only; telling more than one gateway each time, which costs datagrams in the square of their number.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! - How engines change weights: [`listing`] says whom to ask for what a version
 //!   consists of, [`changeover`] when each engine goes over.
 //! - What may be repeated: [`attempt`] knows what became of each send, and
-//!   [`budget`] bounds sends beyond the first.
+//!   [`budget`] bounds sends beyond the first, of which each gateway has a share:
+//!   [`gossip`] says how many gateways there are.
 //! - [`event`] cuts a stream into whole events, so that it can be resumed.
 
 pub mod attempt;
@@ -21,6 +22,7 @@
 pub mod directory;
 pub mod event;
 pub mod fact;
+pub mod gossip;
 pub mod health;
 pub mod listing;
 pub mod load;
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -37,8 +37,8 @@
     pub targets: HashMap<Endpoint, Arc<Target>>,
     /// Endpoints by address.
     pub by_address: HashMap<SocketAddr, Arc<Target>>,
-    /// Other gateways and when each was last heard of by itself.
-    pub gateways: BTreeMap<SocketAddr, Option<Duration>>,
+    /// Other gateways and when each was last heard of by itself, or else first named.
+    pub gateways: BTreeMap<SocketAddr, Duration>,
 }
 
 impl Belief {
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -9,6 +9,7 @@
 use cinderspoke_core::gateway::catalog::Declared;
 use cinderspoke_core::gateway::directory::{Change, Directory, Keeper, State};
 use cinderspoke_core::gateway::fact::Fact;
+use cinderspoke_core::gateway::gossip::patience;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
 use cinderspoke_core::gateway::rollout::{Age, Ages, Rollout, Version};
@@ -22,9 +23,6 @@
 use crate::util::clock::Clock;
 use crate::util::signal::{Receiver, Signal};
 
-/// How long a gateway that was not heard of counts as one that takes requests.
-const GATEWAY_AGE: Duration = Duration::from_secs(5);
-
 /// What a gateway knows.
 pub struct Knowledge {
     state: Mutex<Belief>,
@@ -186,15 +184,17 @@
         }
     }
 
-    /// Takes in that a gateway was heard of, by itself or by others.
+    /// Takes in that a gateway was heard of, by itself or by others. One that others
+    /// name for the first time counts as heard of: if it lives, it spends its share.
     pub fn met(&self, gateway: SocketAddr, itself: bool) {
         let now = self.clock.now();
         let mut state = self.lock();
         let known = state.gateways.contains_key(&gateway);
-        let heard = state.gateways.entry(gateway).or_default();
-        let alive = is_alive(*heard, now);
+        let patience = patience(state.gateways.len());
+        let heard = state.gateways.entry(gateway).or_insert(now);
+        let alive = *heard + patience >= now;
         if itself {
-            *heard = Some(now);
+            *heard = now;
         }
         if !known || (itself && !alive) {
             tracing::info!(%gateway, itself, "gateway heard of");
@@ -255,7 +255,8 @@
             let members = members.entry(entry.service.clone()).or_default();
             members.push(Member { target, entry, distance });
         }
-        let others = state.gateways.values().filter(|heard| is_alive(**heard, now));
+        let patience = patience(state.gateways.len());
+        let others = state.gateways.values().filter(|heard| **heard + patience >= now);
         let gateways = 1 + others.count();
         self.view.store(Arc::new(View {
             number: self.view.load().number + 1,
@@ -279,8 +280,3 @@
         }
     }
 }
-
-/// Whether a gateway that was last heard of at a time counts as one that takes requests.
-fn is_alive(heard: Option<Duration>, now: Duration) -> bool {
-    heard.is_some_and(|heard| heard + GATEWAY_AGE >= now)
-}
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -15,6 +15,7 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
+use cinderspoke_core::gateway::gossip;
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_schema::settings;
 use http::StatusCode;
@@ -31,9 +32,6 @@
 use crate::util::settings::inner_address;
 use crate::util::stop;
 
-/// How often a gateway tells another one what it knows, news or not.
-const GOSSIP: Duration = Duration::from_millis(500);
-
 /// How long the store's own word is waited for before another gateway is asked
 /// for what it knows more.
 const OWN_WORD: Duration = Duration::from_millis(60);
@@ -233,7 +231,7 @@
 
     /// Tells one gateway after the other, in a random order.
     async fn gossip(self: Arc<Self>) {
-        let mut ticks = interval(GOSSIP);
+        let mut ticks = interval(gossip::PERIOD);
         loop {
             ticks.tick().await;
             let others = self.others();
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod changeover;
 mod directory;
 mod event;
+mod gossip;
 mod health;
 mod listing;
 mod load;
--- a/tests/testsuite/shares.rs
+++ b/tests/testsuite/shares.rs
@@ -2,21 +2,18 @@
 //! paused clock.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use cinderspoke::gateway::knowledge::Knowledge;
 use cinderspoke::gateway::terms::Terms;
 use cinderspoke::util::clock::Clock;
 use cinderspoke_core::gateway::budget::Budget;
+use cinderspoke_core::gateway::gossip::PERIOD;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::advance;
 
 use crate::follow::settings;
 
-/// How often a gateway tells another one what it knows.
-const GOSSIP: Duration = Duration::from_millis(500);
-
 fn address(number: usize) -> SocketAddr {
     format!("10.1.{}.{}:1", number / 200, number % 200 + 1).parse().unwrap()
 }
@@ -54,7 +51,7 @@
         let spent = spent(&gateways);
         assert!(spent as f64 <= slack, "{spent} of {slack} by {count} in tick {tick}");
         assert!(spent as f64 >= slack / 2.0, "the slack is there to be spent");
-        advance(GOSSIP).await;
+        advance(PERIOD).await;
     }
 }
 
