Tests that run at the same time are given addresses of their own

Cause: one test once found its address in use, beside other runs of the tests: addresses told processes apart by their id modulo 200 only. Ruled out: the system's own ports (ours lie below them).

--- a/tests/testsuite/stagers.rs
+++ b/tests/testsuite/stagers.rs
@@ -23,14 +23,11 @@
 use cinderspoke_ports::client::Client;
 use cinderspoke_ports::gateway::{Engine, EngineReport, Listing, Ordered, Origin, Switch};
 use cinderspoke_schema::settings::Node;
-use cinderspoke_test_support::address;
+use cinderspoke_test_support::address::{self, shared_port};
 use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{sleep, timeout};
 
-/// The port that all agents use among themselves, each on its own IP number.
-const SHARED_PORT: u16 = 19_002;
-
 /// More than any of these tests needs on a busy machine.
 const LONG: Duration = Duration::from_secs(60);
 
@@ -143,7 +140,7 @@
     serde_json::from_value(json!({
         "instance": format!("a-{}", engine.ip()), "zone": zone, "region": "r",
         "regions": { "a": "r", "b": "r" }, "address": engine.ip(),
-        "ports": { "first": SHARED_PORT, "last": SHARED_PORT },
+        "ports": { "first": shared_port(), "last": shared_port() },
         "store": engine, "seeds": [seed],
         "beside": { "address": engine, "service": "s" },
         "limits": { "link_mbps": 100.0, "descriptors": 4000, "memory_mb": 200 },
@@ -168,7 +165,7 @@
     };
     let mut rollout = Rollout::default();
     rollout.name(model(), Version(2));
-    let seed = SocketAddr::new(address::free().unwrap().ip(), SHARED_PORT);
+    let seed = SocketAddr::new(address::free().unwrap().ip(), shared_port());
     let plan = Plan {
         rollout,
         models: vec!["m".into()],
@@ -219,7 +216,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_agent_that_no_gateway_has_answered_since_it_started_says_so() {
     // Its instance may lie behind a full link since before it started.
-    let gateway = UdpSocket::bind((address::free().unwrap().ip(), SHARED_PORT)).await.unwrap();
+    let gateway = UdpSocket::bind((address::free().unwrap().ip(), shared_port())).await.unwrap();
     let seed = gateway.local_addr().unwrap();
     let settings = settings("127.0.0.1:9".parse().unwrap(), "a", seed);
     let plans = Arc::new(Plans::new(&settings, "svc".into(), Client::new()));
@@ -246,7 +243,7 @@
     let app = Router::new().route("/v1/plan", get(async move || pack(&plan)));
     let listener = TcpListener::bind(gateway).await.unwrap();
     tokio::spawn(async move { axum::serve(listener, app).await.unwrap() });
-    let ear = UdpSocket::bind((gateway.ip(), SHARED_PORT)).await.unwrap();
+    let ear = UdpSocket::bind((gateway.ip(), shared_port())).await.unwrap();
     let settings = settings("127.0.0.1:9".parse().unwrap(), "a", ear.local_addr().unwrap());
     let plans = Arc::new(Plans::new(&settings, "svc".into(), Client::new()));
     plans.fetch(gateway).await.unwrap();
@@ -268,7 +265,7 @@
 #[tokio::test]
 async fn an_agent_goes_by_seeds_that_come_while_it_runs() {
     let [engine, nobody, gateway] = [(); 3].map(|()| address::free().unwrap());
-    let ear = UdpSocket::bind((gateway.ip(), SHARED_PORT)).await.unwrap();
+    let ear = UdpSocket::bind((gateway.ip(), shared_port())).await.unwrap();
     let before = settings(engine, "a", nobody);
     let parts = Parts {
         engine: Arc::new(Empty::default()),
