An agent reads a plan from one gateway at a time

Ruled out: telling only some gateways to hint (whoever hints may be the only one that can be reached); changes instead of whole plans (a lost one has to be made good). A second gateway is asked when the first takes 0.4 s; reads follow each other after 0.15 s at the earliest.

--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -11,7 +11,7 @@
 use cinderspoke_schema::settings;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use super::plan::Plans;
 use crate::gateway::message::{Datagram, buffer, pack, receive, send};
@@ -20,6 +20,18 @@
 /// How often the engine is asked and gateways are told.
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// How long a plan may take to be read before another gateway is asked for it: one
+/// that ends or is cut off must not hold up news.
+const PLAN_HEDGE: Duration = Duration::from_millis(400);
+
+/// How many copies of a plan are on their way at most: requests wait behind them
+/// where the link is narrow.
+const PLAN_READS: usize = 2;
+
+/// How long after a plan was read the next one is: plans follow each other
+/// quickly while endpoints come and go, and gateways hint again.
+const PLAN_PAUSE: Duration = Duration::from_millis(150);
+
 /// What the engine said last; none while it does not answer.
 pub type Latest = Option<EngineReport>;
 
@@ -39,6 +51,8 @@
     // Counts the times that the engine answered: who is told then goes by turns.
     tick: AtomicUsize,
     heard: Mutex<Heard>,
+    // When the reads of plans that are under way began.
+    reads: Mutex<Vec<Instant>>,
 }
 
 /// The newest word from a gateway.
@@ -68,7 +82,21 @@
         let clock = Clock::start();
         let heard = Mutex::default();
         let process = rand::random();
-        Self { own, address, plans, engine, socket, clock, process, latest, open, tick, heard }
+        let reads = Mutex::default();
+        Self {
+            own,
+            address,
+            plans,
+            engine,
+            socket,
+            clock,
+            process,
+            latest,
+            open,
+            tick,
+            heard,
+            reads,
+        }
     }
 
     /// What the engine says, as it changes.
@@ -194,17 +222,37 @@
             match receive(&self.socket, &mut buffer).await {
                 Datagram::Echo { from, told } => self.on_echo(from, told),
                 Datagram::Hint { from, plan } if plan != self.plans.newest().hash() => {
-                    tokio::spawn(Arc::clone(&self).read_plan(from));
+                    if let Some(began) = self.begin_read() {
+                        tokio::spawn(Arc::clone(&self).read_plan(from, began));
+                    }
                 }
                 _ => {}
             }
         }
     }
 
+    fn reads(&self) -> MutexGuard<'_, Vec<Instant>> {
+        self.reads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins to read a plan, unless one is being read already in good time. All
+    /// gateways hint at a new plan at once, and again until it is known.
+    fn begin_read(&self) -> Option<Instant> {
+        let (now, mut reads) = (Instant::now(), self.reads());
+        let all_late = reads.iter().all(|began| *began + PLAN_HEDGE <= now);
+        if reads.len() >= PLAN_READS || !all_late {
+            return None;
+        }
+        reads.push(now);
+        Some(now)
+    }
+
     /// Reads a plan that a gateway hinted at.
-    async fn read_plan(self: Arc<Self>, from: SocketAddr) {
+    async fn read_plan(self: Arc<Self>, from: SocketAddr, began: Instant) {
         if let Err(error) = self.plans.fetch(from).await {
             tracing::debug!(%from, error = format!("{error:#}"), "reading a plan");
         }
+        sleep(PLAN_PAUSE).await;
+        self.reads().retain(|read| *read != began);
     }
 }
