--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -29,6 +29,7 @@
         .subcommand(commands::serve::cli())
         .subcommand(commands::slopes::cli())
         .subcommand(commands::digests::cli())
+        .subcommand(commands::days::cli())
 }
 
 /// The argument that names a sample set.
@@ -77,6 +78,7 @@
         Some(("serve", arguments)) => block_on(commands::serve::exec(arguments)),
         Some(("slopes", arguments)) => commands::slopes::exec(arguments, json),
         Some(("digests", arguments)) => commands::digests::exec(arguments),
+        Some(("days", arguments)) => commands::days::exec(arguments),
         _ => Ok(()),
     }
 }
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, a file each.
 
 pub(crate) mod burst;
+pub(crate) mod days;
 pub(crate) mod digests;
 pub(crate) mod serve;
 pub(crate) mod slopes;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod commands;
 mod console;
+mod days;
 
 use std::process::ExitCode;
 
