Entries that are only kept for a while are told as such

Ruled out: leaving them out of what is told (a gateway that is still without the store would drop endpoints that are about to be back); a newer revision of our own (it would hide the store's). Whoever is told of kept entries gives them up as well, and takes no other removal for a lapse meanwhile.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -53,6 +53,9 @@
 pub struct Directory {
     /// The endpoints, by name.
     pub entries: BTreeMap<Endpoint, Entry>,
+    /// Those of them that lapsed around an outage: kept until they are back or
+    /// the time is up.
+    pub missing: BTreeSet<Endpoint>,
 }
 
 /// A change of one entry.
@@ -69,10 +72,10 @@
 pub struct Keeper {
     directory: Directory,
     revision: Revision,
-    // Entries that lapsed around an outage, kept until they are back or the time is up.
-    missing: BTreeSet<Endpoint>,
-    // Until when lapsed entries are kept.
+    // Until when entries that go are taken for lapsed ones, and kept.
     settling: Option<Duration>,
+    // When those that are kept are given up.
+    due: Option<Duration>,
 }
 
 impl Keeper {
@@ -91,6 +94,7 @@
     /// Takes in that the platform answers again after it had been away.
     pub fn returned(&mut self, now: Duration) {
         self.settling = Some(now + SETTLE);
+        self.due = self.settling;
     }
 
     /// Takes in the whole list; true when anything changed.
@@ -107,7 +111,13 @@
             .collect();
         let mut changes: Vec<_> = gone.into_iter().map(Change::Removed).collect();
         changes.extend(listed.entries.into_iter().map(|(name, entry)| Change::Put(name, entry)));
-        self.apply(revision, changes, now)
+        let changed = self.apply(revision, changes, now);
+        if !listed.missing.is_empty() {
+            // Whoever tells of them gives them up without a newer list.
+            self.directory.missing.extend(listed.missing);
+            self.due = self.due.max(Some(now + SETTLE));
+        }
+        changed
     }
 
     /// Takes in changes up to a revision; true when anything changed.
@@ -134,7 +144,7 @@
 
     /// Puts an entry; true when the list is another then.
     fn put(&mut self, name: Endpoint, entry: Entry) -> bool {
-        self.missing.remove(&name);
+        self.directory.missing.remove(&name);
         let entries = &mut self.directory.entries;
         // An address belongs to one endpoint: whoever had it before is gone.
         let before = entries.len();
@@ -149,20 +159,20 @@
     fn remove(&mut self, name: Endpoint, settling: bool) -> bool {
         let entry = self.directory.entries.get(&name);
         if settling && entry.is_some_and(|entry| entry.state == State::Ready) {
-            self.missing.insert(name);
+            self.directory.missing.insert(name);
             return false;
         }
-        self.missing.remove(&name);
+        self.directory.missing.remove(&name);
         self.directory.entries.remove(&name).is_some()
     }
 
     /// Gives up entries that are not back in time; true when any was.
     pub fn settle(&mut self, now: Duration) -> bool {
-        if self.settling.is_none_or(|until| now < until) {
+        if self.due.is_none_or(|due| now < due) {
             return false;
         }
-        self.settling = None;
-        let missing = std::mem::take(&mut self.missing);
+        (self.settling, self.due) = (None, None);
+        let missing = std::mem::take(&mut self.directory.missing);
         missing
             .into_iter()
             .fold(false, |any, name| any | self.directory.entries.remove(&name).is_some())
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -228,7 +228,7 @@
 }
 
 /// Gives up entries that lapsed during an outage once they had time to be back.
-fn settle_later(knowledge: &Arc<Knowledge>) {
+pub(super) fn settle_later(knowledge: &Arc<Knowledge>) {
     let knowledge = Arc::clone(knowledge);
     tokio::spawn(async move {
         sleep(SETTLE).await;
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -25,6 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
+use super::follow::settle_later;
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
 use super::plan::Planner;
@@ -181,7 +182,11 @@
             self.knowledge.configured(configuration, "gateway");
         }
         if facts.directory.revision > known.directory {
+            let kept = !facts.directory.value.missing.is_empty();
             self.knowledge.listed(facts.directory, "gateway");
+            if kept {
+                settle_later(&self.knowledge);
+            }
         }
         self.meet(facts.gateways);
         Ok(())
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -89,7 +89,7 @@
         let entries = [("back", "10.0.1.1:1"), ("gone", "10.0.1.2:1")];
         let entries: BTreeMap<Endpoint, Entry> =
             entries.into_iter().map(|(name, address)| (name.into(), entry(address))).collect();
-        Ok(Fact::new(Revision(1), Directory { entries }))
+        Ok(Fact::new(Revision(1), Directory { entries, ..Directory::default() }))
     }
 
     async fn watch_endpoints(&self, _: Revision, _: Duration) -> Result<Seen<Vec<Change>>, Error> {
--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -57,8 +57,10 @@
 fn an_older_list_changes_nothing() {
     let mut keeper = Keeper::default();
     keeper.apply(Revision(5), vec![put("a", "10.0.0.1:1", State::Leaving)], ms(0));
-    let old =
-        Directory { entries: BTreeMap::from([("a".into(), entry("10.0.0.1:1", State::Ready))]) };
+    let old = Directory {
+        entries: BTreeMap::from([("a".into(), entry("10.0.0.1:1", State::Ready))]),
+        ..Directory::default()
+    };
     assert!(!keeper.replace(Revision(4), old, ms(10)));
     assert_eq!(keeper.directory().entries.values().next().unwrap().state, State::Leaving);
 }
