--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -58,8 +58,7 @@
         return Attempt::Failed(Fate::Refused, None);
     }
     let success = answer.head.status.is_success();
-    let encoded = answer.head.headers.contains_key(header::CONTENT_ENCODING);
-    if encoded || (success && !said.signed) {
+    if is_encoded(&answer.head) || (success && !said.signed) {
         return lost(context, &chosen.target);
     }
     if success && asked.route.kind.streams() {
@@ -69,6 +68,11 @@
     }
 }
 
+/// Whether an answer is encoded: none is asked for, so it is no endpoint's own.
+pub fn is_encoded(head: &response::Parts) -> bool {
+    head.headers.contains_key(header::CONTENT_ENCODING)
+}
+
 /// The endpoint's answer does not tell what became of the request.
 fn lost(context: &Context, target: &Target) -> Attempt {
     target.sign(Sign::Silence, context.clock.now());
--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -14,7 +14,7 @@
 use hyper::body::Frame;
 use tokio::time::Instant;
 
-use super::answer::end_to_end;
+use super::answer::{end_to_end, is_encoded};
 use super::choose::{Chosen, Sends};
 use super::context::Context;
 use super::record::Record;
@@ -180,6 +180,10 @@
             refused(&self.context, &self.asked, answer).await;
             return Err(Fate::Refused);
         }
+        if is_encoded(&answer.head) {
+            // What follows would not be the rest of what the caller has.
+            return Err(Fate::Lost);
+        }
         if !answer.head.status.is_success() || !said.signed {
             return Err(Fate::Failed);
         }
