Ages and reads of plans have modules of their own

Cause: versions and their ages had grown into one file, and the reporter held when plans are read. Ruled out: nothing.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! - What is known: [`catalog`] holds the configuration in force, [`directory`]
 //!   the endpoints as the platform lists them, [`rollout`] the versions that
-//!   models are to have. Each is a [`fact`] that only a newer one replaces.
+//!   models are to have, and [`timeline`] for how long they have been named. Each
+//!   is a [`fact`] that only a newer one replaces.
 //! - Where a request goes: [`load`] estimates what endpoints are busy with
 //!   by what agents tell each gateway in its [`turn`], [`pick`] chooses one or
 //!   refuses, [`health`] leaves out those that fail.
@@ -29,4 +30,5 @@
 pub mod name;
 pub mod pick;
 pub mod rollout;
+pub mod timeline;
 pub mod turn;
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -9,7 +9,8 @@
 use cinderspoke_core::gateway::directory::{Directory, Keeper};
 use cinderspoke_core::gateway::fact::Fact;
 use cinderspoke_core::gateway::name::Endpoint;
-use cinderspoke_core::gateway::rollout::{Rollout, Timeline};
+use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_core::gateway::timeline::Timeline;
 use cinderspoke_core::rendezvous::Key;
 
 use super::message::Known;
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -12,7 +12,8 @@
 use cinderspoke_core::gateway::gossip::patience;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
-use cinderspoke_core::gateway::rollout::{Age, Ages, Rollout, Version};
+use cinderspoke_core::gateway::rollout::{Rollout, Version};
+use cinderspoke_core::gateway::timeline::{Age, Ages};
 use cinderspoke_core::swarm::Distance;
 use cinderspoke_schema::settings;
 
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`report`] asks the engine what it does, often and free of charge, tells
 //!   gateways of it, and learns from them what is wanted.
-//! - [`plan`] is what gateways tell of the service, and the version wanted by it.
+//! - [`plan`] is what gateways tell of the service, and the version wanted by it;
+//!   `reads` bounds how many copies of it are read at once.
 //! - [`bring`] brings that version into the engine: `listings` find out of which
 //!   chunks it consists, `collect` draws them from peers (`swarm`) and the origin
 //!   (`source`), and `load` stages them whole and checked, and has the engine go
@@ -13,6 +14,7 @@
 mod listings;
 mod load;
 pub mod plan;
+mod reads;
 pub mod report;
 mod source;
 mod swarm;
--- /dev/null
+++ b/src/cinderspoke/stager/reads.rs
@@ -0,0 +1,58 @@
+//! Reads of plans that are under way.
+//!
+//! All gateways hint an agent at a new plan at once, and again until it knows it.
+//! Read from each of them, the copies would fill a narrow link for seconds, and
+//! requests would wait behind them.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+/// How long a plan may take to be read before another gateway is asked for it: one
+/// that ends or is cut off must not hold up news.
+const HEDGE: Duration = Duration::from_millis(400);
+
+/// How many copies of a plan are on their way at most.
+const MOST: usize = 2;
+
+/// How long after a plan was read the next one is: plans follow each other
+/// quickly while endpoints come and go, and gateways hint again.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Reads that are under way.
+// Invariant: at most `MOST`, each by when it began; all begin at different times.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Reads(Arc<Mutex<Vec<Instant>>>);
+
+/// A read that may be made.
+#[derive(Debug)]
+pub(super) struct Read {
+    reads: Reads,
+    began: Instant,
+}
+
+impl Reads {
+    fn lock(&self) -> MutexGuard<'_, Vec<Instant>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins a read, unless another one is under way and not late.
+    pub(super) fn begin(&self) -> Option<Read> {
+        let (now, mut under_way) = (Instant::now(), self.lock());
+        let all_late = under_way.iter().all(|began| *began + HEDGE <= now);
+        if under_way.len() >= MOST || !all_late {
+            return None;
+        }
+        under_way.push(now);
+        Some(Read { reads: self.clone(), began: now })
+    }
+}
+
+impl Read {
+    /// Ends the read; another may begin after a pause.
+    pub(super) async fn end(self) {
+        sleep(PAUSE).await;
+        self.reads.lock().retain(|began| *began != self.began);
+    }
+}
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -5,33 +5,22 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cinderspoke_core::gateway::rollout::Ages;
+use cinderspoke_core::gateway::timeline::Ages;
 use cinderspoke_core::gateway::turn::{asks_last, in_turn};
 use cinderspoke_ports::gateway::{Engine, EngineReport};
 use cinderspoke_schema::settings;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval};
 
 use super::plan::Plans;
+use super::reads::{Read, Reads};
 use crate::gateway::message::{Datagram, buffer, pack, receive, send};
 use crate::util::clock::Clock;
 
 /// How often the engine is asked and gateways are told.
 const PERIOD: Duration = Duration::from_millis(100);
 
-/// How long a plan may take to be read before another gateway is asked for it: one
-/// that ends or is cut off must not hold up news.
-const PLAN_HEDGE: Duration = Duration::from_millis(400);
-
-/// How many copies of a plan are on their way at most: requests wait behind them
-/// where the link is narrow.
-const PLAN_READS: usize = 2;
-
-/// How long after a plan was read the next one is: plans follow each other
-/// quickly while endpoints come and go, and gateways hint again.
-const PLAN_PAUSE: Duration = Duration::from_millis(150);
-
 /// What the engine said last; none while it does not answer.
 pub type Latest = Option<EngineReport>;
 
@@ -51,8 +40,7 @@
     // Counts the times that the engine answered: who is told then goes by turns.
     tick: AtomicUsize,
     heard: Mutex<Heard>,
-    // When the reads of plans that are under way began.
-    reads: Mutex<Vec<Instant>>,
+    reads: Reads,
 }
 
 /// The newest word from a gateway.
@@ -82,7 +70,7 @@
         let clock = Clock::start();
         let heard = Mutex::default();
         let process = rand::random();
-        let reads = Mutex::default();
+        let reads = Reads::default();
         Self {
             own,
             address,
@@ -222,8 +210,8 @@
             match receive(&self.socket, &mut buffer).await {
                 Datagram::Echo { from, told } => self.on_echo(from, told),
                 Datagram::Hint { from, plan } if plan != self.plans.newest().hash() => {
-                    if let Some(began) = self.begin_read() {
-                        tokio::spawn(Arc::clone(&self).read_plan(from, began));
+                    if let Some(read) = self.reads.begin() {
+                        tokio::spawn(Arc::clone(&self).read_plan(from, read));
                     }
                 }
                 _ => {}
@@ -231,28 +219,11 @@
         }
     }
 
-    fn reads(&self) -> MutexGuard<'_, Vec<Instant>> {
-        self.reads.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Begins to read a plan, unless one is being read already in good time. All
-    /// gateways hint at a new plan at once, and again until it is known.
-    fn begin_read(&self) -> Option<Instant> {
-        let (now, mut reads) = (Instant::now(), self.reads());
-        let all_late = reads.iter().all(|began| *began + PLAN_HEDGE <= now);
-        if reads.len() >= PLAN_READS || !all_late {
-            return None;
-        }
-        reads.push(now);
-        Some(now)
-    }
-
     /// Reads a plan that a gateway hinted at.
-    async fn read_plan(self: Arc<Self>, from: SocketAddr, began: Instant) {
+    async fn read_plan(self: Arc<Self>, from: SocketAddr, read: Read) {
         if let Err(error) = self.plans.fetch(from).await {
             tracing::debug!(%from, error = format!("{error:#}"), "reading a plan");
         }
-        sleep(PLAN_PAUSE).await;
-        self.reads().retain(|read| *read != began);
+        read.end().await;
     }
 }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod pick;
 mod rollout;
+mod timeline;
 mod turn;
 
 use std::time::Duration;
