--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -117,7 +117,8 @@
         }
         let relay = Relay::new(settings, Arc::clone(&knowledge), parts.client, socket);
         let relay = Arc::new(relay);
-        tokio::spawn(serve::router(inner, relay.app(), stop.clone()));
+        let app = relay.app().merge(serve::scraped(parts.metrics));
+        tokio::spawn(serve::router(inner, app, stop.clone()));
         relay.spawn(stop.clone());
         follow::spawn(&knowledge, &parts.registry, settings, stop.clone());
         tracing::info!(instance = %*settings.instance, callers = %listen.callers, "gateway started");
