Addresses are tried without listening to them

Ruled out: retries (they would hide a real clash); a lock around all starts of programs (tests of other crates start them too).

--- a/crates/bench/src/commands/days.rs
+++ b/crates/bench/src/commands/days.rs
@@ -40,7 +40,7 @@
         .args([seed(), out, list, service, only])
         .after_help(
             "The same seed and list give the same days.\n\n\
-             Example:\n  cinderspoke-bench days --seed 7 --out /tmp/days --service engines=readers",
+             Example:\n  cinderspoke-bench days --seed 7 --out days --service engines=readers",
         )
 }
 
--- a/crates/test-support/src/address.rs
+++ b/crates/test-support/src/address.rs
@@ -1,8 +1,10 @@
 //! Addresses on loopback that nothing else uses.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use socket2::{Domain, Socket, Type};
+
 static NEXT: AtomicU32 = AtomicU32::new(1);
 
 /// An address with a free port.
@@ -15,7 +17,13 @@
 /// When the system has no free port.
 pub fn free() -> std::io::Result<SocketAddr> {
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    TcpListener::bind(place(std::process::id(), number))?.local_addr()
+    let address = place(std::process::id(), number);
+    // Bound and not listened to: a program that starts meanwhile holds a copy of
+    // the socket until it runs, and a copy that listens would keep the address.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(address)
 }
 
 /// A port that this process may use on each IP number that it was given.
