A stop waits for the first request of a connection that was just accepted

Cause: hyper closes a connection at once when it is told to shut down before anything was read of it; a caller whose request was on its way got no answer.

Ruled out: the refusal itself (it is sent once the request is read), connections kept from earlier answers (those say that they close).

--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -1,7 +1,7 @@
 //! Listening: callers' connections, and what the platform asks.
 
 use std::convert::Infallible;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use axum::Router;
@@ -16,7 +16,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::context::Context;
+use super::context::{Context, Open};
 use super::forward;
 
 /// How much longer than callers let a connection rest it is kept.
@@ -53,8 +53,10 @@
 
 /// Answers the requests of one connection.
 ///
-/// One that comes late in a stop is waited for from its request on: one without
-/// any must not hold the stop up.
+/// One on which no request has come when connections are closed is kept for its
+/// first, which may be on its way: the library would take it for one at rest. A
+/// stop waits for it only from that request on, so that one without any does not
+/// hold it up.
 async fn caller(stream: TcpStream, context: Arc<Context>) {
     let prepared = stream
         .set_nodelay(true)
@@ -65,11 +67,13 @@
     }
     let limits = context.limits();
     let late = context.is_closing();
-    let open = if late { OnceLock::new() } else { OnceLock::from(context.open()) };
-    let answers = Arc::clone(&context);
+    let waited_for = Arc::new(Mutex::new((!late).then(|| context.open())));
+    let asked = CancellationToken::new();
+    let (answers, opened, first) = (Arc::clone(&context), Arc::clone(&waited_for), asked.clone());
     let service = service_fn(move |request| {
-        open.get_or_init(|| answers.open());
         let context = Arc::clone(&answers);
+        lock(&opened).get_or_insert_with(|| context.open());
+        first.cancel();
         async move { Ok::<_, Infallible>(forward::answer(&context, request).await) }
     });
     let connection = http1::Builder::new()
@@ -85,8 +89,17 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = context.closing(), if !late => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            if !asked.is_cancelled() {
+                lock(&waited_for).take();
+            }
+            tokio::select! {
+                biased;
+                () = asked.cancelled() => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+                ended = connection.as_mut() => ended,
+            }
         }
     };
     if let Err(error) = ended {
@@ -94,6 +107,11 @@
     }
 }
 
+/// A connection's place among those that a stop waits for.
+fn lock(waited_for: &Mutex<Option<Open>>) -> MutexGuard<'_, Option<Open>> {
+    waited_for.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Serves a router until the token is cancelled.
 pub async fn router(listener: TcpListener, app: Router, token: CancellationToken) {
     let served = axum::serve(listener, app).with_graceful_shutdown(token.cancelled_owned()).await;
