Gateways tell agents what they have outstanding; estimates count it

Cause: the wait for a first token hardly went with the prediction (predicted 50 to 100 ms: 316 ms on average). From logs: with what all gateways had in progress at an engine it goes well (15 requests: 152 ms, 17: 244, 19: 397, 21: 552, about 78 ms for each beyond the slots), while reports were some 1.1 requests behind.

Change: each gateway tells an engine's agent what it has there, 10 ms after a change; the agent adds that up and reports to each gateway what the others have. What comes between two reports is reckoned by Little's law. A request beyond the slots waits for what a full engine takes for one. Nine tenths of the time left is planned for, before 1.15 of it.

Ruled out: reports of the engine that leave requests out (their counts agree with the sum within one).

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -12,6 +12,7 @@
 use super::call::Size;
 use super::catalog::Engine;
 use super::rollout::Version;
+use super::tally::Outstanding;
 
 /// A report older than this says nothing: agents ask their engines ten times a
 /// second and tell each gateway at least every third time, and a report may be lost.
@@ -26,6 +27,12 @@
 /// What a report is older than when it arrives: asking the engine and the way here.
 const REPORT_AGE: Duration = Duration::from_millis(10);
 
+/// The most of an engine's time that is taken to go into reading prompts.
+const MOST_READING: f64 = 0.8;
+
+/// How much longer a request stays at a busy engine than at one of its own.
+const BUSY_STAY: f64 = 1.5;
+
 /// How many passes of the engine a first token waits besides reading.
 const PASSES: f64 = 1.5;
 
@@ -50,6 +57,8 @@
     pub deaf: Duration,
     /// Tells the processes of an agent apart: each has a clock of its own.
     pub process: u64,
+    /// What other gateways than the one that is told have outstanding there.
+    pub others: Outstanding,
 }
 
 /// An instance that has had no word for so long has a full link: gateways answer
@@ -157,6 +166,17 @@
         self.sent.len()
     }
 
+    /// What this gateway has outstanding there.
+    #[must_use]
+    pub fn outstanding(&self) -> Outstanding {
+        let waiting = || self.sent.values().filter(|sent| !sent.begun);
+        Outstanding {
+            requests: u32::try_from(self.sent.len()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(waiting().count()).unwrap_or(u32::MAX),
+            unread: waiting().fold(0, |sum, sent| sum.saturating_add(sent.prompt)),
+        }
+    }
+
     /// What it is taken to be busy with, where so many gateways send alike.
     #[must_use]
     pub fn estimate(&self, engine: Option<&Engine>, gateways: usize, now: Duration) -> Estimate {
@@ -177,31 +197,60 @@
         let (count, tokens) =
             since.fold((0.0, 0.0), |(count, tokens), sent| (count + 1.0, tokens + unread(sent)));
         let reported = f64::from(report.running + report.queued);
-        Estimate {
-            requests: (reported - f64::from(self.ended)).max(0.0) + count,
-            waiting: f64::from(report.queued) + count,
-            unread: f64::from(report.queued) * usual + tokens,
+        let (own, others) = (self.outstanding(), report.others);
+        let unseen = engine.map_or(0.0, |engine| unseen(engine, others, now.saturating_sub(at)));
+        // Either may miss requests: the engine's word those since its last pass, that
+        // of gateways what is left of one that has ended.
+        let seen = Estimate {
+            requests: ((reported - f64::from(self.ended)).max(0.0) + count)
+                .max(f64::from(own.requests) + f64::from(others.requests)),
+            waiting: (f64::from(report.queued) + count)
+                .max(f64::from(own.waiting) + f64::from(others.waiting)),
+            unread: (f64::from(report.queued) * usual + tokens)
+                .max(f64::from(own.unread) + f64::from(others.unread)),
             pace: f64::from(report.pace).max(1.0),
+        };
+        Estimate {
+            requests: seen.requests + unseen,
+            waiting: seen.waiting + unseen,
+            unread: seen.unread + unseen * usual,
+            ..seen
         }
     }
 }
 
+/// How many requests of other gateways have come since a report of that age: as many
+/// as come in such a time while so many are there (Little's law).
+fn unseen(engine: &Engine, others: Outstanding, age: Duration) -> f64 {
+    let alone = f64::from(engine.usual_answer) * engine.step_ms
+        + f64::from(engine.usual_prompt) / engine.read_per_s.max(1.0) * 1000.0;
+    // Where the engine reads for others too, each takes longer.
+    let stay = (alone * BUSY_STAY).max(1.0);
+    f64::from(others.requests) * (age.as_secs_f64() * 1000.0 / stay).min(1.0)
+}
+
 /// The time until another request would have its first token.
 #[must_use]
 pub fn first_token(engine: &Engine, estimate: &Estimate, size: Size) -> Duration {
-    let running = (estimate.requests - estimate.waiting).clamp(0.0, f64::from(engine.slots));
+    let slots = f64::from(engine.slots.max(1));
+    let running = (estimate.requests - estimate.waiting).clamp(0.0, slots);
     let context = running * f64::from(engine.usual_prompt + engine.usual_answer / 2) / 1000.0;
     let step = engine.step_ms + engine.per_request_ms * running + engine.per_context_ms * context;
+    let per_token = 1000.0 / engine.read_per_s.max(1.0);
     let prompt = f64::from(size.prompt);
-    let tokens = estimate.unread + prompt;
     let pairs = prompt * prompt / 2.0 / 1e6 * engine.per_pairs_ms;
-    let reading = tokens / engine.read_per_s.max(1.0) * 1000.0 + pairs;
-    let passes = if running >= 1.0 { PASSES * f64::from(engine.stride.max(1)) } else { 1.0 };
-    let slots = f64::from(engine.slots.max(1));
     let excess = (estimate.requests + 1.0 - slots).max(0.0);
-    // Half of an engine's time goes into reading when it is full.
-    let slot_time = f64::from(engine.usual_answer) * step * 2.0;
-    let turn = excess * slot_time / slots;
-    let total = (reading + passes * step + turn) * estimate.pace.max(1.0);
-    Duration::from_secs_f64(total.clamp(0.0, 600_000.0) / 1000.0)
+    // Those that wait for a slot are read in their turn, which is counted below.
+    let reading = (estimate.waiting - excess).max(0.0) / estimate.waiting.max(1.0);
+    let tokens = estimate.unread * reading + prompt;
+    let usual_reading = f64::from(engine.usual_prompt) * per_token;
+    // A full engine ends a request each time it has read one prompt and written one
+    // answer's share of its steps.
+    let turn = usual_reading + f64::from(engine.usual_answer) * step / slots;
+    // Passes are longer by what is read for others in them.
+    let others = (usual_reading / turn.max(1.0) * running / slots).clamp(0.0, MOST_READING);
+    let pass = if running >= 1.0 { f64::from(engine.stride.max(1)) * step } else { step };
+    let passes = if running >= 1.0 { PASSES / (1.0 - others) } else { 1.0 };
+    let total = tokens * per_token + pairs + passes * pass + excess * turn;
+    Duration::from_secs_f64((total * estimate.pace.max(1.0)).clamp(0.0, 600_000.0) / 1000.0)
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -30,5 +30,6 @@
 pub mod name;
 pub mod pick;
 pub mod rollout;
+pub mod tally;
 pub mod timeline;
 pub mod turn;
--- a/crates/core/src/gateway/pick.rs
+++ b/crates/core/src/gateway/pick.rs
@@ -10,10 +10,10 @@
 /// The same for another region.
 const FAR_PENALTY: Duration = Duration::from_millis(16);
 
-/// The part of the time to the first token that may come late and is still sent.
-///
-/// Estimates err both ways; a refusal that was needless costs more than a late answer.
-const TOLERANCE: f64 = 1.15;
+/// The part of the time that is left within which a first token has to be expected:
+/// estimates err both ways, and what was sent on too tight a one comes late and takes
+/// the place of what would have come in time.
+const TOLERANCE: f64 = 0.9;
 
 /// How many endpoints one request is offered at first.
 const DRAWN: usize = 3;
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -19,6 +19,8 @@
 
 use super::belief::Belief;
 use super::message::Known;
+use super::outstanding::Untold;
+use super::target::Target;
 use super::terms::Terms;
 use super::view::{Member, View};
 use crate::util::clock::Clock;
@@ -30,6 +32,7 @@
     // Made anew from the state at each change.
     view: ArcSwap<View>,
     changes: Signal,
+    untold: Arc<Untold>,
     terms: ArcSwap<Terms>,
     zone: Zone,
     clock: Clock,
@@ -43,6 +46,7 @@
             state: Mutex::default(),
             view: ArcSwap::default(),
             changes: Signal::default(),
+            untold: Arc::default(),
             terms: ArcSwap::from_pointee(terms),
             zone: settings.zone.as_str().into(),
             clock,
@@ -80,6 +84,18 @@
         self.clock
     }
 
+    /// Endpoints at which something has changed that their agents were not told.
+    #[must_use]
+    pub fn untold(&self) -> Arc<Untold> {
+        Arc::clone(&self.untold)
+    }
+
+    /// All endpoints.
+    #[must_use]
+    pub fn targets(&self) -> Vec<Arc<Target>> {
+        self.lock().targets.values().cloned().collect()
+    }
+
     /// A way to wait for news.
     #[must_use]
     pub fn subscribe(&self) -> Receiver {
@@ -186,10 +202,12 @@
     }
 
     /// Takes in what an agent says of the endpoint at an address.
-    pub fn reported(&self, address: SocketAddr, report: Report, told: Duration) {
+    pub fn reported(&self, address: SocketAddr, agent: SocketAddr, report: Report, told: Duration) {
         let target = self.lock().by_address.get(&address).cloned();
         if let Some(target) = target {
-            target.tracking().load.reported(report, told, self.clock.now());
+            let mut tracking = target.tracking();
+            tracking.agent = Some(agent);
+            tracking.load.reported(report, told, self.clock.now());
         }
     }
 
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -13,6 +13,7 @@
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_core::gateway::tally::Outstanding;
 use cinderspoke_core::gateway::timeline::Ages;
 use cinderspoke_core::rendezvous::Key;
 use serde::{Deserialize, Serialize};
@@ -77,6 +78,15 @@
         /// The time that the report told.
         told: Duration,
     },
+    /// A gateway says what it has outstanding at an agent's engine.
+    Outstanding {
+        /// The gateway.
+        from: SocketAddr,
+        /// Its requests there.
+        outstanding: Outstanding,
+        /// The gateway's own time, by which overtaken datagrams are known.
+        sent: Duration,
+    },
     /// A gateway says that there is a plan that an agent may not know.
     Hint {
         /// Where it can be read.
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod forward;
 pub mod knowledge;
 pub mod message;
+pub mod outstanding;
 pub mod passing;
 pub mod plan;
 pub mod pool;
--- /dev/null
+++ b/src/cinderspoke/gateway/outstanding.rs
@@ -0,0 +1,75 @@
+//! Telling agents what this gateway has outstanding at their engines.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use cinderspoke_core::gateway::tally::REPEAT;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::knowledge::Knowledge;
+use super::message::{Datagram, pack, send};
+use super::target::Target;
+
+/// How long changes gather before they are told: the news is of use for choices some
+/// tens of milliseconds apart, and several changes go in one datagram.
+const GATHER: Duration = Duration::from_millis(10);
+
+/// Endpoints at which something has changed that their agents were not told.
+#[derive(Debug, Default)]
+pub struct Untold {
+    targets: Mutex<Vec<Arc<Target>>>,
+    added: Notify,
+}
+
+impl Untold {
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<Target>>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in that something has changed at an endpoint.
+    pub fn add(&self, target: &Arc<Target>) {
+        let mut targets = self.lock();
+        if !targets.iter().any(|known| Arc::ptr_eq(known, target)) {
+            targets.push(Arc::clone(target));
+        }
+        drop(targets);
+        self.added.notify_one();
+    }
+
+    fn take(&self) -> Vec<Arc<Target>> {
+        std::mem::take(&mut *self.lock())
+    }
+}
+
+/// Tells agents of changes soon, and from time to time of what stays.
+pub async fn tell(knowledge: &Knowledge, socket: &UdpSocket, own: SocketAddr) {
+    let untold = knowledge.untold();
+    let mut repeat = Instant::now() + REPEAT;
+    loop {
+        if timeout_at(repeat, untold.added.notified()).await.is_ok() {
+            sleep(GATHER).await;
+        } else {
+            repeat = Instant::now() + REPEAT;
+            knowledge.targets().iter().filter(|target| target.is_busy()).for_each(|target| {
+                untold.add(target);
+            });
+        }
+        for target in untold.take() {
+            tell_of(&target, knowledge, socket, own).await;
+        }
+    }
+}
+
+/// Tells an endpoint's agent, if it has one.
+async fn tell_of(target: &Target, knowledge: &Knowledge, socket: &UdpSocket, own: SocketAddr) {
+    let (agent, outstanding) = {
+        let tracking = target.tracking();
+        (tracking.agent, tracking.load.outstanding())
+    };
+    let Some(agent) = agent else { return };
+    let sent = knowledge.clock().now();
+    send(socket, agent, &pack(&Datagram::Outstanding { from: own, outstanding, sent })).await;
+}
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -28,6 +28,7 @@
 use super::follow::settle_later;
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
+use super::outstanding;
 use super::plan::Planner;
 use crate::util::http::{Call, Client};
 use crate::util::settings::inner_address;
@@ -103,6 +104,7 @@
         spawn(Box::pin(Arc::clone(self).receive()));
         spawn(Box::pin(Arc::clone(self).push()));
         spawn(Box::pin(Arc::clone(self).gossip()));
+        spawn(Box::pin(Arc::clone(self).tell_outstanding()));
     }
 
     /// Takes in what other processes say.
@@ -114,7 +116,7 @@
                     self.on_digest(from, known, gateways).await;
                 }
                 Datagram::Report { from, engine, service, report, plan, told, echo, ages } => {
-                    self.knowledge.reported(engine, report, told);
+                    self.knowledge.reported(engine, from, report, told);
                     self.knowledge.told_ages(&ages, "agent");
                     if echo {
                         let echo = Datagram::Echo { from: self.own, told };
@@ -122,8 +124,8 @@
                     }
                     self.on_agent(from, service, plan).await;
                 }
-                // Only agents are told of plans, and only their reports are answered.
-                Datagram::Hint { .. } | Datagram::Echo { .. } => {}
+                // Meant for agents only.
+                Datagram::Hint { .. } | Datagram::Echo { .. } | Datagram::Outstanding { .. } => {}
             }
         }
     }
@@ -250,6 +252,11 @@
         }
     }
 
+    /// Tells agents what this gateway has outstanding at their engines.
+    async fn tell_outstanding(self: Arc<Self>) {
+        outstanding::tell(&self.knowledge, &self.socket, self.own).await;
+    }
+
     /// The gateways that are known besides this one.
     fn others(&self) -> Vec<SocketAddr> {
         let mut others = self.knowledge.gateways();
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -14,6 +14,7 @@
 
 use super::choose::Chosen;
 use super::context::Context;
+use super::outstanding::Untold;
 use super::pool::Connection;
 use super::target::Target;
 use super::understand::Asked;
@@ -33,12 +34,25 @@
     /// The endpoint.
     pub target: Arc<Target>,
     number: u64,
+    // Where its agent's news are gathered.
+    untold: Arc<Untold>,
 }
 
 impl Sent {
+    /// Counts a request as sent to an endpoint.
+    fn new(context: &Context, asked: &Asked, chosen: &Chosen) -> Self {
+        let (number, target) = (context.number(), Arc::clone(&chosen.target));
+        let (prompt, now) = (asked.call.size.prompt, context.clock.now());
+        target.tracking().load.sent(number, prompt, chosen.first, now);
+        let untold = context.knowledge.untold();
+        untold.add(&target);
+        Self { target, number, untold }
+    }
+
     /// Takes in that the answer has begun.
     pub fn begun(&self) {
         self.target.tracking().load.begun(self.number);
+        self.untold.add(&self.target);
     }
 
     /// Ends the request at the endpoint, which stays of use to the caller.
@@ -51,6 +65,7 @@
 impl Drop for Sent {
     fn drop(&mut self) {
         self.target.tracking().load.ended(self.number);
+        self.untold.add(&self.target);
     }
 }
 
@@ -88,10 +103,7 @@
             return Err(Fate::NotSent);
         }
     };
-    let number = context.number();
-    let prompt = asked.call.size.prompt;
-    target.tracking().load.sent(number, prompt, chosen.first, context.clock.now());
-    let sent = Sent { target: Arc::clone(target), number };
+    let sent = Sent::new(context, asked, chosen);
     let request = request(context, asked, chosen, after);
     match timeout_at(until, connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -1,5 +1,6 @@
 //! Endpoints as a gateway deals with them.
 
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
 pub struct Tracking {
     /// What it is busy with.
     pub load: Load,
+    /// Its agent, once that has reported.
+    pub agent: Option<SocketAddr>,
     /// Whether it answers as it should.
     pub health: Health,
     /// Until when it is left alone after it refused a request.
@@ -46,6 +49,11 @@
         self.tracking.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether it has requests of this gateway.
+    pub fn is_busy(&self) -> bool {
+        self.tracking().load.own() > 0
+    }
+
     /// Leaves the endpoint alone for a while, since it refused a request.
     pub fn rest(&self, now: Duration) {
         self.tracking().rests_until = now + REST;
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cinderspoke_core::gateway::load::Report;
+use cinderspoke_core::gateway::tally::Tally;
 use cinderspoke_core::gateway::timeline::Ages;
 use cinderspoke_core::gateway::turn::{asks_last, in_turn};
 use cinderspoke_ports::gateway::{Engine, EngineReport};
@@ -40,6 +42,8 @@
     // Counts the times that the engine answered: who is told then goes by turns.
     tick: AtomicUsize,
     heard: Mutex<Heard>,
+    // What gateways have outstanding at the engine.
+    tally: Mutex<Tally>,
     reads: Reads,
 }
 
@@ -68,7 +72,7 @@
         let (latest, open) = (watch::Sender::new(None), AtomicBool::new(true));
         let tick = AtomicUsize::new(0);
         let clock = Clock::start();
-        let heard = Mutex::default();
+        let (heard, tally) = (Mutex::default(), Mutex::default());
         let process = rand::random();
         let reads = Reads::default();
         Self {
@@ -83,6 +87,7 @@
             open,
             tick,
             heard,
+            tally,
             reads,
         }
     }
@@ -142,22 +147,21 @@
         load.open = self.is_open();
         load.deaf = self.deaf(now);
         load.process = self.process;
-        let datagram = |echo| {
+        let datagram = |echo, others| {
             pack(&Datagram::Report {
                 from: self.own,
                 engine: self.address,
                 service: self.plans.service().clone(),
-                report: load.clone(),
+                report: Report { others, ..load.clone() },
                 plan: self.plans.newest().hash(),
                 told: now,
                 echo,
                 ages: if echo { self.plans.ages() } else { Ages::default() },
             })
         };
-        let (plain, asking) = (datagram(false), datagram(true));
         for gateway in gateways {
-            let bytes = if Some(gateway) == asked { &asking } else { &plain };
-            send(&self.socket, gateway, bytes).await;
+            let others = self.tally().others(gateway, now);
+            send(&self.socket, gateway, &datagram(Some(gateway) == asked, others)).await;
         }
     }
 
@@ -165,6 +169,10 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The gateways whose turn it is to be told.
     fn next_told(&self) -> Vec<SocketAddr> {
         let gateways = self.plans.gateways();
@@ -209,6 +217,9 @@
         loop {
             match receive(&self.socket, &mut buffer).await {
                 Datagram::Echo { from, told } => self.on_echo(from, told),
+                Datagram::Outstanding { from, outstanding, sent } => {
+                    self.tally().take(from, outstanding, sent, self.clock.now());
+                }
                 Datagram::Hint { from, plan } if plan != self.plans.newest().hash() => {
                     if let Some(read) = self.reads.begin() {
                         tokio::spawn(Arc::clone(&self).read_plan(from, read));
--- a/tests/testsuite/gateway/load.rs
+++ b/tests/testsuite/gateway/load.rs
@@ -4,6 +4,7 @@
 use cinderspoke_core::gateway::catalog::Engine;
 use cinderspoke_core::gateway::load::{Load, Report, first_token};
 use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_core::gateway::tally::Outstanding;
 
 use super::ms;
 
@@ -60,6 +61,34 @@
     assert_eq!(load.estimate(Some(&engine()), 7, ms(1003)).unread, before.unread);
 }
 
+// Load pattern: an engine that is asked slightly more than it can do. Its own report
+// leaves out what has come since its last pass.
+#[test]
+fn what_other_gateways_have_outstanding_counts_besides_what_was_sent_from_here() {
+    let others = Outstanding { requests: 15, waiting: 3, unread: 2500 };
+    let mut load = Load::default();
+    load.reported(Report { others, ..report(12, 0) }, ms(0), ms(1000));
+    load.sent(1, 1000, ms(100), ms(990));
+    let now = load.estimate(Some(&engine()), 7, ms(990));
+    assert_eq!((now.requests, now.waiting, now.unread), (16.0, 4.0, 3500.0));
+    let later = load.estimate(Some(&engine()), 7, ms(1090));
+    assert!(later.requests > 16.3, "some more have come since: {later:?}");
+    assert!(later.requests < 18.0, "{later:?}");
+}
+
+#[test]
+fn each_request_beyond_the_slots_waits_for_as_long_as_a_full_engine_takes_for_one() {
+    let first = |requests: u32, waiting| {
+        let others = Outstanding { requests, waiting, unread: waiting * 1000 };
+        let mut load = Load::default();
+        load.reported(Report { others, ..report(0, 0) }, ms(0), ms(1000));
+        first_token(&engine(), &load.estimate(Some(&engine()), 7, ms(990)), SIZE)
+    };
+    // 1,000 tokens read in 50 ms, and 90 written in steps of 9.8 ms among 16.
+    let (one, two) = (first(18, 4), first(19, 5));
+    assert!(two - one > ms(95) && two - one < ms(120), "{:?}", two - one);
+}
+
 #[test]
 fn an_endpoint_whose_agent_falls_silent_is_out_of_reach() {
     let mut load = Load::default();
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod pick;
 mod rollout;
+mod tally;
 mod timeline;
 mod turn;
 
--- /dev/null
+++ b/tests/testsuite/gateway/tally.rs
@@ -0,0 +1,45 @@
+//! What gateways have outstanding, added up beside an endpoint.
+
+use std::net::SocketAddr;
+
+use cinderspoke_core::gateway::tally::{Outstanding, Tally};
+
+use super::ms;
+
+fn gateway(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+fn outstanding(requests: u32, waiting: u32) -> Outstanding {
+    Outstanding { requests, waiting, unread: waiting * 1000 }
+}
+
+#[test]
+fn each_gateway_is_told_what_the_others_have() {
+    let mut tally = Tally::default();
+    tally.take(gateway(1), outstanding(3, 1), ms(10), ms(100));
+    tally.take(gateway(2), outstanding(2, 2), ms(10), ms(100));
+    assert_eq!(tally.others(gateway(1), ms(110)), outstanding(2, 2));
+    assert_eq!(tally.others(gateway(2), ms(110)), outstanding(3, 1));
+    assert_eq!(tally.others(gateway(3), ms(110)), outstanding(5, 3));
+}
+
+#[test]
+fn what_was_overtaken_on_the_way_is_not_believed() {
+    let mut tally = Tally::default();
+    tally.take(gateway(1), outstanding(0, 0), ms(20), ms(100));
+    tally.take(gateway(1), outstanding(4, 4), ms(10), ms(101));
+    assert_eq!(tally.others(gateway(2), ms(102)), outstanding(0, 0));
+}
+
+// A gateway that was killed leaves requests behind that nobody tells to have ended.
+#[test]
+fn what_a_silent_gateway_told_is_forgotten() {
+    let mut tally = Tally::default();
+    tally.take(gateway(1), outstanding(4, 4), ms(50_000), ms(100));
+    assert_eq!(tally.others(gateway(2), ms(1000)), outstanding(4, 4), "repeats may be lost");
+    assert_eq!(tally.others(gateway(2), ms(2000)), outstanding(0, 0));
+    // The process that follows has a clock of its own.
+    tally.take(gateway(1), outstanding(1, 1), ms(0), ms(2100));
+    assert_eq!(tally.others(gateway(2), ms(2100)), outstanding(1, 1));
+}
