Entries are kept after an outage only if the store was away for all

Change: digests say how long ago the store last answered any gateway. An answer in the midst of an outage tells that only this gateway was cut off: nothing is kept then, and what was kept goes when that becomes known later.

Ruled out: news that came late (the list was at the store's revision all the time).

The tests with the entry of an instance cut off alone could not be built before: what they ask did not exist.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -97,6 +97,14 @@
         self.due = self.settling;
     }
 
+    /// Takes in that the platform was away for this gateway only, so that no entry
+    /// has lapsed by it; true when one is given up by that.
+    pub fn was_cut_off(&mut self) -> bool {
+        self.settling = None;
+        let missing = std::mem::take(&mut self.directory.missing);
+        self.give_up(missing)
+    }
+
     /// Takes in the whole list; true when anything changed.
     pub fn replace(&mut self, revision: Revision, listed: Directory, now: Duration) -> bool {
         if revision < self.revision {
@@ -173,8 +181,12 @@
         }
         (self.settling, self.due) = (None, None);
         let missing = std::mem::take(&mut self.directory.missing);
-        missing
-            .into_iter()
-            .fold(false, |any, name| any | self.directory.entries.remove(&name).is_some())
+        self.give_up(missing)
+    }
+
+    /// Removes entries; true when any was there.
+    fn give_up(&mut self, missing: BTreeSet<Endpoint>) -> bool {
+        let entries = &mut self.directory.entries;
+        missing.into_iter().fold(false, |any, name| any | entries.remove(&name).is_some())
     }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod listing;
 pub mod load;
 pub mod name;
+pub mod outage;
 pub mod pick;
 pub mod rollout;
 pub mod tally;
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -9,6 +9,7 @@
 use cinderspoke_core::gateway::directory::{Directory, Keeper};
 use cinderspoke_core::gateway::fact::Fact;
 use cinderspoke_core::gateway::name::Endpoint;
+use cinderspoke_core::gateway::outage::Outage;
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::timeline::Timeline;
 use cinderspoke_core::rendezvous::Key;
@@ -32,6 +33,8 @@
     pub stored: Option<Rollout>,
     /// The list of endpoints.
     pub keeper: Keeper,
+    /// When the platform last did not answer, and whether it answered others.
+    pub outage: Outage,
     /// Tells lists of endpoints apart; kept, since it is asked for with each digest.
     pub directory_hash: u64,
     /// Endpoints by name.
@@ -78,6 +81,7 @@
             ages: self.timeline.ages(now),
             directory: self.keeper.revision(),
             directory_hash: self.directory_hash,
+            answered: self.outage.last_answer(now),
         }
     }
 }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -213,12 +213,14 @@
                     settle_later(&knowledge);
                 }
                 failures = 0;
+                knowledge.platform_answered();
                 revision = answer();
                 sleep(source.gather()).await;
             }
             Err(error) => {
                 failures += 1;
                 if failures == AWAY {
+                    knowledge.platform_lost();
                     tracing::warn!(kind = source.name(), %error, "store lost");
                 }
                 sleep(backoff(&error, failures)).await;
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -174,10 +174,36 @@
         self.keep(from, |keeper| keeper.apply(fact.revision, fact.value, now))
     }
 
-    /// Takes in that the platform answers again after it had been away.
+    /// Takes in that the platform does not answer.
+    pub fn platform_lost(&self) {
+        let now = self.clock.now();
+        self.lock().outage.lose(now);
+    }
+
+    /// Takes in that the platform has answered.
+    pub fn platform_answered(&self) {
+        let now = self.clock.now();
+        self.lock().outage.answered(now);
+    }
+
+    /// Takes in that the platform answers again after it had been away. Where it
+    /// answered others meanwhile, no entries have lapsed by that.
     pub fn platform_returned(&self) {
         let now = self.clock.now();
-        self.lock().keeper.returned(now);
+        let mut state = self.lock();
+        state.outage.end(now);
+        if !state.outage.is_own() {
+            state.keeper.returned(now);
+        }
+    }
+
+    /// Takes in how long ago the platform answered some gateway.
+    pub fn told_answered(&self, age: Duration) {
+        let now = self.clock.now();
+        if self.lock().outage.told(age, now) {
+            tracing::info!(age_ms = age.as_millis() as u64, "only this gateway was cut off");
+            self.keep("gateway", Keeper::was_cut_off);
+        }
     }
 
     /// Gives up entries that lapsed while the platform was away and are not back.
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -37,6 +37,8 @@
     pub directory: Revision,
     /// Tells lists of endpoints apart.
     pub directory_hash: u64,
+    /// How long ago the platform last answered any gateway, as far as is known.
+    pub answered: Option<Duration>,
 }
 
 /// What goes between processes without an answer.
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -139,6 +139,9 @@
         self.meet(others);
         let own = self.knowledge.known();
         self.knowledge.told_ages(&known.ages, "gateway");
+        if let Some(age) = known.answered {
+            self.knowledge.told_answered(age);
+        }
         let behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
             self.catch_up(&self.awaiting_configuration, OWN_WORD, from, &known);
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod health;
 mod listing;
 mod load;
+mod outage;
 mod pick;
 mod rollout;
 mod tally;
--- /dev/null
+++ b/tests/testsuite/gateway/outage.rs
@@ -0,0 +1,59 @@
+//! Whether the platform was away for all.
+
+use cinderspoke_core::gateway::outage::Outage;
+
+use super::ms;
+
+/// An outage from the second to the tenth second.
+fn outage() -> Outage {
+    let mut outage = Outage::default();
+    outage.answered(ms(1000));
+    outage.lose(ms(2000));
+    outage.end(ms(10_000));
+    outage
+}
+
+#[test]
+fn an_answer_to_another_gateway_in_its_midst_tells_that_the_outage_was_ones_own() {
+    let mut during = Outage::default();
+    during.lose(ms(2000));
+    assert!(!during.is_own());
+    assert!(during.told(ms(100), ms(5000)));
+    assert!(!during.told(ms(100), ms(5100)), "it is no news any more");
+    during.end(ms(6000));
+    assert!(during.is_own());
+
+    let mut after = outage();
+    assert!(after.told(ms(3000), ms(10_200)), "told only after the return");
+    assert!(after.is_own());
+}
+
+#[test]
+fn answers_before_and_after_an_outage_tell_nothing() {
+    let mut outage = outage();
+    for at in [500, 1900, 2400, 9700, 10_000, 10_100] {
+        assert!(!outage.told(ms(10_200 - at), ms(10_200)), "at {at} ms");
+    }
+    assert!(!outage.is_own());
+}
+
+#[test]
+fn the_next_outage_is_judged_by_itself() {
+    let mut outage = outage();
+    assert!(outage.told(ms(3000), ms(10_200)));
+    outage.lose(ms(20_000));
+    assert!(!outage.is_own());
+    outage.lose(ms(21_000));
+    assert!(outage.told(ms(0), ms(20_900)), "it began at 20 s");
+}
+
+#[test]
+fn the_newest_answer_to_anyone_is_passed_on() {
+    let mut outage = Outage::default();
+    assert_eq!(outage.last_answer(ms(1000)), None);
+    outage.answered(ms(1000));
+    assert!(!outage.told(ms(4000), ms(5000)));
+    assert_eq!(outage.last_answer(ms(5000)), Some(ms(4000)));
+    assert!(!outage.told(ms(200), ms(5000)));
+    assert_eq!(outage.last_answer(ms(5000)), Some(ms(200)));
+}
