An old version goes on for 0.8 of its time where no link holds requests up

Change: an agent notes chunks from peers that took over 0.6 s or did not come, and reports its link as narrow for 5 s; an old version goes on there for 0.6 of its time as before, elsewhere for 0.8. What a choice knew of that goes with it to the send.

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -55,6 +55,8 @@
     pub open: bool,
     /// The age of the newest word that its instance had from a gateway.
     pub deaf: Duration,
+    /// Whether what goes over its instance's link may be held up for seconds.
+    pub narrow: bool,
     /// Tells the processes of an agent apart: each has a clock of its own.
     pub process: u64,
     /// What other gateways than the one that is told have outstanding there.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 pub mod fact;
 pub mod gossip;
 pub mod health;
+pub mod link;
 pub mod listing;
 pub mod load;
 pub mod name;
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -236,6 +236,7 @@
         penalty: PENALTY,
         times: fetch::Times::default(),
         slow: None,
+        link: Arc::default(),
         introduction: Duration::ZERO,
         clock: Clock::start(),
     }
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -1,10 +1,11 @@
 //! Carrying out a transfer: drawing chunks as [`cinderspoke_core::transfer`] decides.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
+use cinderspoke_core::gateway::link::Link;
 use cinderspoke_core::manifest::{Algorithm, Hasher, Manifest};
 use cinderspoke_core::swarm::Swarm;
 use cinderspoke_core::transfer::{
@@ -74,6 +75,8 @@
     pub times: Times,
     /// How long a chunk may take before the link is taken to carry less than it should.
     pub slow: Option<Duration>,
+    /// What chunks tell of the link.
+    pub link: Arc<Mutex<Link>>,
     /// How long neighbours have to say what they hold before anything is drawn.
     pub introduction: Duration,
     /// The agent's clock.
@@ -256,6 +259,14 @@
     if let Some(took) = took {
         transfer.took(took);
     }
+    if let Source::Peer(_) = source {
+        let mut link = context.link.lock().unwrap_or_else(PoisonError::into_inner);
+        match (&result, took) {
+            (Ok(_), Some(took)) => link.took(took, now),
+            (Ok(_), None) => {}
+            (Err(_), _) => link.missed(now),
+        }
+    }
     let label = match &source {
         Source::Origin => "origin",
         Source::Peer(_) => "peer",
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -43,7 +43,7 @@
         Kind::Stream { resumable: true } => chosen.first * 2 + FIRST_SILENCE,
         _ => Duration::MAX,
     };
-    let until = begins_until(context, asked, chosen, patience);
+    let until = begins_until(asked, chosen, patience);
     let answer = match send(context, asked, chosen, None, until).await {
         Ok(answer) => answer,
         Err(fate) => return Attempt::Failed(fate, None),
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use super::context::Context;
-use super::record::{self, Record};
+use super::record::Record;
 use super::target::Target;
 use super::understand::Asked;
 use super::view::{Member, View};
@@ -31,6 +31,8 @@
     pub target: Arc<Target>,
     /// The version of weights that it is to answer with.
     pub version: Option<Version>,
+    /// How much longer that version may begin requests there; none for no end.
+    pub version_left: Option<Duration>,
     /// When it should begin to answer.
     pub first: Duration,
 }
@@ -92,10 +94,11 @@
                 let member = &members[number];
                 let option = options.iter().find(|option| option.candidate.number == number);
                 let version = option.and_then(|option| option.version);
+                let version_left = option.and_then(|option| option.version_left);
                 member.target.tracking().health.try_out(now);
-                let chosen = Chosen { target: Arc::clone(&member.target), version, first };
-                let weights = version.map(|version| survey.weights_of(version));
-                record.chose(&chosen, weights, candidates.len());
+                let target = Arc::clone(&member.target);
+                let chosen = Chosen { target, version, version_left, first };
+                record.chose(&chosen, candidates.len());
                 Ok(chosen)
             }
             Choice::Refuse { come_back, best } => {
@@ -131,6 +134,7 @@
 struct Prospect {
     candidate: Candidate,
     version: Option<Version>,
+    version_left: Option<Duration>,
 }
 
 /// Which version of weights a request is to be answered with.
@@ -178,14 +182,17 @@
         let first = self.first(&tracking.load);
         // Silence from the start tells as little as silence since: an instance that
         // was out of reach before this gateway started has never reported here.
-        let heard = tracking.load.report(self.now).is_some();
+        let report = tracking.load.report(self.now);
+        let (heard, narrow) = (report.is_some(), report.is_none_or(|report| report.narrow));
+        let version_left = version.and_then(|version| self.version_left(version, narrow));
         let well = heard && !stands && state == health::State::Well;
-        if version.is_some_and(|version| !self.begins_in_time(version, first, well)) {
+        // What is held up on the way may begin long after it was given up.
+        if version_left.is_some_and(|left| !well || left < first) {
             return None;
         }
         let trial = state == health::State::Trial;
         let candidate = Candidate { number, distance: member.distance, first, trial };
-        Some(Prospect { candidate, version })
+        Some(Prospect { candidate, version, version_left })
     }
 
     /// The version that a member would answer with: as its agent reports, or
@@ -214,19 +221,8 @@
     }
 
     /// How much longer a version may begin requests; none while it is the newest.
-    fn version_left(&self, version: Version) -> Option<Duration> {
+    fn version_left(&self, version: Version, narrow: bool) -> Option<Duration> {
         let model = self.asked.call.model.as_ref()?;
-        self.context.knowledge.version_left(model, version)
-    }
-
-    /// What is logged of the weights that a request is sent for.
-    fn weights_of(&self, version: Version) -> record::Weights {
-        record::Weights { version, left: self.version_left(version) }
-    }
-
-    /// Whether a request would begin while its version may still begin requests.
-    fn begins_in_time(&self, version: Version, first: Duration, well: bool) -> bool {
-        // What is held up on the way may begin long after it was given up.
-        self.version_left(version).is_none_or(|left| well && left >= first)
+        self.context.knowledge.version_left(model, version, narrow)
     }
 }
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -289,10 +289,13 @@
         Fact::new(state.keeper.revision(), state.keeper.directory().clone())
     }
 
-    /// How much longer a model's version may begin requests; none for no end.
+    /// How much longer a model's version may begin requests at an endpoint whose link
+    /// is narrow, or is not; none for no end.
     #[must_use]
-    pub fn version_left(&self, model: &Model, version: Version) -> Option<Duration> {
-        self.lock().timeline.left(model, version, self.terms().overlap, self.clock.now())
+    pub fn version_left(&self, model: &Model, version: Version, narrow: bool) -> Option<Duration> {
+        let overlap = self.terms().overlap;
+        let overlap = if narrow { overlap.narrow } else { overlap.clear };
+        self.lock().timeline.left(model, version, overlap, self.clock.now())
     }
 
     /// Makes what is known visible to requests.
--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -170,7 +170,7 @@
 
     /// Asks an endpoint to go on after an event.
     async fn go_on(&self, chosen: &Chosen, last: u64) -> Result<Box<Live>, Fate> {
-        let until = begins_until(&self.context, &self.asked, chosen, SILENCE);
+        let until = begins_until(&self.asked, chosen, SILENCE);
         let answer = send(&self.context, &self.asked, chosen, Some(last), until).await?;
         let said = self.context.dialect.answer(&answer.head);
         if said.request.as_ref() != Some(&self.asked.call.id) {
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -37,15 +37,6 @@
     }
 }
 
-/// The weights that a request was last sent for.
-#[derive(Debug, Clone, Copy)]
-pub struct Weights {
-    /// Their version.
-    pub version: Version,
-    /// How much longer it could begin requests then; none while it was the newest.
-    pub left: Option<Duration>,
-}
-
 /// One request's record; it is logged when it is dropped.
 pub struct Record {
     id: Request,
@@ -57,7 +48,10 @@
     /// Whether its caller was refused before.
     pub returning: bool,
     endpoint: Option<Endpoint>,
-    weights: Option<Weights>,
+    // The version that it was last sent for, and how much longer that could begin
+    // requests then; none while it was the newest.
+    weights: Option<Version>,
+    weights_left: Option<Duration>,
     predicted: Option<Duration>,
     candidates: usize,
     sends: u32,
@@ -81,6 +75,7 @@
             returning: false,
             endpoint: None,
             weights: None,
+            weights_left: None,
             predicted: None,
             candidates: 0,
             sends: 0,
@@ -94,9 +89,9 @@
     }
 
     /// Takes in that an endpoint was chosen.
-    pub fn chose(&mut self, chosen: &Chosen, weights: Option<Weights>, candidates: usize) {
+    pub fn chose(&mut self, chosen: &Chosen, candidates: usize) {
         self.endpoint = Some(chosen.target.name.clone());
-        self.weights = weights;
+        (self.weights, self.weights_left) = (chosen.version, chosen.version_left);
         self.predicted = Some(chosen.first);
         self.candidates = candidates;
         self.sends += 1;
@@ -177,8 +172,8 @@
             configuration = self.version,
             returning = self.returning,
             endpoint = self.endpoint.as_ref().map(Endpoint::as_str),
-            weights = self.weights.map(|weights| weights.version.0),
-            weights_left_ms = ms(self.weights.and_then(|weights| weights.left)),
+            weights = self.weights.map(|version| version.0),
+            weights_left_ms = ms(self.weights_left),
             candidates = self.candidates,
             predicted_ms = ms(self.predicted),
             first_ms = ms(self.first),
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -149,17 +149,10 @@
 }
 
 /// Until when a request has to have begun, so that it is not tried elsewhere.
-pub fn begins_until(
-    context: &Context,
-    asked: &Asked,
-    chosen: &Chosen,
-    patience: Duration,
-) -> Instant {
-    let model = asked.call.model.as_ref().zip(chosen.version);
-    let version_left =
-        model.and_then(|(model, version)| context.knowledge.version_left(model, version));
+pub fn begins_until(asked: &Asked, chosen: &Chosen, patience: Duration) -> Instant {
     // What has not begun by then may not begin on the old version any more.
-    let patience = patience.min(version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN));
+    let version_ends = chosen.version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN);
+    let patience = patience.min(version_ends);
     Instant::now().checked_add(patience).map_or(asked.end, |until| until.min(asked.end))
 }
 
--- a/src/cinderspoke/gateway/terms.rs
+++ b/src/cinderspoke/gateway/terms.rs
@@ -14,13 +14,27 @@
 /// although it was given up; by this time most engines have gone over.
 const OVERLAP: f64 = 0.6;
 
+/// The same where nothing tells of a narrow link: while no weights come, since their
+/// origin is away, the old version is all there is. On a day on which the origin
+/// comes back 5.5 s after the version was named, 0.04 of all worth.
+const OVERLAP_CLEAR: f64 = 0.8;
+
+/// How long after a version was named an older one may begin requests.
+#[derive(Debug, Clone, Copy)]
+pub struct Overlap {
+    /// At an endpoint whose link may hold up what is sent.
+    pub narrow: Duration,
+    /// At any other.
+    pub clear: Duration,
+}
+
 /// What the settings ask of a gateway, as far as it may change while it runs.
 #[derive(Debug, Clone)]
 pub struct Terms {
     /// The budget of sends beyond the first.
     pub budget: budget::Terms,
     /// How long after a version was named an older one may begin requests.
-    pub overlap: Duration,
+    pub overlap: Overlap,
     /// How long the gateway may take to stop.
     pub grace: Duration,
     /// The region of each availability zone.
@@ -34,7 +48,9 @@
     #[must_use]
     pub fn new(settings: &settings::Node) -> Self {
         let (bounds, own) = (&settings.bounds, inner_address(settings));
-        let overlap = Duration::from_millis(bounds.version_ms).mul_f64(OVERLAP);
+        let version = Duration::from_millis(bounds.version_ms);
+        let overlap =
+            Overlap { narrow: version.mul_f64(OVERLAP), clear: version.mul_f64(OVERLAP_CLEAR) };
         let window = Duration::from_secs_f64(bounds.budget_window_s);
         Self {
             budget: budget::Terms {
--- a/src/cinderspoke/stager/collect.rs
+++ b/src/cinderspoke/stager/collect.rs
@@ -158,6 +158,7 @@
             origin: Arc::new(source),
             client: transfers.client.clone(),
             pacer: Arc::clone(&transfers.pacer),
+            link: Arc::clone(&transfers.link),
             origin_spacing: spacing(chunk_bytes, declared.rate),
             ..*transfers
         })
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -20,10 +20,11 @@
 mod swarm;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
+use cinderspoke_core::gateway::link::{Link, SLOW};
 use cinderspoke_core::transfer::Policy;
 use cinderspoke_ports::gateway::{Engine, Origin};
 use cinderspoke_schema::settings;
@@ -82,10 +83,6 @@
 /// queue allows, and then takes a small part of that.
 const TIMES: Times = Times { chunk: Duration::from_millis(1000), wait: Duration::from_millis(700) };
 
-/// A chunk that takes longer than this, its wait at the peer among it, tells of
-/// a link that carries less than it should.
-const SLOW: Duration = Duration::from_millis(600);
-
 /// How long neighbours have to say what they hold.
 const INTRODUCTION: Duration = Duration::from_millis(40);
 
@@ -135,14 +132,16 @@
         let service = beside.service.as_str().into();
         let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
         let (known, engine) = (Arc::clone(&plans), Arc::clone(&parts.engine));
-        let reporter = Arc::new(Reporter::new(own, beside, known, engine, socket));
+        let link = Arc::default();
+        let reporter =
+            Arc::new(Reporter::new(own, beside, known, engine, Arc::clone(&link), socket));
         let collector = Collector {
             own: peer(own.ip(), own.port(), &settings.zone, &settings.region),
             port: own.port(),
             plans: Arc::clone(&plans),
             engine: parts.engine,
             open_origin: parts.open_origin,
-            transfers: transfers(shelf, parts.client),
+            transfers: transfers(shelf, link, parts.client),
             listings,
         };
         let bringer = Bringer::new(Arc::clone(&reporter), collector);
@@ -166,7 +165,7 @@
 }
 
 /// What all transfers share.
-fn transfers(shelf: Arc<Shelf>, client: Client) -> transfer::Context {
+fn transfers(shelf: Arc<Shelf>, link: Arc<Mutex<Link>>, client: Client) -> transfer::Context {
     transfer::Context {
         shelf,
         origin: Arc::new(NoOrigin),
@@ -181,6 +180,7 @@
         penalty: PENALTY,
         times: TIMES,
         slow: Some(SLOW),
+        link,
         introduction: INTRODUCTION,
         clock: Clock::start(),
     }
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cinderspoke_core::gateway::link::Link;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::tally::Tally;
 use cinderspoke_core::gateway::timeline::Ages;
@@ -44,6 +45,8 @@
     heard: Mutex<Heard>,
     // What gateways have outstanding at the engine.
     tally: Mutex<Tally>,
+    // What chunks tell of the link.
+    link: Arc<Mutex<Link>>,
     reads: Reads,
 }
 
@@ -66,6 +69,7 @@
         beside: &settings::Beside,
         plans: Arc<Plans>,
         engine: Arc<dyn Engine>,
+        link: Arc<Mutex<Link>>,
         socket: UdpSocket,
     ) -> Self {
         let address = beside.address;
@@ -88,6 +92,7 @@
             tick,
             heard,
             tally,
+            link,
             reads,
         }
     }
@@ -146,6 +151,7 @@
         let mut load = report.load.clone();
         load.open = self.is_open();
         load.deaf = self.deaf(now);
+        load.narrow = self.is_narrow(now);
         load.process = self.process;
         let datagram = |echo, others| {
             pack(&Datagram::Report {
@@ -169,6 +175,11 @@
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether what goes over the link may be held up for seconds.
+    fn is_narrow(&self, now: Duration) -> bool {
+        self.link.lock().unwrap_or_else(PoisonError::into_inner).is_narrow(now)
+    }
+
     fn tally(&self) -> MutexGuard<'_, Tally> {
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod event;
 mod gossip;
 mod health;
+mod link;
 mod listing;
 mod load;
 mod outage;
--- a/tests/testsuite/stagers.rs
+++ b/tests/testsuite/stagers.rs
@@ -223,7 +223,8 @@
     let plans = Arc::new(Plans::new(&settings, "svc".into(), Client::new()));
     let socket = UdpSocket::bind((seed.ip(), 0)).await.unwrap();
     let (own, beside) = (socket.local_addr().unwrap(), settings.beside.as_ref().unwrap());
-    let reporter = Reporter::new(own, beside, plans, Arc::new(Empty::default()), socket);
+    let reporter =
+        Reporter::new(own, beside, plans, Arc::new(Empty::default()), Arc::default(), socket);
     tokio::time::advance(Duration::from_secs(2)).await;
     reporter.ask().await;
     let Datagram::Report { report, .. } = receive(&gateway, &mut buffer()).await else {
@@ -250,7 +251,8 @@
     plans.fetch(gateway).await.unwrap();
     let socket = UdpSocket::bind((gateway.ip(), 0)).await.unwrap();
     let (own, beside) = (socket.local_addr().unwrap(), settings.beside.as_ref().unwrap());
-    let reporter = Reporter::new(own, beside, plans, Arc::new(Empty::default()), socket);
+    let reporter =
+        Reporter::new(own, beside, plans, Arc::new(Empty::default()), Arc::default(), socket);
     reporter.ask().await;
     let Datagram::Report { ages, echo: true, .. } = receive(&ear, &mut buffer()).await else {
         panic!("no report came that asks for an echo");
@@ -310,7 +312,8 @@
     let socket = UdpSocket::bind((gateways[0].ip(), 0)).await.unwrap();
     let (own, beside) = (socket.local_addr().unwrap(), settings.beside.as_ref().unwrap());
     let engine = Arc::new(Empty::default());
-    let reporter = Arc::new(Reporter::new(own, beside, Arc::clone(&plans), engine, socket));
+    let reporter =
+        Arc::new(Reporter::new(own, beside, Arc::clone(&plans), engine, Arc::default(), socket));
     let listening = tokio::spawn(reporter.listen());
     let hinting = UdpSocket::bind((gateways[0].ip(), 0)).await.unwrap();
     while plans.newest().hash() != hash {
