--- a/crates/core/src/gateway/pick.rs
+++ b/crates/core/src/gateway/pick.rs
@@ -26,8 +26,13 @@
 /// place of work that is still in time, and soon all of it would be late.
 const SPARE: f64 = 0.5;
 
-/// When a caller is to come back that found no endpoint at all.
-const NONE_THERE: Duration = Duration::from_millis(300);
+/// When a caller is to come back that found no endpoint at all: one that is seen
+/// again may be well.
+const NONE_THERE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(450));
+
+/// When a caller is to come back that found endpoints without the weights that it may
+/// be answered with: those come in seconds, not sooner.
+const WEIGHTLESS: (Duration, Duration) = (Duration::from_millis(1200), Duration::from_millis(2000));
 
 /// The least and the most time after which a refused caller is to come back.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(2000));
@@ -57,6 +62,8 @@
     pub deadline: Duration,
     /// Whether it has been sent before: such a request is not refused for being late.
     pub sent: bool,
+    /// Whether there are endpoints that only lack the weights to answer with.
+    pub weightless: bool,
     /// A number that spreads requests among endpoints that are alike.
     pub spread: u64,
 }
@@ -98,8 +105,8 @@
     let in_time = drawn.filter(|candidate| candidate.first <= limit(wish));
     // A refusal needs more proof than a choice.
     let Some(best) = in_time.or_else(|| best_of(candidates)) else {
-        let come_back = spread_out((NONE_THERE, NONE_THERE.mul_f64(1.5)), wish.spread);
-        return Choice::Refuse { come_back, best: None };
+        let range = if wish.weightless { WEIGHTLESS } else { NONE_THERE };
+        return Choice::Refuse { come_back: spread_out(range, wish.spread), best: None };
     };
     if best.first <= limit(wish) {
         return Choice::Send { number: best.number, first: best.first };
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -89,7 +89,8 @@
             options = survey.options(members, Avoided::Included);
         }
         let candidates: Vec<_> = options.iter().map(|option| option.candidate).collect();
-        match pick(&self.wish(asked), &candidates) {
+        let weightless = engine.is_some() && !members.is_empty();
+        match pick(&self.wish(asked, weightless), &candidates) {
             Choice::Send { number, first } => {
                 let member = &members[number];
                 let option = options.iter().find(|option| option.candidate.number == number);
@@ -109,13 +110,14 @@
     }
 
     /// What the request asks of an endpoint now.
-    fn wish(&self, asked: &Asked) -> Wish {
+    fn wish(&self, asked: &Asked, weightless: bool) -> Wish {
         let waited = asked.waited + asked.arrived.elapsed();
         Wish {
             aim: asked.route.target,
             target: asked.route.target.saturating_sub(waited),
             deadline: asked.end.saturating_duration_since(Instant::now()),
             sent: self.history.sends() > 0,
+            weightless,
             spread: Key::of(asked.call.id.as_str()).as_u64(),
         }
     }
--- a/tests/testsuite/gateway/pick.rs
+++ b/tests/testsuite/gateway/pick.rs
@@ -16,7 +16,8 @@
 fn wish(waited: Duration) -> Wish {
     let (aim, deadline) = (ms(400), ms(6000));
     let target = aim.saturating_sub(waited);
-    Wish { aim, target, deadline: deadline - waited, sent: false, spread: 7 }
+    let deadline = deadline - waited;
+    Wish { aim, target, deadline, sent: false, weightless: false, spread: 7 }
 }
 
 fn is_sent(wish: &Wish, first: Duration) -> bool {
@@ -49,6 +50,24 @@
     assert!(is_sent(&wish(ms(1500)), ms(150)), "there is room for fresh and late requests");
 }
 
+// Load pattern: for seconds, no endpoint has the version that is wanted. Who is told
+// to come back sooner is refused again.
+#[test]
+fn who_finds_no_weights_comes_back_when_they_may_be_there() {
+    let come_back = |weightless, spread| {
+        let wish = Wish { weightless, spread, ..wish(ms(0)) };
+        match pick(&wish, &[]) {
+            Choice::Refuse { come_back, best: None } => come_back,
+            choice => panic!("{choice:?}"),
+        }
+    };
+    for spread in 0..2000 {
+        assert!(come_back(true, spread) >= ms(1000));
+        assert!(come_back(true, spread) <= ms(2000), "a third of what callers wait");
+        assert!(come_back(false, spread) < ms(500));
+    }
+}
+
 #[test]
 fn who_comes_back_has_only_what_is_left_of_the_aim() {
     assert!(is_sent(&wish(ms(100)), ms(260)));
