News goes to some gateways, who tell others; lists only to who lacks them

Each gateway told all 148 others of each piece of news, at most ten times a second; between regions that is up to what the links carry (reckoned, not measured). Whoever fetched a configuration was sent the whole list of endpoints with it.

Change: news goes to ln(n) + 6 others, drawn at random, who tell as many when it is news to them; up to eight others are all told, as before. Facts hold the list only if it is another one.

--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -1,4 +1,4 @@
-//! How gateways hear of each other while there is no news.
+//! How gateways hear of each other, and of news.
 //!
 //! Each one tells one of the others at random from time to time, so the more
 //! there are, the longer each is silent towards any other.
@@ -28,3 +28,20 @@
     let others = u32::try_from(others).unwrap_or(u32::MAX);
     PERIOD.saturating_mul(others).saturating_mul(PATIENCE).max(LEAST)
 }
+
+/// How many more gateways are told of news than the logarithm of all.
+///
+/// Whoever learns of it tells as many again, so all but one in e^(e^6) rounds of
+/// telling reach everybody; the digests that are sent without news heal the rest.
+const BEYOND_LOG: f64 = 6.0;
+
+/// How many others, drawn at random, a gateway tells of news at once.
+///
+/// Were it all of them, each piece of news would cost the square of their number in
+/// datagrams: of 149 gateways, each with some changes a second, enough to fill the
+/// links between regions, behind which endpoints then could not renew their entries.
+#[must_use]
+pub fn fanout(others: usize) -> usize {
+    let told = ((others + 1) as f64).ln() + BEYOND_LOG;
+    others.min(told.ceil() as usize)
+}
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use cinderspoke_core::gateway::catalog::Declared;
 use cinderspoke_core::gateway::directory::{Change, Directory, Keeper, State};
-use cinderspoke_core::gateway::fact::Fact;
+use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::gossip::patience;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
@@ -289,6 +289,15 @@
         Fact::new(state.keeper.revision(), state.keeper.directory().clone())
     }
 
+    /// The list of endpoints, if it is newer than a revision and not the list with
+    /// that hash.
+    #[must_use]
+    pub fn directory_after(&self, revision: Revision, hash: u64) -> Option<Fact<Directory>> {
+        let state = self.lock();
+        let newer = state.keeper.revision() > revision && state.directory_hash != hash;
+        newer.then(|| Fact::new(state.keeper.revision(), state.keeper.directory().clone()))
+    }
+
     /// How much longer a model's version may begin requests at an endpoint whose link
     /// is narrow, or is not; none for no end.
     #[must_use]
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -103,8 +103,8 @@
 pub struct Facts {
     /// The configuration, if it is newer than the asker's.
     pub configuration: Option<Fact<Declared>>,
-    /// The endpoints.
-    pub directory: Fact<Directory>,
+    /// The endpoints, if the list is newer than the asker's and another one.
+    pub directory: Option<Fact<Directory>>,
     /// Other gateways.
     pub gateways: Vec<SocketAddr>,
 }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -15,6 +15,7 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
+use cinderspoke_core::gateway::fact::Revision;
 use cinderspoke_core::gateway::gossip;
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_schema::settings;
@@ -180,15 +181,18 @@
     /// Asks a gateway for what it knows more.
     async fn fetch(&self, from: SocketAddr) -> Result<()> {
         let known = self.knowledge.known();
-        let path = format!("/v1/facts?configuration={}", known.configuration);
+        let path = format!(
+            "/v1/facts?configuration={}&directory={}&directory_hash={}",
+            known.configuration, known.directory.0, known.directory_hash,
+        );
         let answer = self.client.fetch(Call::get(from, path).timeout(FETCH_TIMEOUT)).await?;
         let facts: Facts = postcard::from_bytes(&answer).context("reading facts")?;
         if let Some(configuration) = facts.configuration {
             self.knowledge.configured(configuration, "gateway");
         }
-        if facts.directory.revision > known.directory {
-            let kept = !facts.directory.value.missing.is_empty();
-            self.knowledge.listed(facts.directory, "gateway");
+        if let Some(directory) = facts.directory.filter(|list| list.revision > known.directory) {
+            let kept = !directory.value.missing.is_empty();
+            self.knowledge.listed(directory, "gateway");
             if kept {
                 settle_later(&self.knowledge);
             }
@@ -217,13 +221,13 @@
         send(&self.socket, agent, &pack(&Datagram::Hint { from: self.own, plan })).await;
     }
 
-    /// Tells of news at once.
+    /// Tells some gateways of news at once; they tell others.
     async fn push(self: Arc<Self>) {
         let mut changes = self.knowledge.subscribe();
         loop {
             changes.changed().await;
             let digest = self.digest();
-            for gateway in self.others() {
+            for gateway in self.told_of_news() {
                 send(&self.socket, gateway, &digest).await;
             }
             self.hint_all().await;
@@ -231,6 +235,14 @@
         }
     }
 
+    /// The gateways that this one tells of news, drawn anew each time.
+    fn told_of_news(&self) -> Vec<SocketAddr> {
+        let others = self.others();
+        let told = gossip::fanout(others.len());
+        let drawn = rand::seq::index::sample(&mut rand::rng(), others.len(), told);
+        drawn.iter().map(|number| others[number]).collect()
+    }
+
     /// Hints every agent that does not know its service's plan.
     async fn hint_all(&self) {
         for (agent, plan) in self.agents.behind(|service| self.planner.hash(service)) {
@@ -285,6 +297,8 @@
 #[derive(Debug, Deserialize)]
 struct Asked {
     configuration: u64,
+    directory: u64,
+    directory_hash: u64,
 }
 
 /// Tells another gateway all that it may not know.
@@ -292,7 +306,7 @@
     let knowledge = &relay.knowledge;
     let facts = Facts {
         configuration: knowledge.configuration_after(asked.configuration),
-        directory: knowledge.directory(),
+        directory: knowledge.directory_after(Revision(asked.directory), asked.directory_hash),
         gateways: relay.others(),
     };
     pack(&facts).into()
--- a/tests/testsuite/gateway/gossip.rs
+++ b/tests/testsuite/gateway/gossip.rs
@@ -1,6 +1,6 @@
 //! For how long a gateway counts that is silent.
 
-use cinderspoke_core::gateway::gossip::{PERIOD, patience};
+use cinderspoke_core::gateway::gossip::{PERIOD, fanout, patience};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yare::parameterized;
@@ -36,3 +36,30 @@
     }
     assert!(left_out * 20 < asked, "{left_out} of {asked} are left out");
 }
+
+#[parameterized(none = { 0 }, one = { 1 }, few = { 8 })]
+fn where_there_are_few_all_are_told_of_news(others: usize) {
+    assert_eq!(fanout(others), others);
+}
+
+// Load pattern: news several times a second on hundreds of instances.
+#[parameterized(tens = { 38 }, hundreds = { 148 }, thousands = { 2_000 })]
+fn news_reaches_all_at_little_cost(others: usize) {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let (mut missed, rounds) = (0, 100);
+    for _ in 0..rounds {
+        let (mut knows, mut fresh) = (vec![false; others + 1], vec![0]);
+        knows[0] = true;
+        while let Some(teller) = fresh.pop() {
+            for other in rand::seq::index::sample(&mut random, others, fanout(others)) {
+                let told = if other < teller { other } else { other + 1 };
+                if !std::mem::replace(&mut knows[told], true) {
+                    fresh.push(told);
+                }
+            }
+        }
+        missed += knows.iter().filter(|knows| !**knows).count();
+    }
+    assert!(missed * 1000 < rounds * others, "{missed} in {rounds} rounds");
+    assert!(fanout(others) < 16);
+}
