A call to the store that fails once leaves a line, with how old the news after it may be

Cause: two of the hypotheses (entries kept after an outage, a silent connection taken for no news) could not be told apart from logs: the first failure in a row left no line, and the first answer after it did not say for how long nothing had been heard.

No logic is changed.

--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -200,6 +200,7 @@
 async fn follow(source: Box<dyn Source>, knowledge: Arc<Knowledge>) {
     let mut revision = None;
     let mut failures = 0_u32;
+    let mut heard = knowledge.clock().now();
     loop {
         let result = match revision {
             None => source.read().await,
@@ -207,8 +208,13 @@
         };
         match result {
             Ok(answer) => {
+                let unheard = knowledge.clock().now().saturating_sub(heard);
+                heard = knowledge.clock().now();
+                if failures > 0 {
+                    let (kind, unheard_ms) = (source.name(), unheard.as_millis() as u64);
+                    tracing::info!(kind, failures, unheard_ms, "store answers again");
+                }
                 if failures >= AWAY {
-                    tracing::info!(kind = source.name(), failures, "store answers again");
                     knowledge.platform_returned();
                     settle_later(&knowledge);
                 }
@@ -219,6 +225,11 @@
             }
             Err(error) => {
                 failures += 1;
+                if failures == 1 {
+                    let unheard = knowledge.clock().now().saturating_sub(heard);
+                    let (kind, unheard_ms) = (source.name(), unheard.as_millis() as u64);
+                    tracing::info!(kind, unheard_ms, %error, "store did not answer");
+                }
                 if failures == AWAY {
                     knowledge.platform_lost();
                     tracing::warn!(kind = source.name(), %error, "store lost");
