Watches of the store are bounded by turns, and made anew when others know more

Cause: a watch on a connection that has gone silent for good passed for no news for 21.5 s at every gateway, and the others could not help where all were silent.

Change: each watch waits for a time drawn so that all gateways together ask four times a second, and 1 s more for the answer; one that goes silent has this gateway's other watches made anew; so has another gateway that knows more. A platform that is slower than 1 s is given longer after each failure.

Ruled out: one short wait for all (6 gateways x 3 kinds at 1.5 s would be 550 calls in 46 s, and grow with the fleet); keep-alive of the kernel alone (it tells nothing where whoever stands between answers it).

Conclusion: the endpoints' half is mended; versions learned late still count as new.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -41,3 +41,4 @@
 pub mod tally;
 pub mod timeline;
 pub mod turn;
+pub mod watch;
--- /dev/null
+++ b/crates/core/src/gateway/watch.rs
@@ -0,0 +1,144 @@
+//! How long news of the platform are waited for, and how old they may be.
+//!
+//! A connection can go silent without an end, and then looks like a platform without
+//! news. Three things show it: no answer when the wait is over; another gateway that
+//! knows more; another watch of this gateway that went silent.
+
+use std::time::Duration;
+
+/// How often all gateways together ask the platform anew for each kind of fact.
+///
+/// Where the connections of all go silent at once, the first who asks anew learns of
+/// what came meanwhile and tells the others. Each call is paid for, so they share
+/// them: with three kinds of facts it is four calls a second, whatever their number.
+const ASK_EVERY: Duration = Duration::from_millis(750);
+
+/// The least wait: a single gateway asks for each kind of fact twice a second at most.
+const LEAST_WAIT: Duration = Duration::from_millis(500);
+
+/// The longest wait that the platform grants.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// How much later than its wait a watch may answer at first: a slow platform takes
+/// about 0.3 s, and the sum of wait and margin is what silence costs.
+const MARGIN: Duration = Duration::from_secs(1);
+
+/// How often the margin is doubled at most, so that a platform that is slower still
+/// is heard: up to 4 s.
+const MOST_DOUBLINGS: u32 = 2;
+
+/// How long a watch that is in doubt may still bring its news by itself.
+pub const DOUBT: Duration = Duration::from_millis(400);
+
+/// How many failures in a row mean that the platform was away.
+pub const AWAY: u32 = 2;
+
+/// How old news may be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// They came as soon as they were.
+    New,
+    /// They may have come at any time since so long ago.
+    Within(Duration),
+}
+
+/// Why a call has failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// No answer came: the platform is away, or only the connection is silent.
+    Silence,
+    /// The platform cannot be reached, or says that it cannot answer.
+    Refusal,
+}
+
+/// One gateway's watch of one kind of fact.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Watch {
+    // When the platform last answered.
+    heard: Duration,
+    // Before when nothing can have come that was not heard.
+    nothing_before: Duration,
+    // When the last call was made.
+    asked: Duration,
+    // How many calls in a row have failed.
+    failures: u32,
+    // Whether anything went amiss since the last answer.
+    amiss: bool,
+}
+
+impl Watch {
+    /// A watch that has heard nothing so far.
+    #[must_use]
+    pub fn new(now: Duration) -> Self {
+        Self { heard: now, nothing_before: now, asked: now, failures: 0, amiss: false }
+    }
+
+    /// Takes in that a call is made now.
+    pub fn ask(&mut self, now: Duration) {
+        self.asked = now;
+    }
+
+    /// How many calls in a row have failed.
+    #[must_use]
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// How long ago the platform last answered.
+    #[must_use]
+    pub fn unheard(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.heard)
+    }
+
+    /// How much later than its wait the next call may answer.
+    #[must_use]
+    pub fn margin(&self) -> Duration {
+        MARGIN.saturating_mul(1 << self.failures.min(MOST_DOUBLINGS))
+    }
+
+    /// Takes in that the call has failed.
+    pub fn fail(&mut self, failure: Failure) {
+        self.failures += 1;
+        self.amiss = true;
+        // The first failure in a row may be that of a connection alone. A platform that
+        // refuses the next call as well was away then, and accepted nothing meanwhile.
+        if failure == Failure::Refusal && self.failures >= AWAY {
+            self.nothing_before = self.asked;
+        }
+    }
+
+    /// Takes in that the call was given up for a new one.
+    pub fn give_up(&mut self) {
+        self.amiss = true;
+    }
+
+    /// How old the news in an answer may be that comes now.
+    #[must_use]
+    pub fn freshness(&self, now: Duration) -> Freshness {
+        let since = now.saturating_sub(self.nothing_before);
+        if self.amiss { Freshness::Within(since) } else { Freshness::New }
+    }
+
+    /// Takes in an answer that leaves nothing out.
+    pub fn hear(&mut self, now: Duration) {
+        *self = Self::new(now);
+    }
+
+    /// Takes in an answer by which the platform has forgotten what came since the last
+    /// one; that is in what is read next.
+    pub fn miss(&mut self, now: Duration) {
+        (self.heard, self.failures, self.amiss) = (now, 0, true);
+    }
+}
+
+/// How long a watch waits for news, where so many gateways share the asking; `draw` is
+/// drawn evenly between 0 and 1.
+///
+/// Any wait up to twice the mean is as likely: gateways that all heard the same news at
+/// the same moment must not all ask anew at the same moment.
+#[must_use]
+pub fn wait(gateways: usize, draw: f64) -> Duration {
+    let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+    let mean = ASK_EVERY.saturating_mul(gateways).min(LONGEST_WAIT / 2);
+    (mean * 2).mul_f64(draw.clamp(0.0, 1.0)).max(LEAST_WAIT)
+}
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -1,5 +1,6 @@
 //! Learning from the platform's store, one task for each kind of fact.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -10,6 +11,7 @@
 use cinderspoke_core::gateway::directory::SETTLE;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_core::gateway::watch::{self, AWAY, DOUBT, Failure, Freshness, Watch};
 use cinderspoke_ports::Error;
 use cinderspoke_ports::gateway::{Registry, Seen};
 use cinderspoke_schema::settings;
@@ -20,9 +22,6 @@
 use crate::util::settings::inner_address;
 use crate::util::stop;
 
-/// How long a watch waits; each one is paid for, so they are long.
-const WAIT: Duration = Duration::from_secs(20);
-
 /// How long to stay away after a failure, at first.
 const FIRST_BACKOFF: Duration = Duration::from_millis(120);
 
@@ -41,15 +40,12 @@
 /// leaving endpoint goes on to answer.
 const GATHER: Duration = Duration::from_millis(250);
 
-/// How many failures in a row mean that the platform was away.
-const AWAY: u32 = 2;
-
 /// What the store has answered, to be taken in; gives the revision from which to
 /// watch, none when all has to be read anew.
 ///
 /// Apart from the asking, since what ends an outage must not be taken in before
 /// it is known to end one: the entries that it removes may have lapsed meanwhile.
-type Answer<'a> = Box<dyn FnOnce() -> Option<Revision> + Send + 'a>;
+type Answer<'a> = Box<dyn FnOnce(Freshness) -> Option<Revision> + Send + 'a>;
 
 /// How a kind of fact is read.
 #[async_trait]
@@ -61,7 +57,7 @@
     async fn read(&self) -> Result<Answer<'_>, Error>;
 
     /// Waits for news after a revision.
-    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error>;
+    async fn watch(&self, after: Revision, wait: Duration) -> Result<Answer<'_>, Error>;
 
     /// How long news gather before the next watch.
     fn gather(&self) -> Duration {
@@ -119,12 +115,12 @@
 
     async fn read(&self) -> Result<Answer<'_>, Error> {
         let read = self.0.registry.configuration().await?;
-        Ok(Box::new(move || Some(take(read, |fact| self.learn(fact)))))
+        Ok(Box::new(move |_| Some(take(read, |fact| self.learn(fact)))))
     }
 
-    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error> {
-        let seen = self.0.registry.watch_configuration(after, WAIT).await?;
-        Ok(Box::new(move || take_news(seen, |fact| self.learn(fact))))
+    async fn watch(&self, after: Revision, wait: Duration) -> Result<Answer<'_>, Error> {
+        let seen = self.0.registry.watch_configuration(after, wait).await?;
+        Ok(Box::new(move |_| take_news(seen, |fact| self.learn(fact))))
     }
 }
 
@@ -142,12 +138,12 @@
 
     async fn read(&self) -> Result<Answer<'_>, Error> {
         let read = self.0.registry.rollout().await?;
-        Ok(Box::new(move || Some(take(read, |fact| self.learn(fact)))))
+        Ok(Box::new(move |_| Some(take(read, |fact| self.learn(fact)))))
     }
 
-    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error> {
-        let seen = self.0.registry.watch_rollout(after, WAIT).await?;
-        Ok(Box::new(move || take_news(seen, |fact| self.learn(fact))))
+    async fn watch(&self, after: Revision, wait: Duration) -> Result<Answer<'_>, Error> {
+        let seen = self.0.registry.watch_rollout(after, wait).await?;
+        Ok(Box::new(move |_| take_news(seen, |fact| self.learn(fact))))
     }
 }
 
@@ -160,13 +156,13 @@
     async fn read(&self) -> Result<Answer<'_>, Error> {
         let read = self.0.registry.endpoints().await?;
         let listed = |fact| _ = self.0.knowledge.listed(fact, STORE);
-        Ok(Box::new(move || Some(take(read, listed))))
+        Ok(Box::new(move |_| Some(take(read, listed))))
     }
 
-    async fn watch(&self, after: Revision) -> Result<Answer<'_>, Error> {
-        let seen = self.0.registry.watch_endpoints(after, WAIT).await?;
+    async fn watch(&self, after: Revision, wait: Duration) -> Result<Answer<'_>, Error> {
+        let seen = self.0.registry.watch_endpoints(after, wait).await?;
         let changed = |fact| _ = self.0.knowledge.changed(fact, STORE);
-        Ok(Box::new(move || take_news(seen, changed)))
+        Ok(Box::new(move |_| take_news(seen, changed)))
     }
 
     fn gather(&self) -> Duration {
@@ -196,47 +192,120 @@
     tokio::spawn(stop::until(token, meet));
 }
 
+/// What became of a call to the store.
+enum Asked<'a> {
+    /// It was answered.
+    Answered(Answer<'a>),
+    /// It failed.
+    Failed(Failure, Error),
+    /// It was given up for a new one.
+    Overtaken,
+}
+
 /// Reads a kind of fact and then watches it, whatever fails.
 async fn follow(source: Box<dyn Source>, knowledge: Arc<Knowledge>) {
+    let clock = knowledge.clock();
     let mut revision = None;
-    let mut failures = 0_u32;
-    let mut heard = knowledge.clock().now();
+    let mut watch = Watch::new(clock.now());
     loop {
-        let result = match revision {
-            None => source.read().await,
-            Some(after) => source.watch(after).await,
-        };
-        match result {
-            Ok(answer) => {
-                let unheard = knowledge.clock().now().saturating_sub(heard);
-                heard = knowledge.clock().now();
-                if failures > 0 {
-                    let (kind, unheard_ms) = (source.name(), unheard.as_millis() as u64);
-                    tracing::info!(kind, failures, unheard_ms, "store answers again");
-                }
-                if failures >= AWAY {
-                    knowledge.platform_returned();
-                    settle_later(&knowledge);
+        watch.ask(clock.now());
+        match ask(&*source, &knowledge, revision, &watch).await {
+            Asked::Answered(answer) => {
+                let before = revision;
+                revision = take_in(answer, &*source, &knowledge, &mut watch);
+                if revision != before {
+                    sleep(source.gather()).await;
                 }
-                failures = 0;
-                knowledge.platform_answered();
-                revision = answer();
-                sleep(source.gather()).await;
             }
-            Err(error) => {
-                failures += 1;
-                if failures == 1 {
-                    let unheard = knowledge.clock().now().saturating_sub(heard);
-                    let (kind, unheard_ms) = (source.name(), unheard.as_millis() as u64);
-                    tracing::info!(kind, unheard_ms, %error, "store did not answer");
+            Asked::Failed(failure, error) => {
+                watch.fail(failure);
+                tell_failure(&*source, &knowledge, &watch, &error);
+                if failure == Failure::Silence && watch.failures() == 1 {
+                    // What silenced this connection may have silenced the others.
+                    knowledge.doubt();
                 }
-                if failures == AWAY {
-                    knowledge.platform_lost();
-                    tracing::warn!(kind = source.name(), %error, "store lost");
-                }
-                sleep(backoff(&error, failures)).await;
+                sleep(backoff(&error, watch.failures())).await;
             }
+            Asked::Overtaken => watch.give_up(),
+        }
+    }
+}
+
+/// Asks the store, for no longer than an answer may take.
+async fn ask<'a>(
+    source: &'a dyn Source,
+    knowledge: &Knowledge,
+    revision: Option<Revision>,
+    watch: &Watch,
+) -> Asked<'a> {
+    let Some(after) = revision else { return settled(source.read().await) };
+    let wait = watch::wait(knowledge.view().gateways, rand::random());
+    let limit = wait + watch.margin();
+    let mut doubts = knowledge.doubts();
+    let overtaken = async {
+        // A store that does not answer is not hurried.
+        if watch.failures() > 0 {
+            return pending().await;
         }
+        doubts.changed().await;
+        sleep(DOUBT).await;
+    };
+    tokio::select! {
+        answer = source.watch(after, wait) => settled(answer),
+        () = sleep(limit) => Asked::Failed(Failure::Silence, silent(limit)),
+        () = overtaken => Asked::Overtaken,
+    }
+}
+
+/// What became of a call that has ended by itself.
+fn settled(result: Result<Answer<'_>, Error>) -> Asked<'_> {
+    match result {
+        Ok(answer) => Asked::Answered(answer),
+        Err(error) => Asked::Failed(Failure::Refusal, error),
+    }
+}
+
+/// The error of a call that was not answered in time.
+fn silent(limit: Duration) -> Error {
+    Error::Unavailable(format!("no answer within {limit:?}"))
+}
+
+/// Takes in an answer of the store; gives the revision from which to watch.
+fn take_in(
+    answer: Answer<'_>,
+    source: &dyn Source,
+    knowledge: &Arc<Knowledge>,
+    watch: &mut Watch,
+) -> Option<Revision> {
+    let now = knowledge.clock().now();
+    let (failures, unheard) = (watch.failures(), watch.unheard(now));
+    if failures > 0 {
+        let (kind, unheard_ms) = (source.name(), unheard.as_millis() as u64);
+        tracing::info!(kind, failures, unheard_ms, "store answers again");
+    }
+    if failures >= AWAY {
+        knowledge.platform_returned();
+        settle_later(knowledge);
+    }
+    knowledge.platform_answered();
+    let revision = answer(watch.freshness(now));
+    match revision {
+        Some(_) => watch.hear(now),
+        None => watch.miss(now),
+    }
+    revision
+}
+
+/// Tells of a failure, and of the store's loss when it is the second in a row.
+fn tell_failure(source: &dyn Source, knowledge: &Knowledge, watch: &Watch, error: &Error) {
+    let kind = source.name();
+    if watch.failures() == 1 {
+        let unheard_ms = watch.unheard(knowledge.clock().now()).as_millis() as u64;
+        tracing::info!(kind, unheard_ms, %error, "store did not answer");
+    }
+    if watch.failures() == AWAY {
+        knowledge.platform_lost();
+        tracing::warn!(kind, %error, "store lost");
     }
 }
 
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -32,6 +32,7 @@
     // Made anew from the state at each change.
     view: ArcSwap<View>,
     changes: Signal,
+    doubts: Signal,
     untold: Arc<Untold>,
     terms: ArcSwap<Terms>,
     zone: Zone,
@@ -46,6 +47,7 @@
             state: Mutex::default(),
             view: ArcSwap::default(),
             changes: Signal::default(),
+            doubts: Signal::default(),
             untold: Arc::default(),
             terms: ArcSwap::from_pointee(terms),
             zone: settings.zone.as_str().into(),
@@ -102,6 +104,17 @@
         self.changes.subscribe()
     }
 
+    /// Takes in that the store may have news that its watches did not bring.
+    pub fn doubt(&self) {
+        self.doubts.raise();
+    }
+
+    /// A way to wait for the next doubt about the store's watches.
+    #[must_use]
+    pub fn doubts(&self) -> Receiver {
+        self.doubts.subscribe()
+    }
+
     /// Takes in a configuration; true when it is newer than the one in force.
     pub fn configured(&self, fact: Fact<Declared>, from: &str) -> bool {
         let mut state = self.lock();
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -169,10 +169,12 @@
         let (relay, awaiting, known) = (Arc::clone(self), Arc::clone(awaiting), known.clone());
         tokio::spawn(async move {
             sleep(wait).await;
-            if knows_more(&known, &relay.knowledge.known())
-                && let Err(error) = relay.fetch(from).await
-            {
-                tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
+            if knows_more(&known, &relay.knowledge.known()) {
+                // The store's own word should be here by now.
+                relay.knowledge.doubt();
+                if let Err(error) = relay.fetch(from).await {
+                    tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
+                }
             }
             awaiting.store(false, Ordering::Relaxed);
         });
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -58,11 +58,25 @@
 /// An answer to a watch of endpoints, and how long it takes.
 type Step = (Duration, Result<Seen<Vec<Change>>, Error>);
 
-/// A store that lists two endpoints and answers watches as it is told, then never.
+/// A store that lists two endpoints and answers watches as it is told, then without news.
 struct Script {
     steps: Mutex<VecDeque<Step>>,
 }
 
+impl Script {
+    /// The next answer to a watch, and how long it takes: what takes longer than the
+    /// watch waits is left for later ones.
+    fn next(&self, after: Revision, wait: Duration) -> Step {
+        let mut steps = self.steps.lock().unwrap();
+        match steps.front_mut() {
+            Some((takes, _)) if *takes > wait => *takes -= wait,
+            Some(_) => return steps.pop_front().unwrap(),
+            None => {}
+        }
+        (wait, Ok(Seen::News(Fact::new(after, Vec::new()))))
+    }
+}
+
 #[async_trait]
 impl Registry for Script {
     async fn configuration(&self) -> Result<Fact<Option<Declared>>, Error> {
@@ -92,9 +106,12 @@
         Ok(Fact::new(Revision(1), Directory { entries, ..Directory::default() }))
     }
 
-    async fn watch_endpoints(&self, _: Revision, _: Duration) -> Result<Seen<Vec<Change>>, Error> {
-        let step = self.steps.lock().unwrap().pop_front();
-        let Some((takes, answer)) = step else { return pending().await };
+    async fn watch_endpoints(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Seen<Vec<Change>>, Error> {
+        let (takes, answer) = self.next(after, wait);
         sleep(takes).await;
         answer
     }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod tally;
 mod timeline;
 mod turn;
+mod watch;
 
 use std::time::Duration;
 
