A version that was heard of late counts as old as it may be

Change: a third kind of age, at most so long; it counts until someone tells who saw the version named, and among those who heard late the least counts.

Ruled out: telling such an age as if it were seen: the greatest counts among those, and one gateway that was deaf for 20 s would end an old version for all.

--- a/crates/core/src/gateway/timeline.rs
+++ b/crates/core/src/gateway/timeline.rs
@@ -1,7 +1,9 @@
 //! For how long versions have been named, and so how long older ones may go on.
 //!
 //! Only who watched when a version was named knows its age. Processes tell each
-//! other ages as durations, each at most the true one, so the greatest counts.
+//! other ages as durations. Who saw it named tells an age that is at most the true
+//! one, so the greatest counts; who heard of it late tells one that is at least the
+//! true one, so the least counts, and only until someone who saw it tells.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,6 +18,8 @@
 pub enum Age {
     /// It was named while someone watched, at least so long ago.
     Seen(Duration),
+    /// It was named while nobody is known to have watched, at most so long ago.
+    Within(Duration),
     /// It was there already when whoever knows of it started.
     Found,
 }
@@ -26,19 +30,40 @@
     pub fn after(self, time: Duration) -> Self {
         match self {
             Self::Seen(age) => Self::Seen(age.saturating_add(time)),
+            Self::Within(age) => Self::Within(age.saturating_add(time)),
             Self::Found => Self::Found,
         }
     }
 
-    /// The better of two ages of the same version: all that were seen are at
-    /// most the true one.
+    /// The better of two ages of the same version.
     #[must_use]
     fn or(self, other: Self) -> Self {
         match (self, other) {
             (Self::Seen(one), Self::Seen(other)) => Self::Seen(one.max(other)),
-            (Self::Found, seen) | (seen, Self::Found) => seen,
+            (Self::Within(one), Self::Within(other)) => Self::Within(one.min(other)),
+            (seen @ Self::Seen(_), _) | (_, seen @ Self::Seen(_)) => seen,
+            (within @ Self::Within(_), _) | (_, within @ Self::Within(_)) => within,
+            (Self::Found, Self::Found) => Self::Found,
         }
     }
+
+    /// The age by which an older version ends that both this one and an older one
+    /// with another age have followed.
+    #[must_use]
+    fn or_older(self, older: Self) -> Self {
+        match (self, older) {
+            (Self::Within(one), Self::Seen(other)) | (Self::Seen(one), Self::Within(other)) => {
+                Self::Within(one.max(other))
+            }
+            (Self::Within(one), Self::Within(other)) => Self::Within(one.max(other)),
+            (one, other) => one.or(other),
+        }
+    }
+
+    /// How well it is known, without how long it is.
+    fn kind(self) -> std::mem::Discriminant<Self> {
+        std::mem::discriminant(&self)
+    }
 }
 
 /// How many versions of a model are kept, so that messages stay small: engines
@@ -83,7 +108,7 @@
     while versions.len() > KEPT {
         let Some((_, forgotten)) = versions.pop_first() else { return };
         if let Some(mut oldest) = versions.first_entry() {
-            let age = oldest.get().now(now).or(forgotten.now(now));
+            let age = oldest.get().now(now).or_older(forgotten.now(now));
             oldest.insert(Noted { age, at: now });
         }
     }
@@ -99,15 +124,15 @@
 }
 
 impl Timeline {
-    /// Takes in that versions have the given age now; true when any is news or
-    /// was only found before.
+    /// Takes in that versions have the given age now; true when any is news or is
+    /// better known than before.
     pub fn learn(&mut self, rollout: &Rollout, age: Age, now: Duration) -> bool {
         let noted = rollout.iter().map(|(model, version)| self.note(model, version, age, now));
         noted.fold(false, |any, better| any | better)
     }
 
     /// Takes in what another process knows of ages; true when any version is news
-    /// or was only found before.
+    /// or is better known than before.
     pub fn merge(&mut self, ages: &Ages, now: Duration) -> bool {
         let mut any = false;
         for (model, versions) in &ages.0 {
@@ -127,7 +152,7 @@
         let better = known.map_or(age, |known| known.or(age));
         versions.insert(version, Noted { age: better, at: now });
         forget_oldest(versions, now);
-        let news = known.is_none() || (known == Some(Age::Found) && better != Age::Found);
+        let news = known.is_none_or(|known| known.kind() != better.kind());
         kept && news
     }
 
@@ -152,7 +177,7 @@
     ) -> Option<Duration> {
         let newer = self.noted.get(model)?.iter().filter(|(known, _)| **known > version);
         let left = |noted: &Noted| match noted.now(now) {
-            Age::Seen(age) => overlap.saturating_sub(age),
+            Age::Seen(age) | Age::Within(age) => overlap.saturating_sub(age),
             // It may be the oldest of all: an old version that goes on too long
             // breaks a promise, one that ends too soon costs a few seconds' service.
             Age::Found => Duration::ZERO,
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -125,8 +125,8 @@
 }
 
 impl Versions {
-    fn learn(&self, fact: Fact<Rollout>) {
-        self.0.knowledge.named(&fact.value);
+    fn learn(&self, fact: Fact<Rollout>, freshness: Freshness) {
+        self.0.knowledge.named(&fact.value, freshness);
     }
 }
 
@@ -138,12 +138,12 @@
 
     async fn read(&self) -> Result<Answer<'_>, Error> {
         let read = self.0.registry.rollout().await?;
-        Ok(Box::new(move |_| Some(take(read, |fact| self.learn(fact)))))
+        Ok(Box::new(move |freshness| Some(take(read, |fact| self.learn(fact, freshness)))))
     }
 
     async fn watch(&self, after: Revision, wait: Duration) -> Result<Answer<'_>, Error> {
         let seen = self.0.registry.watch_rollout(after, wait).await?;
-        Ok(Box::new(move |_| take_news(seen, |fact| self.learn(fact))))
+        Ok(Box::new(move |freshness| take_news(seen, |fact| self.learn(fact, freshness))))
     }
 }
 
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -14,6 +14,7 @@
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
 use cinderspoke_core::gateway::rollout::{Rollout, Version};
 use cinderspoke_core::gateway::timeline::{Age, Ages};
+use cinderspoke_core::gateway::watch::Freshness;
 use cinderspoke_core::swarm::Distance;
 use cinderspoke_schema::settings;
 
@@ -134,16 +135,21 @@
 
     /// Takes in what the store says of named versions. What a process finds when
     /// it first reads the store may have been named long before it started; what
-    /// the store did not say before was named just now.
-    pub fn named(&self, rollout: &Rollout) {
+    /// the store did not say before was named just now, or at some time since the
+    /// store last answered: an old version that goes on too long breaks a promise.
+    pub fn named(&self, rollout: &Rollout, freshness: Freshness) {
         let now = self.clock.now();
+        let age = match freshness {
+            Freshness::New => Age::Seen(Duration::ZERO),
+            Freshness::Within(time) => Age::Within(time),
+        };
         self.learn_versions("store", |state| {
             state.rollout.merge(rollout);
             match &mut state.stored {
                 Some(stored) => {
                     let news = rollout.newer_than(stored);
                     stored.merge(rollout);
-                    state.timeline.learn(&news, Age::Seen(Duration::ZERO), now)
+                    state.timeline.learn(&news, age, now)
                 }
                 none => {
                     *none = Some(rollout.clone());
--- a/tests/testsuite/gateway/timeline.rs
+++ b/tests/testsuite/gateway/timeline.rs
@@ -111,3 +111,46 @@
     assert!(!one.merge(&other.ages(ms(4600)), ms(4600)), "it is no news");
     assert_eq!(left(&one, 1, 4600), Some(400));
 }
+
+const LATE: Age = Age::Within(Duration::from_millis(3000));
+
+#[test]
+fn a_version_heard_of_late_counts_as_old_as_it_may_be() {
+    let mut timeline = Timeline::default();
+    assert!(timeline.learn(&named(2), LATE, ms(10_000)));
+    assert_eq!(left(&timeline, 1, 10_000), Some(2000));
+    assert_eq!(left(&timeline, 1, 11_000), Some(1000));
+}
+
+#[test]
+fn of_all_that_heard_of_a_version_late_who_heard_least_late_counts() {
+    let (mut timeline, mut other) = (Timeline::default(), Timeline::default());
+    timeline.learn(&named(2), LATE, ms(10_000));
+    other.learn(&named(2), Age::Within(ms(1000)), ms(500));
+    assert!(!timeline.merge(&other.ages(ms(500)), ms(10_000)), "it was known before");
+    assert_eq!(left(&timeline, 1, 10_000), Some(4000));
+    other.merge(&timeline.ages(ms(10_000)), ms(500));
+    assert_eq!(left(&other, 1, 500), Some(4000));
+}
+
+#[test]
+fn whoever_saw_a_version_named_goes_before_who_heard_of_it_late() {
+    let (mut timeline, mut other) = (Timeline::default(), Timeline::default());
+    timeline.learn(&named(2), LATE, ms(10_000));
+    other.learn(&named(2), NEW, ms(500));
+    assert!(timeline.merge(&other.ages(ms(700)), ms(10_000)), "it is better known");
+    assert_eq!(left(&timeline, 1, 10_000), Some(4800));
+    timeline.learn(&named(2), LATE, ms(10_000));
+    assert_eq!(left(&timeline, 1, 10_000), Some(4800), "late news take nothing back");
+}
+
+#[test]
+fn what_a_forgotten_version_ended_stays_ended_by_one_that_was_heard_of_late() {
+    let mut timeline = Timeline::default();
+    timeline.learn(&named(2), Age::Within(ms(6000)), ms(10_000));
+    for version in 3..=5 {
+        timeline.learn(&named(version), NEW, ms(10_000));
+    }
+    assert_eq!(left(&timeline, 1, 10_000), Some(0));
+    assert_eq!(left(&timeline, 4, 10_000), Some(5000));
+}
