--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -216,6 +216,16 @@
         Self::new(Method::GET, address, path)
     }
 
+    /// Makes the call on a connection that is closed after it and was not used before,
+    /// if all calls to its address are made so.
+    ///
+    /// For calls that must not come late: a connection that has rested may have gone
+    /// silent, and shows it only when an answer is due.
+    #[must_use]
+    pub fn alone(self) -> Self {
+        self.header("connection", "close")
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &'static str, value: impl ToString) -> Self {
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -187,7 +187,8 @@
             "/v1/facts?configuration={}&directory={}&directory_hash={}",
             known.configuration, known.directory.0, known.directory_hash,
         );
-        let answer = self.client.fetch(Call::get(from, path).timeout(FETCH_TIMEOUT)).await?;
+        let answer =
+            self.client.fetch(Call::get(from, path).alone().timeout(FETCH_TIMEOUT)).await?;
         let facts: Facts = postcard::from_bytes(&answer).context("reading facts")?;
         if let Some(configuration) = facts.configuration {
             self.knowledge.configured(configuration, "gateway");
