Connections between processes that rested for 2 s are not used again

Cause: a connection that has gone silent while it rested costs whoever uses it next the whole time of a call; between agents that is a chunk's time, for each such connection.

Conclusion: what goes silent is out of use before instances count as in touch again.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -21,7 +21,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How long an unused connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+///
+/// One that has rested may have gone silent for good, and whoever uses it next waits in
+/// vain. Weights come in bursts, between whose calls connections rest for less.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why an exchange failed.
 #[derive(Debug, Display)]
