A test brings about an address in use on a restart: it fails

Cause: a child that another thread of the process has just started holds a copy of the listener until it runs its program; a copy that listens keeps the address.

What settled it: the test closes a listener and listens again 3,000 times beside two threads that start programs.

The test fails until the mend.

--- a/tests/testsuite/addresses.rs
+++ b/tests/testsuite/addresses.rs
@@ -9,6 +9,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use cinderspoke::entry::listen;
 use cinderspoke_test_support::address::{free, place};
 
 #[test]
@@ -43,3 +44,27 @@
         assert_eq!(taken, 0, "addresses that were free were in use");
     });
 }
+
+// Symptom: an entry instance that was killed and is started again finds its address
+// in use, once. Sequence: another test starts a program while the instance listens;
+// the instance is killed, and listens again before that program runs. Cause: as
+// above, the child's copy of the listener keeps the address.
+#[test]
+fn an_instance_that_starts_again_gets_its_address_while_other_tests_start_programs() {
+    let done = AtomicBool::new(false);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let address = free().unwrap();
+    std::thread::scope(|scope| {
+        for _ in 0..2 {
+            scope.spawn(|| {
+                while !done.load(Ordering::Relaxed) {
+                    assert!(Command::new("true").status().unwrap().success());
+                }
+            });
+        }
+        let listens_again = || runtime.block_on(listen(address)).is_err();
+        let failed = (0..3000).filter(|_| listens_again()).count();
+        done.store(true, Ordering::Relaxed);
+        assert_eq!(failed, 0, "an address whose listener had ended was in use");
+    });
+}
