An address that is still held is tried again for two seconds

Cause: see the test before. Whoever starts while a program that was about to run, in this process or its starter's, holds a copy of the predecessor's socket finds the address in use and ends. Operators see the same when a process is started again.

Change: all listeners and datagram sockets are opened in one place, which tries an address in use again every 5 ms, for 2 s at most, then reports it as before.

Ruled out: tests that start programs in a binary of their own: hides the fault that operators would see too. Addresses that are never used again: the same.

--- a/src/cinderspoke/entry/mod.rs
+++ b/src/cinderspoke/entry/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::Result;
 use axum::Router;
 use cinderspoke_core::coordinator;
 use cinderspoke_schema::settings;
@@ -29,6 +29,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::ports::{LiveList, ObjectStore};
+use crate::util;
 use crate::util::http::Client;
 
 /// How long an entry instance that stops still takes new requests, so that
@@ -182,8 +183,7 @@
 ///
 /// When the address cannot be listened to.
 pub async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
-    let listener =
-        TcpListener::bind(address).await.with_context(|| format!("listening on {address}"))?;
+    let listener = util::listen::tcp(address).await?;
     let address = listener.local_addr()?;
     Ok((listener, address))
 }
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -42,7 +42,6 @@
 pub mod understand;
 pub mod view;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,7 +49,6 @@
 use cinderspoke_ports::gateway::{Dialect, Registry};
 use cinderspoke_schema::settings;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
@@ -60,6 +58,7 @@
 use self::terms::Terms;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
+use crate::util::listen;
 use crate::util::settings::inner_address;
 
 /// How long after it says that it is not ready a gateway still gets new
@@ -106,12 +105,11 @@
         let knowledge = Arc::new(Knowledge::new(settings, terms, clock));
         let stop = CancellationToken::new();
         let context = Arc::new(Context::new(Arc::clone(&knowledge), parts.dialect, clock));
-        let callers = open(listen.callers).await?;
-        let ready = open(listen.ready).await?;
-        let control = open(listen.control).await?;
-        let inner = open(inner_address(settings)).await?;
-        let socket = UdpSocket::bind(inner_address(settings)).await;
-        let socket = socket.context("binding the port for datagrams")?;
+        let callers = listen::tcp(listen.callers).await?;
+        let ready = listen::tcp(listen.ready).await?;
+        let control = listen::tcp(listen.control).await?;
+        let inner = listen::tcp(inner_address(settings)).await?;
+        let socket = listen::udp(inner_address(settings)).await?;
         tokio::spawn(serve::callers(callers, Arc::clone(&context), stop.clone()));
         for listener in [ready, control] {
             let app = serve::admin(Arc::clone(&context), parts.metrics.clone());
@@ -161,8 +159,3 @@
         self.stop.cancel();
     }
 }
-
-/// Listens on an address.
-async fn open(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| format!("listening to {address}"))
-}
--- a/src/cinderspoke/stager/mod.rs
+++ b/src/cinderspoke/stager/mod.rs
@@ -31,7 +31,6 @@
 use cinderspoke_types::rate::ByteRate;
 use cinderspoke_types::size::Bytes;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::sync::CancellationToken;
 
 use self::bring::Bringer;
@@ -48,6 +47,7 @@
 use crate::gateway::serve;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
+use crate::util::listen;
 use crate::util::pace::Pacer;
 use crate::util::settings::inner_address;
 use crate::util::stop;
@@ -118,9 +118,8 @@
     pub async fn bind(settings: &settings::Node, parts: Parts) -> Result<Self> {
         let beside = settings.beside.as_ref().context("the settings name no engine beside")?;
         let own = inner_address(settings);
-        let listener =
-            TcpListener::bind(own).await.with_context(|| format!("listening to {own}"))?;
-        let socket = UdpSocket::bind(own).await.context("binding the port for datagrams")?;
+        let listener = listen::tcp(own).await?;
+        let socket = listen::udp(own).await?;
         let stop = CancellationToken::new();
         let shelf = Arc::new(Shelf::new(Bytes::new(KEPT_VERSIONS * VERSION_MEMORY)));
         let listings = Arc::new(Listings::new(parts.client.clone()));
--- a/src/cinderspoke/util/mod.rs
+++ b/src/cinderspoke/util/mod.rs
@@ -1,6 +1,7 @@
 //! Small things that the programs share.
 
 pub mod clock;
+pub mod listen;
 pub mod log;
 pub mod metrics;
 pub mod pace;
--- a/tests/testsuite/addresses.rs
+++ b/tests/testsuite/addresses.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use cinderspoke::entry::listen;
+use cinderspoke::util::listen::udp;
 use cinderspoke_test_support::address::{free, place};
 
 #[test]
@@ -45,15 +46,9 @@
     });
 }
 
-// Symptom: an entry instance that was killed and is started again finds its address
-// in use, once. Sequence: another test starts a program while the instance listens;
-// the instance is killed, and listens again before that program runs. Cause: as
-// above, the child's copy of the listener keeps the address.
-#[test]
-fn an_instance_that_starts_again_gets_its_address_while_other_tests_start_programs() {
+/// How often something fails beside threads that start programs.
+fn failures_beside_programs(mut fails: impl FnMut() -> bool) -> usize {
     let done = AtomicBool::new(false);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let address = free().unwrap();
     std::thread::scope(|scope| {
         for _ in 0..2 {
             scope.spawn(|| {
@@ -62,9 +57,37 @@
                 }
             });
         }
-        let listens_again = || runtime.block_on(listen(address)).is_err();
-        let failed = (0..3000).filter(|_| listens_again()).count();
+        let failures = (0..3000).filter(|_| fails()).count();
         done.store(true, Ordering::Relaxed);
-        assert_eq!(failed, 0, "an address whose listener had ended was in use");
-    });
+        failures
+    })
+}
+
+// Symptom: an entry instance that was killed and is started again finds its address
+// in use, once. Sequence: another test starts a program while the instance listens;
+// the instance is killed, and listens again before that program runs. Cause: as
+// above, the child's copy of the listener keeps the address.
+#[test]
+fn an_instance_that_starts_again_gets_its_address_while_other_tests_start_programs() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let address = free().unwrap();
+    let failed = failures_beside_programs(|| runtime.block_on(listen(address)).is_err());
+    assert_eq!(failed, 0, "an address whose listener had ended was in use");
+}
+
+#[test]
+fn one_that_receives_datagrams_gets_its_address_as_well() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let address = free().unwrap();
+    let failed = failures_beside_programs(|| runtime.block_on(udp(address)).is_err());
+    assert_eq!(failed, 0, "an address whose socket had ended was in use");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_address_that_is_taken_for_good_is_reported() {
+    let (holder, _) = listen(free().unwrap()).await.unwrap();
+    let address = holder.local_addr().unwrap();
+    let error = listen(address).await.unwrap_err();
+    let expected = format!("listening to {address}: Address already in use");
+    assert!(format!("{error:#}").starts_with(&expected), "{error:#}");
 }
