Events whose lines end in a carriage return and a line feed are told apart

Cause: an event's end was looked for as two line feeds only, so a stream of another spelling was held until it was too long, and broke off.

Change: an event ends at an empty line, whether its lines end in a line feed alone or with a carriage return before it. A carriage return alone ends no line still.

--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -1,7 +1,8 @@
 //! Cutting a stream of server-sent events into whole ones.
 
-/// Where an event ends: an empty line.
-const END: &[u8] = b"\n\n";
+/// What an empty line is, after the end of the line before it. Lines end in a line
+/// feed, with a carriage return before it or not; senders may mix the two.
+const EMPTY: [&[u8]; 2] = [b"\n", b"\r\n"];
 
 /// The field that numbers an event.
 const ID: &[u8] = b"id:";
@@ -62,25 +63,27 @@
     }
 }
 
-/// The events of bytes that end with one, each without its empty line.
+/// The events of bytes that end with one, each with its empty line.
 fn events(bytes: &[u8]) -> Vec<&[u8]> {
     let mut events = Vec::new();
     let mut start = 0;
-    while let Some(length) = find(&bytes[start..], END) {
-        events.push(&bytes[start..start + length]);
-        start += length + END.len();
+    while let Some(end) = (start..bytes.len()).find_map(|at| end(bytes, at)) {
+        events.push(&bytes[start..end]);
+        start = end;
     }
     events
 }
 
-/// Where bytes begin that are looked for.
-fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
-    bytes.windows(wanted.len()).position(|window| window == wanted)
-}
-
 /// Where the last whole event ends.
 fn last_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(END.len()).rposition(|window| window == END).map(|at| at + END.len())
+    (0..bytes.len()).rev().find_map(|at| end(bytes, at))
+}
+
+/// Where an event ends whose last line ends at a place, if it does: after an empty line.
+fn end(bytes: &[u8], at: usize) -> Option<usize> {
+    let rest = bytes[at..].strip_prefix(b"\n")?;
+    let empty = EMPTY.into_iter().find(|empty| rest.starts_with(empty))?;
+    Some(at + 1 + empty.len())
 }
 
 /// The number of an event.
