A trial is used up by a send, not by a choice

Cause: an endpoint was marked as tried when it was chosen; when the budget then refused the send, it stayed left out for 800 ms more without having been asked.

Change: the mark is made where the request is sent. Nothing waits in between, so that no other request of the thread is chosen for the same trial.

Before: trials:: 1 of 1 fails. After: it passes; of the gateway's 19 other tests none fails.

--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -100,7 +100,6 @@
                 let option = options.iter().find(|option| option.candidate.number == number);
                 let version = option.and_then(|option| option.version);
                 let version_left = option.and_then(|option| option.version_left);
-                member.target.tracking().health.try_out(now);
                 let target = Arc::clone(&member.target);
                 let chosen = Chosen { target, version, version_left, first };
                 record.chose(&chosen, candidates.len());
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -95,6 +95,8 @@
     until: Instant,
 ) -> Result<Answer, Fate> {
     let target = &chosen.target;
+    // Not before: what was chosen may still be refused for want of budget.
+    target.tracking().health.try_out(context.clock.now());
     let mut connection = match target.pool.take().await {
         Ok(connection) => connection,
         Err(error) => {
