Agents that are gone are forgotten

Cause: whoever once reported to a gateway was hinted at each new plan for good.

Change: after 120 s without a report, of which there are ten a second, an agent is forgotten when the next plan is told. Not changed: gateways that are gone stay known. Two halves of a system that were cut apart for longer would not find each other again if they were forgotten; their number is that of the instances that ever were, and they count for nothing in shares of the budget.

Before: beliefs::an_agent_that_is_gone_is_not_hinted_at_plans fails.

--- a/src/cinderspoke/gateway/agents.rs
+++ b/src/cinderspoke/gateway/agents.rs
@@ -11,11 +11,16 @@
 /// The least time between two hints to an agent.
 const HINT_PAUSE: Duration = Duration::from_millis(150);
 
+/// After how long without a report an agent is taken to be gone: as long as hundreds of
+/// reports take, so that one behind a link that is down is there when it comes back.
+const GONE: Duration = Duration::from_secs(120);
+
 /// An agent that reports here.
 #[derive(Debug)]
 struct Agent {
     service: Service,
     plan: u64,
+    reported: Instant,
     hinted: Option<Instant>,
 }
 
@@ -32,8 +37,9 @@
     pub fn reported(&self, from: SocketAddr, service: Service, plan: u64, wanted: u64) -> bool {
         let now = Instant::now();
         let mut agents = self.lock();
-        let agent = agents.entry(from).or_insert(Agent { service, plan, hinted: None });
-        agent.plan = plan;
+        let agent =
+            agents.entry(from).or_insert(Agent { service, plan, reported: now, hinted: None });
+        (agent.plan, agent.reported) = (plan, now);
         let rested = agent.hinted.is_none_or(|hinted| hinted + HINT_PAUSE <= now);
         let hint = wanted != plan && rested;
         if hint {
@@ -43,11 +49,13 @@
     }
 
     /// The agents that do not know their service's plan, and that plan; they
-    /// count as hinted.
+    /// count as hinted. Those that are gone are forgotten.
     pub fn behind(&self, plan_of: impl Fn(&Service) -> u64) -> Vec<(SocketAddr, u64)> {
         let now = Instant::now();
         let mut hints = Vec::new();
-        for (address, agent) in self.lock().iter_mut() {
+        let mut agents = self.lock();
+        agents.retain(|_, agent| agent.reported + GONE > now);
+        for (address, agent) in agents.iter_mut() {
             let plan = plan_of(&agent.service);
             if plan != agent.plan {
                 agent.hinted = Some(now);
