Gateways tell each other when an endpoint changes its service, zone or slots

Cause: two lists count as one where their hashes are equal, and only names, addresses and states were hashed.

Change: all that an endpoint is goes into the hash. Left out: the models that it holds. Each engine changes them with each version, all within seconds, and each difference costs datagrams between gateways; what agents report goes before the list. What it would cost was not measured, so that part of the finding stays open.

Before: the test's three changes are not told.

--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::catalog::Catalog;
-use cinderspoke_core::gateway::directory::{Directory, Keeper};
+use cinderspoke_core::gateway::directory::{Directory, Entry, Keeper};
 use cinderspoke_core::gateway::fact::Fact;
 use cinderspoke_core::gateway::name::Endpoint;
 use cinderspoke_core::gateway::outage::Outage;
@@ -86,12 +86,17 @@
     }
 }
 
-/// Tells lists of endpoints apart.
+/// Tells lists of endpoints apart, by what an endpoint is and whether it takes work. The
+/// models that it holds are left out: each endpoint changes them with each version, all
+/// at about the same time, and what agents report of them goes before.
 fn hash(directory: &Directory) -> u64 {
     let text: String = directory
         .entries
         .iter()
-        .map(|(name, entry)| format!("{name} {} {:?};", entry.address, entry.state))
+        .map(|(name, entry)| {
+            let Entry { service, address, zone, slots, state, .. } = entry;
+            format!("{name} {service} {address} {zone} {slots} {state:?};")
+        })
         .collect();
     Key::of(&text).as_u64()
 }
