The share of a gateway that is gone comes back without other news

Cause: gateways were counted when the view was made anew, which only news do. The last of two gateways could spend half of the slack for as long as nothing else changed.

Change: with the count it is kept until when it holds, and whoever reads the view later has it counted anew, at most once a second; the members of the view are shared, so that nothing else of it is made anew.

Before: beliefs::the_share_... fails (2 where 1 is right). After: it passes (beliefs, outage and gateway: 24 passed, 0 failed).

--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -26,11 +27,17 @@
 use crate::util::clock::Clock;
 use crate::util::signal::{Receiver, Signal};
 
+/// How often gateways are counted anew at most. Among many there is always one that is
+/// about to be silent for too long, and each count looks at all of them.
+const COUNT: Duration = Duration::from_secs(1);
+
 /// What a gateway knows.
 pub struct Knowledge {
     state: Mutex<Belief>,
     // Made anew from the state at each change.
     view: ArcSwap<View>,
+    // Until when the view's number of gateways holds, in milliseconds of the clock.
+    counted_until: AtomicU64,
     changes: Signal,
     untold: Arc<Untold>,
     terms: ArcSwap<Terms>,
@@ -45,6 +52,7 @@
         Self {
             state: Mutex::default(),
             view: ArcSwap::default(),
+            counted_until: AtomicU64::new(u64::MAX),
             changes: Signal::default(),
             untold: Arc::default(),
             terms: ArcSwap::from_pointee(terms),
@@ -60,9 +68,36 @@
     /// What is known now.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
+        if self.clock.now().as_millis() as u64 > self.counted_until.load(Ordering::Relaxed) {
+            self.count_anew();
+        }
         self.view.load_full()
     }
 
+    /// Counts gateways without other news: the share of one that ended is given to the
+    /// others when it has been silent for too long.
+    fn count_anew(&self) {
+        let state = self.lock();
+        let (before, gateways) = (self.view.load_full(), self.count(&state));
+        if before.gateways != gateways {
+            tracing::info!(gateways, before = before.gateways, "gateways counted anew");
+            self.view.store(Arc::new(View { gateways, ..View::clone(&before) }));
+        }
+    }
+
+    /// How many gateways there are now, this one among them.
+    fn count(&self, state: &Belief) -> usize {
+        let (now, patience) = (self.clock.now(), patience(state.gateways.len()));
+        let silent_at = state.gateways.values().map(|heard| *heard + patience);
+        let alive = silent_at.filter(|silent_at| *silent_at >= now);
+        let (others, first) = alive.fold((0, Duration::MAX), |(others, first), silent_at| {
+            (others + 1, first.min(silent_at))
+        });
+        let until = first.max(now + COUNT).as_millis();
+        self.counted_until.store(u64::try_from(until).unwrap_or(u64::MAX), Ordering::Relaxed);
+        1 + others
+    }
+
     /// What the settings ask.
     #[must_use]
     pub fn terms(&self) -> Arc<Terms> {
@@ -309,7 +344,6 @@
 
     /// Makes what is known visible to requests.
     fn show(&self, state: &mut Belief) {
-        let now = self.clock.now();
         let mut members: BTreeMap<Service, Vec<Member>> = BTreeMap::new();
         for (name, entry) in &state.keeper.directory().entries {
             let (Some(target), State::Ready) = (state.targets.get(name), entry.state) else {
@@ -320,13 +354,11 @@
             let members = members.entry(entry.service.clone()).or_default();
             members.push(Member { target, entry, distance });
         }
-        let patience = patience(state.gateways.len());
-        let others = state.gateways.values().filter(|heard| **heard + patience >= now);
-        let gateways = 1 + others.count();
+        let gateways = self.count(state);
         self.view.store(Arc::new(View {
             number: self.view.load().number + 1,
             catalog: state.configuration.value.clone(),
-            members,
+            members: Arc::new(members),
             rollout: state.rollout.clone(),
             gateways,
         }));
--- a/src/cinderspoke/gateway/view.rs
+++ b/src/cinderspoke/gateway/view.rs
@@ -23,14 +23,14 @@
 }
 
 /// All that is known at a moment.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct View {
     /// Tells views apart: each has a higher one than those before.
     pub number: u64,
     /// The configuration, once one is known.
     pub catalog: Option<Arc<Catalog>>,
     /// The endpoints of each service.
-    pub members: BTreeMap<Service, Vec<Member>>,
+    pub members: Arc<BTreeMap<Service, Vec<Member>>>,
     /// The versions that models are to have.
     pub rollout: Rollout,
     /// How many gateways there are, this one among them.
