The head of a request has a time of its own

Cause: the library bounds the time for a head and a connection's rest by one time, which was that for rest (15 s where none is configured, against 3 s for a head).

Change: a caller's connection is read through a type that knows whether a head is incomplete, and fails when it is not whole within the configured time. What is there is read also when it is late, since the process itself may have stood still. Rest, bodies and answers are bounded as before.

--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -7,8 +7,8 @@
 //!   gateways, and tells those and [`agents`] of them in a [`message`]. What
 //!   agents have to know is a [`plan`]; of what is [`outstanding`] at their engines
 //!   they are told as it changes.
-//! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
-//!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
+//! - [`serve`] takes callers' requests, whose [`head`] has to come in time, and
+//!   [`forward`] brings them to endpoints: it has [`understand`] read what is asked and [`choose`] name an endpoint;
 //!   [`send`] sends over the connections of a [`pool`], each a [`socket`],
 //!   [`answer`] reads what comes back, and what no endpoint answers ends in a
 //!   [`refusal`].
@@ -24,6 +24,7 @@
 pub mod context;
 pub mod follow;
 pub mod forward;
+pub mod head;
 pub mod knowledge;
 pub mod message;
 pub mod outstanding;
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -18,6 +18,7 @@
 
 use super::context::{Context, Open};
 use super::forward;
+use super::head::{Answer, Progress, Stream};
 
 /// How much longer than callers let a connection rest it is kept.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
@@ -70,15 +71,21 @@
     let waited_for = Arc::new(Mutex::new((!late).then(|| context.open())));
     let asked = CancellationToken::new();
     let (answers, opened, first) = (Arc::clone(&context), Arc::clone(&waited_for), asked.clone());
+    let progress = Progress::default();
+    let stream = Stream::new(stream, progress.clone(), limits.header);
     let service = service_fn(move |request| {
-        let context = Arc::clone(&answers);
+        progress.begin();
+        let (context, progress) = (Arc::clone(&answers), progress.clone());
         lock(&opened).get_or_insert_with(|| context.open());
         first.cancel();
-        async move { Ok::<_, Infallible>(forward::answer(&context, request).await) }
+        async move {
+            let response = forward::answer(&context, request).await;
+            Ok::<_, Infallible>(response.map(|body| Answer::new(body, progress)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // Counts from the end of the last answer, so it bounds rest as well.
+        // Counts from the end of the last answer, so it bounds rest. Heads have less time.
         .header_read_timeout(limits.idle + IDLE_MARGIN)
         .max_buf_size((limits.header_bytes as usize).max(LEAST_HEAD))
         // A connection that still comes late in a stop is for one answer: closed
