Requests that cannot be understood are counted, logged and answered with their id

Cause: they were answered before their record was begun.

Change: the dialect reads the id by itself, the record is begun with it, or without one where there is none, and such a request goes the way of all other refusals: one in the count of requests, one line in the log, and its id in the answer.

Before: heads::a_request_that_cannot_be_understood_... and one_without_an_id_... fail.

--- a/crates/ports/src/gateway/dialect.rs
+++ b/crates/ports/src/gateway/dialect.rs
@@ -51,6 +51,9 @@
 
 /// How requests and answers are spelled on the wire.
 pub trait Dialect: Send + Sync {
+    /// The id of a request, where it can be read; also of one that cannot be understood.
+    fn request(&self, head: &request::Parts) -> Option<Request>;
+
     /// Reads what a gateway has to know of a request.
     ///
     /// # Errors
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::attempt::{Next, Promise};
+use cinderspoke_core::gateway::name::Request as Id;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -13,7 +14,7 @@
 use super::context::Context;
 use super::passing;
 use super::record::Record;
-use super::refusal::{Body, COME_BACK, Refusal, misfitting, whole};
+use super::refusal::{Body, COME_BACK, Refusal, whole};
 use super::understand::{Asked, understand};
 
 /// The least time in which an endpoint can do anything: less is not sent.
@@ -26,23 +27,24 @@
 pub async fn answer(context: &Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Instant::now();
     let (head, body) = request.into_parts();
-    let call = match context.dialect.read(&head) {
-        Ok(call) => call,
-        Err(misfit) => return misfitting(&misfit),
+    let id = context.dialect.request(&head);
+    let mut record = Record::new(id.clone(), arrived, context.begin());
+    let asked = match context.dialect.read(&head) {
+        Ok(call) => understand(context, call, head, body, arrived, &mut record).await,
+        Err(misfit) => {
+            record.misfitting(&misfit);
+            Err(Refusal::bad(StatusCode::BAD_REQUEST, "the request cannot be understood"))
+        }
     };
-    let in_progress = context.begin();
-    let mut record = Record::new(call.id.clone(), arrived, in_progress);
-    let id = call.id.clone();
-    let mut response = match understand(context, call, head, body, arrived, &mut record).await {
+    let mut response = match asked {
         Ok(asked) => forward(context, asked, record).await,
         Err(refusal) => {
             record.refused(refusal.status, refusal.why);
             context.refuse(&refusal)
         }
     };
-    // An answer of an endpoint names it already.
-    if !response.headers().iter().any(|(_, value)| value.as_bytes() == id.as_str().as_bytes()) {
-        context.dialect.belongs_to(response.headers_mut(), &id);
+    if let Some(id) = id {
+        mark(context, &mut response, &id);
     }
     if context.is_leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -50,6 +52,13 @@
     response
 }
 
+/// Names the request in its answer; an answer of an endpoint does already.
+fn mark(context: &Context, response: &mut Response<Body>, id: &Id) {
+    if !response.headers().iter().any(|(_, value)| value.as_bytes() == id.as_str().as_bytes()) {
+        context.dialect.belongs_to(response.headers_mut(), id);
+    }
+}
+
 /// Sends a request until an endpoint answers or nothing more may be tried.
 async fn forward(context: &Arc<Context>, asked: Asked, mut record: Record) -> Response<Body> {
     context.earn_repeat(&asked.service);
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -5,6 +5,7 @@
 use cinderspoke_core::gateway::attempt::Fate;
 use cinderspoke_core::gateway::name::{Endpoint, Request};
 use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_ports::gateway::Misfit;
 use http::StatusCode;
 use metrics::{counter, histogram};
 use tokio::time::Instant;
@@ -39,7 +40,8 @@
 
 /// One request's record; it is logged when it is dropped.
 pub struct Record {
-    id: Request,
+    // None where it cannot be read.
+    id: Option<Request>,
     arrived: Instant,
     /// The version of the configuration that decided.
     pub version: u64,
@@ -66,7 +68,7 @@
 impl Record {
     /// A record of a request that has just arrived.
     #[must_use]
-    pub fn new(id: Request, arrived: Instant, in_progress: InProgress) -> Self {
+    pub fn new(id: Option<Request>, arrived: Instant, in_progress: InProgress) -> Self {
         Self {
             id,
             arrived,
@@ -88,6 +90,11 @@
         }
     }
 
+    /// The request's id for the log.
+    fn id(&self) -> Option<&str> {
+        self.id.as_ref().map(Request::as_str)
+    }
+
     /// Takes in that an endpoint was chosen.
     pub fn chose(&mut self, chosen: &Chosen, candidates: usize) {
         self.endpoint = Some(chosen.target.name.clone());
@@ -102,7 +109,7 @@
         self.candidates = candidates;
         self.predicted = best;
         tracing::info!(
-            id = %self.id,
+            id = self.id(),
             members,
             candidates,
             best_ms = best.map(|best| best.as_millis() as u64),
@@ -120,7 +127,7 @@
         };
         counter!(ATTEMPTS, "result" => label).increment(1);
         let after_ms = self.arrived.elapsed().as_millis() as u64;
-        tracing::info!(id = %self.id, %endpoint, fate = label, after_ms, "a send failed");
+        tracing::info!(id = self.id(), %endpoint, fate = label, after_ms, "a send failed");
     }
 
     /// Takes in that the first byte or event of an answer is there.
@@ -150,6 +157,11 @@
         self.outcome = Outcome::Broken;
     }
 
+    /// Takes in that the request cannot be understood.
+    pub fn misfitting(&self, misfit: &Misfit) {
+        tracing::info!(id = self.id(), %misfit, "request cannot be understood");
+    }
+
     /// Takes in that we answered ourselves.
     pub fn refused(&mut self, status: StatusCode, why: &'static str) {
         self.status = Some(status);
@@ -164,7 +176,7 @@
         counter!(REQUESTS, "outcome" => outcome).increment(1);
         let ms = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
         tracing::info!(
-            id = %self.id,
+            id = self.id(),
             outcome,
             status = self.status.map(|status| status.as_u16()),
             why = self.why,
--- a/src/cinderspoke/gateway/refusal.rs
+++ b/src/cinderspoke/gateway/refusal.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cinderspoke_ports::gateway::Misfit;
 use http::{Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -56,12 +55,6 @@
     }
 }
 
-/// The answer to a request that cannot be understood.
-pub fn misfitting(misfit: &Misfit) -> Response<Body> {
-    tracing::info!(%misfit, "request cannot be understood");
-    plain(StatusCode::BAD_REQUEST, "the request cannot be understood")
-}
-
 /// An answer with a line of text.
 fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
     let mut response = Response::new(whole(Bytes::from_static(text.as_bytes())));
