After a signal the settings file is taken once it stands still

Change: after a signal the file is read again every 100 ms until two readings agree. Whoever stops writing for that long in the middle of a value still has half of it taken in, until the next looks.

--- a/src/cinderspoke/util/reload.rs
+++ b/src/cinderspoke/util/reload.rs
@@ -1,8 +1,9 @@
 //! Settings that change while a program runs.
 //!
 //! The file is read again when a signal says so, and when it reads otherwise than
-//! before. What can be used comes into force, as far as it takes effect while the
-//! program runs; of what cannot be used the last good settings are in force still.
+//! before, each time once it stands still. What can be used comes into force, as far as
+//! it takes effect while the program runs; of what cannot be used the last good settings
+//! are in force still.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -13,7 +14,7 @@
 use anyhow::{Context, Result};
 use serde_json::Value;
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::log::Filter;
 use super::settings::{self, Settings};
@@ -23,6 +24,10 @@
 /// within seconds, and a look reads one small file.
 const LOOK: Duration = Duration::from_secs(1);
 
+/// For how long a file has to read the same after a signal: longer than a small file
+/// takes to be written, and far shorter than until the next look.
+const STILL: Duration = Duration::from_millis(100);
+
 /// What a file holds, or why it cannot be read.
 type Text = Result<String, io::ErrorKind>;
 
@@ -78,7 +83,10 @@
         loop {
             tokio::select! {
                 biased;
-                () = requests.requested() => self.take(self.read(), &filter, &sender),
+                () = requests.requested() => {
+                    let text = self.settled().await;
+                    self.take(text, &filter, &sender);
+                }
                 _ = looks.tick() => {
                     let text = self.read();
                     // Half a file may read like a whole one: it has to stand still first.
@@ -92,6 +100,20 @@
         }
     }
 
+    /// What the file holds once it stands still: who signals may still be writing, and
+    /// half a file may read like a whole one.
+    async fn settled(&self) -> Text {
+        let mut text = self.read();
+        loop {
+            sleep(STILL).await;
+            let again = self.read();
+            if again == text {
+                return again;
+            }
+            text = again;
+        }
+    }
+
     fn read(&self) -> Text {
         std::fs::read_to_string(&self.path).map_err(|error| error.kind())
     }
