--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -7,8 +7,8 @@
 //!   gateways, and tells those and [`agents`] of them in a [`message`]. What
 //!   agents have to know is a [`plan`]; of what is [`outstanding`] at their engines
 //!   they are told as it changes.
-//! - [`serve`] takes callers' requests and [`forward`] brings them to endpoints:
-//!   it has [`understand`] read what is asked and [`choose`] name an endpoint;
+//! - [`serve`] takes callers' requests, whose [`head`] has to come in time, and
+//!   [`forward`] brings them to endpoints: it has [`understand`] read what is asked and [`choose`] name an endpoint;
 //!   [`send`] sends over the connections of a [`pool`], each a [`socket`],
 //!   [`answer`] reads what comes back, and what no endpoint answers ends in a
 //!   [`refusal`].
@@ -24,6 +24,7 @@
 pub mod context;
 pub mod follow;
 pub mod forward;
+pub mod head;
 pub mod knowledge;
 pub mod message;
 pub mod outstanding;
@@ -42,7 +43,6 @@
 pub mod understand;
 pub mod view;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,7 +50,6 @@
 use cinderspoke_ports::gateway::{Dialect, Registry};
 use cinderspoke_schema::settings;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
@@ -60,6 +59,7 @@
 use self::terms::Terms;
 use crate::util::clock::Clock;
 use crate::util::http::Client;
+use crate::util::listen;
 use crate::util::settings::inner_address;
 
 /// How long after it says that it is not ready a gateway still gets new
@@ -106,12 +106,11 @@
         let knowledge = Arc::new(Knowledge::new(settings, terms, clock));
         let stop = CancellationToken::new();
         let context = Arc::new(Context::new(Arc::clone(&knowledge), parts.dialect, clock));
-        let callers = open(listen.callers).await?;
-        let ready = open(listen.ready).await?;
-        let control = open(listen.control).await?;
-        let inner = open(inner_address(settings)).await?;
-        let socket = UdpSocket::bind(inner_address(settings)).await;
-        let socket = socket.context("binding the port for datagrams")?;
+        let callers = listen::tcp(listen.callers).await?;
+        let ready = listen::tcp(listen.ready).await?;
+        let control = listen::tcp(listen.control).await?;
+        let inner = listen::tcp(inner_address(settings)).await?;
+        let socket = listen::udp(inner_address(settings)).await?;
         tokio::spawn(serve::callers(callers, Arc::clone(&context), stop.clone()));
         for listener in [ready, control] {
             let app = serve::admin(Arc::clone(&context), parts.metrics.clone());
@@ -161,8 +160,3 @@
         self.stop.cancel();
     }
 }
-
-/// Listens on an address.
-async fn open(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.with_context(|| format!("listening to {address}"))
-}
