--- a/crates/test-support/src/platform.rs
+++ b/crates/test-support/src/platform.rs
@@ -36,6 +36,9 @@
     pub list_lag: Duration,
     /// Watches never answer.
     pub watches_dead: bool,
+    /// How often the connections of watches have gone silent: watches that were made
+    /// before never answer, later ones do.
+    pub silences: u32,
 }
 
 /// How often the platform was called; a waiting watch counts as one call.
@@ -254,11 +257,13 @@
 ) -> Result<Json<Listing>, StatusCode> {
     enter(&shared, Kind::Read).await?;
     let mut changed = shared.changed.subscribe();
+    let silences = shared.lock().faults.silences;
+    let is_dead = |faults: &Faults| faults.watches_dead || faults.silences != silences;
     let wait = async {
         loop {
             let (listing, dead) = {
                 let store = shared.lock();
-                (store.select(&query.prefix, query.after), store.faults.watches_dead)
+                (store.select(&query.prefix, query.after), is_dead(&store.faults))
             };
             if !listing.objects.is_empty() && !dead {
                 return listing;
@@ -268,7 +273,7 @@
     };
     match timeout(Duration::from_millis(query.wait_ms), wait).await {
         Ok(listing) => Ok(Json(listing)),
-        Err(_) if shared.lock().faults.watches_dead => std::future::pending().await,
+        Err(_) if is_dead(&shared.lock().faults) => std::future::pending().await,
         Err(_) => Ok(Json(Listing { revision: query.after, objects: Vec::new() })),
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod requests;
 mod settings;
 mod shares;
+mod silence;
 mod spread;
 mod stagers;
 mod turns;
