--- a/src/cinderspoke/entry/control.rs
+++ b/src/cinderspoke/entry/control.rs
@@ -30,8 +30,13 @@
 /// How many events may wait for the control task.
 const QUEUE: usize = 4096;
 
-/// How long a waiting watch waits.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long a watch waits for news. Its connection may have gone silent for good, which
+/// shows only when the answer is due: with [`WATCH_MARGIN`] that is after 12 s, and a
+/// configuration has 16 s to be in force everywhere.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
+
+/// How much later than its wait a watch may answer: platforms are slow at times.
+const WATCH_MARGIN: Duration = Duration::from_secs(4);
 
 /// How long to stay away from a platform that did not answer, at first.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
@@ -260,10 +265,8 @@
         let listing = match after {
             None => parts.store.list(object::WATCHED).await,
             Some(after) => {
-                // A watch that died silently must not hide changes for longer than this.
                 let watch = parts.store.watch(object::WATCHED, after, WATCH_WAIT);
-                let limit = WATCH_WAIT + LAST_BACKOFF;
-                timeout(limit, watch)
+                timeout(WATCH_WAIT + WATCH_MARGIN, watch)
                     .await
                     .unwrap_or_else(|_| Err(Error::Unavailable("silence".into())))
             }
