A test's page says which entry instances were late

The instance that wrote the configuration learns of it by its own watch: with the first entry instance (a-1-entry-1, counted from 1) the test failed first, before its peers were asked.

--- a/tests/testsuite/silence.rs
+++ b/tests/testsuite/silence.rs
@@ -1,10 +1,10 @@
 //! A configuration that is accepted while the connections over which entry instances
 //! wait for news of the platform have gone silent for good.
 //!
-//! Entry instances took a silent connection for a platform without news: a watch waits
-//! for 20 s, and was given 5 s more to answer. Entry instances of other availability
-//! zones than the operator's learned of a configuration after up to 25 s, where 16 s
-//! are the most that it may take to be in force everywhere.
+//! Entry instances took a silent connection for a platform without news: a watch waited
+//! for 20 s, and was given 5 s more to answer. All of them learned of a configuration
+//! after up to 25 s, where 16 s are the most that it may take to be in force everywhere:
+//! also the one that had written it, which goes by its own watch like the others.
 
 use std::time::Duration;
 
