--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -30,6 +30,7 @@
         .subcommand(commands::slopes::cli())
         .subcommand(commands::digests::cli())
         .subcommand(commands::days::cli())
+        .subcommand(commands::soak::cli())
 }
 
 /// The argument that names a sample set.
@@ -79,6 +80,7 @@
         Some(("slopes", arguments)) => commands::slopes::exec(arguments, json),
         Some(("digests", arguments)) => commands::digests::exec(arguments),
         Some(("days", arguments)) => commands::days::exec(arguments),
+        Some(("soak", arguments)) => block_on(commands::soak::exec(arguments, json)),
         _ => Ok(()),
     }
 }
--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod digests;
 pub(crate) mod serve;
 pub(crate) mod slopes;
+pub(crate) mod soak;
--- /dev/null
+++ b/crates/bench/src/commands/soak.rs
@@ -0,0 +1,70 @@
+//! `cinderspoke-bench soak`: the real programs while things go wrong.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::{Result, ensure};
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::cli::seed;
+use crate::console::Console;
+use crate::soak::{self, Options};
+
+pub(crate) fn cli() -> Command {
+    let seconds = Arg::new("seconds")
+        .long("seconds")
+        .value_name("N")
+        .default_value("60")
+        .value_parser(value_parser!(u64).range(1..))
+        .help("How long faults are played");
+    let gateways = Arg::new("gateways")
+        .long("gateways")
+        .value_name("N")
+        .default_value("2")
+        .value_parser(value_parser!(u64).range(1..=64))
+        .help("How many entry processes run");
+    let engines = Arg::new("engines")
+        .long("engines")
+        .value_name("N")
+        .default_value("2")
+        .value_parser(value_parser!(u64).range(0..=64))
+        .help("How many model engines there are, each with an agent's process");
+    let programs = Arg::new("programs")
+        .long("programs")
+        .value_name("DIR")
+        .default_value("target/release")
+        .value_parser(value_parser!(PathBuf))
+        .help("Where the programs are");
+    let out = Arg::new("out")
+        .long("out")
+        .value_name("DIR")
+        .value_parser(value_parser!(PathBuf))
+        .help("Where settings and logs are kept; else they are removed at the end");
+    Command::new("soak")
+        .about("Run the real programs on loopback while links, processes and the store fail")
+        .args([seed(), seconds, gateways, engines, programs, out])
+        .after_help(
+            "The same seed plays the same faults. Fails when a promise is broken that no \
+             fault accounts for.\n\n\
+             Example:\n  cinderspoke-bench soak --seed 7 --seconds 60 --out logs",
+        )
+}
+
+pub(crate) async fn exec(matches: &ArgMatches, json: bool) -> Result<()> {
+    let console = Console { json };
+    let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let path = |name| matches.get_one::<PathBuf>(name).cloned();
+    let temporary = tempfile::tempdir()?;
+    let options = Options {
+        seed: number("seed"),
+        length: Duration::from_secs(number("seconds")),
+        gateways: number("gateways") as usize,
+        engines: number("engines") as usize,
+        programs: path("programs").unwrap_or_default(),
+        out: path("out").unwrap_or_else(|| temporary.path().to_owned()),
+    };
+    let summary = soak::run(&options, console).await?;
+    console.write(&summary.to_text(), &summary)?;
+    ensure!(summary.is_good(), "promises were broken that no fault accounts for");
+    Ok(())
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod console;
 mod days;
+mod soak;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/bench/src/soak/caller.rs
@@ -0,0 +1,219 @@
+//! Callers: each keeps a connection until it is gone, and checks every answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use super::attempt::{Attempt, End, Kind};
+use super::configuration::TIMEOUT;
+use super::endpoint::{EVENTS, answer, event, is_stream};
+use super::judge::{LATE, MARGIN};
+use super::oracle::Oracle;
+
+/// What callers know of a gateway.
+#[derive(Debug)]
+pub(crate) struct Door {
+    pub(crate) address: SocketAddr,
+    // Whether the balancer gives it new connections.
+    pub(crate) open: AtomicBool,
+}
+
+/// What callers may ask: routes with what may be done with their requests, and keys.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Offer {
+    pub(crate) routes: Vec<(String, Kind)>,
+    pub(crate) keys: Vec<String>,
+    // What was taken away.
+    pub(crate) former_routes: Vec<(String, Kind)>,
+    pub(crate) former_keys: Vec<String>,
+    // How many of the routes are always there.
+    pub(crate) usual: usize,
+}
+
+/// What all callers share.
+pub(crate) struct Shared {
+    pub(crate) oracle: Oracle,
+    pub(crate) doors: Vec<Door>,
+    pub(crate) offer: watch::Receiver<Offer>,
+    pub(crate) next: AtomicU64,
+}
+
+/// How long a new connection may take.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// In how many cases a caller asks for what takes long, and leaves in some of these.
+const SLOW: f64 = 0.08;
+const LEAVES: f64 = 0.4;
+
+/// In how many cases a caller takes a route or key that is new or was taken away.
+const UNUSUAL: f64 = 0.15;
+
+type Connection = SendRequest<Full<Bytes>>;
+
+/// The body of a request.
+pub(crate) fn body(id: &str) -> String {
+    format!("body of {id}")
+}
+
+/// Sends requests until it is dropped.
+pub(crate) async fn run(shared: Arc<Shared>, mut random: ChaCha8Rng) {
+    let mut kept: Option<(usize, Connection)> = None;
+    loop {
+        sleep(Duration::from_millis(random.random_range(10..120))).await;
+        if kept.as_ref().is_none_or(|(_, connection)| connection.is_closed()) {
+            kept = open(&shared, &mut random).await;
+        }
+        let Some((gateway, connection)) = kept.as_mut() else { continue };
+        if !ask(&shared, *gateway, connection, &mut random).await {
+            kept = None;
+        }
+    }
+}
+
+/// Opens a connection to a gateway that takes new ones; where none does, to any.
+async fn open(shared: &Shared, random: &mut ChaCha8Rng) -> Option<(usize, Connection)> {
+    let doors = shared.doors.iter().enumerate();
+    let open: Vec<_> = doors.filter(|(_, door)| door.open.load(Ordering::Relaxed)).collect();
+    let all: Vec<_> = shared.doors.iter().enumerate().collect();
+    let among = if open.is_empty() { all } else { open };
+    let (number, door) = among[random.random_range(0..among.len())];
+    let stream = timeout(CONNECT, TcpStream::connect(door.address)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (connection, driver) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(driver);
+    Some((number, connection))
+}
+
+/// Picks what to ask: mostly what is always there, sometimes what is new or taken away.
+fn pick<'a, T>(
+    all: &'a [T],
+    former: &'a [T],
+    usual: usize,
+    random: &mut ChaCha8Rng,
+) -> Option<&'a T> {
+    let (usual, new) = all.split_at_checked(usual)?;
+    let unusual: Vec<_> = new.iter().chain(former).collect();
+    if !unusual.is_empty() && random.random_bool(UNUSUAL) {
+        return Some(unusual[random.random_range(0..unusual.len())]);
+    }
+    usual.get(random.random_range(0..usual.len().max(1)))
+}
+
+/// Sends one request; whether the connection can take another.
+async fn ask(
+    shared: &Shared,
+    gateway: usize,
+    connection: &mut Connection,
+    random: &mut ChaCha8Rng,
+) -> bool {
+    let offer = shared.offer.borrow().clone();
+    let Some((route, kind)) = pick(&offer.routes, &offer.former_routes, offer.usual, random) else {
+        return true;
+    };
+    let Some(key) = pick(&offer.keys, &offer.former_keys, 1, random) else { return true };
+    let slow = random.random_bool(SLOW);
+    let leaves = slow && random.random_bool(LEAVES);
+    let id = format!("r{}", shared.next.fetch_add(1, Ordering::Relaxed));
+    let path = format!("{route}{}", if slow { "slow" } else { "quick" });
+    let Ok(request) = request(&id, &path, key) else { return true };
+    if connection.ready().await.is_err() {
+        return false;
+    }
+    let sent = shared.oracle.now();
+    let (route, key, kind) = (route.clone(), key.clone(), *kind);
+    let (runs, end) = (Vec::new(), None);
+    shared.oracle.sent(Attempt { id: id.clone(), gateway, kind, route, key, sent, runs, end });
+    let patience = if leaves {
+        Duration::from_millis(random.random_range(60..900))
+    } else {
+        TIMEOUT + LATE + MARGIN
+    };
+    let exchange = async {
+        let (head, body) = connection.send_request(request).await?.into_parts();
+        Ok::<_, hyper::Error>((head.status.as_u16(), head.headers, collect(body).await))
+    };
+    let end = match timeout(patience, exchange).await {
+        Ok(Ok((status, headers, Some(body)))) => checked(&id, &path, status, &headers, &body),
+        Ok(Ok((_, _, None))) => End::Cut,
+        Ok(Err(error)) if error.is_canceled() => {
+            shared.oracle.withdrawn(&id);
+            return false;
+        }
+        Ok(Err(_)) => End::Cut,
+        Err(_) if leaves => End::Left,
+        Err(_) => End::Silent,
+    };
+    let good = matches!(end, End::Answered { .. });
+    shared.oracle.over(&id, end);
+    good
+}
+
+fn request(id: &str, path: &str, key: &str) -> http::Result<Request<Full<Bytes>>> {
+    Request::post(path)
+        .header("Host", "soak.example")
+        .header("Request-Id", id)
+        .header("Request-Deadline", TIMEOUT.as_millis().to_string())
+        .header("Key", key)
+        .header("Model", "m")
+        .header("Token-Usage", "100,60")
+        .body(Full::from(body(id)))
+}
+
+/// The whole body; none if it did not come whole.
+async fn collect(body: Incoming) -> Option<Bytes> {
+    Some(body.collect().await.ok()?.to_bytes())
+}
+
+/// What is wrong with an answer that came whole.
+fn checked(id: &str, path: &str, status: u16, headers: &HeaderMap, body: &Bytes) -> End {
+    let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let signed = header("engine-signature").is_some();
+    let expected = if is_stream(path) { events(id) } else { answer(id) };
+    let got = String::from_utf8_lossy(body);
+    let wrong = if status == 200 && !signed {
+        Some("a success that no endpoint signed".to_owned())
+    } else if header("request-id").is_some_and(|other| other != id) {
+        Some(format!("the answer to {}", header("request-id").unwrap_or_default()))
+    } else if status == 200 && without_versions(&got) != expected {
+        Some(format!("another body: {got:?}"))
+    } else {
+        None
+    };
+    End::Answered { status, signed, wrong }
+}
+
+fn events(id: &str) -> String {
+    (1..=EVENTS).map(|number| event(id, number)).collect()
+}
+
+/// Events without the lines that tell of another version.
+fn without_versions(text: &str) -> String {
+    let lines = text.split_inclusive('\n');
+    lines.filter(|line| !line.starts_with("weight-versions:")).collect()
+}
+
+/// Whether a gateway says that it takes new connections.
+pub(crate) async fn is_ready(address: SocketAddr) -> bool {
+    let question = async {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (mut connection, driver) = handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(driver);
+        let request = Request::get("/readyz").header("Host", "soak").body(Full::<Bytes>::default());
+        let answer: Response<Incoming> = connection.send_request(request.ok()?).await.ok()?;
+        Some(answer.status().is_success())
+    };
+    timeout(CONNECT, question).await.ok().flatten() == Some(true)
+}
--- /dev/null
+++ b/crates/bench/src/soak/disturbance.rs
@@ -0,0 +1,115 @@
+//! What a fault disturbs, and for how long.
+
+use std::time::Duration;
+
+/// A kind of fault that is no planned work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// Open connections are silent for good; new ones work.
+    Silence,
+    /// Open connections are reset.
+    Reset,
+    /// What is sent comes later.
+    Delay,
+    /// What is sent one way is lost.
+    Cut,
+    /// The store is down, slow or says nothing.
+    Store,
+    /// A program is told to stop and started again.
+    Term,
+    /// A program stands still.
+    Freeze,
+    /// A program is killed and started again.
+    Kill,
+}
+
+/// What of the promises a kind of fault suspends, decided once for each kind.
+#[derive(Debug, Clone, Copy)]
+struct Terms {
+    /// Whether answers may be cut off.
+    cuts: bool,
+    /// Whether the time for a change of versions starts anew after it.
+    link: bool,
+    /// Whether what the store takes meanwhile binds nobody in time.
+    store: bool,
+}
+
+impl Kind {
+    /// Silent and reset connections are over in a moment: new ones work at once.
+    fn terms(self) -> Terms {
+        let (cuts, link, store) = match self {
+            Self::Silence | Self::Reset | Self::Freeze | Self::Kill => (true, false, false),
+            Self::Delay | Self::Cut => (true, true, false),
+            Self::Store => (true, true, true),
+            Self::Term => (false, false, false),
+        };
+        Terms { cuts, link, store }
+    }
+}
+
+/// Whom a fault disturbs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Whom {
+    /// All gateways and endpoints.
+    All,
+    /// The gateway of a number.
+    Gateway(usize),
+    /// The endpoint of a name, and whoever calls it.
+    Endpoint(String),
+}
+
+/// A fault that was played; times are since the start of the soak.
+#[derive(Debug, Clone)]
+pub(crate) struct Disturbance {
+    pub(crate) kind: Kind,
+    pub(crate) whom: Whom,
+    pub(crate) from: Duration,
+    // None while it lasts.
+    pub(crate) until: Option<Duration>,
+}
+
+/// A time and who is looked at in it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Window<'a> {
+    pub(crate) from: Duration,
+    pub(crate) until: Duration,
+    pub(crate) gateway: usize,
+    pub(crate) endpoint: Option<&'a str>,
+}
+
+impl Disturbance {
+    /// Whether it lasted at some moment of a time.
+    pub(crate) fn overlaps(&self, window: &Window<'_>) -> bool {
+        self.from <= window.until && self.until.is_none_or(|until| until >= window.from)
+    }
+
+    /// Whether it harmed the path to one endpoint.
+    pub(crate) fn is_on_endpoint(&self) -> bool {
+        matches!(self.whom, Whom::Endpoint(_))
+    }
+
+    /// Whether whoever is looked at was disturbed.
+    pub(crate) fn touches(&self, window: &Window<'_>) -> bool {
+        let concerned = match &self.whom {
+            Whom::All => true,
+            Whom::Gateway(number) => *number == window.gateway,
+            Whom::Endpoint(name) => window.endpoint == Some(name),
+        };
+        concerned && self.overlaps(window)
+    }
+
+    /// Whether it may have cut an answer off.
+    pub(crate) fn cuts(&self, window: &Window<'_>) -> bool {
+        self.kind.terms().cuts && self.touches(window)
+    }
+
+    /// Whether it suspended the time for a change of versions, for anyone.
+    pub(crate) fn suspends(&self, window: &Window<'_>) -> bool {
+        self.kind.terms().link && self.overlaps(window)
+    }
+
+    /// Whether it made the store unstable, for anyone.
+    pub(crate) fn unsettles(&self, window: &Window<'_>) -> bool {
+        self.kind.terms().store && self.overlaps(window)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/endpoint.rs
@@ -0,0 +1,233 @@
+//! The stand-in of an endpoint: a plain service, or a model engine's requests.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use anyhow::Result;
+use axum::Router;
+use axum::body::Body;
+use axum::extract::State;
+use bytes::Bytes;
+use cinderspoke_test_support::{address, proxy::Proxy};
+use futures::stream;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::attempt::Run;
+use super::engine::Engine;
+use super::oracle::{Oracle, Work};
+
+/// How many events a stream has.
+pub(crate) const EVENTS: u64 = 12;
+
+/// How many requests it works on at once; more are turned away.
+const SLOTS: usize = 16;
+
+/// An endpoint and the link to it.
+pub(crate) struct Endpoint {
+    pub(crate) name: String,
+    pub(crate) service: &'static str,
+    pub(crate) link: Arc<Proxy>,
+    pub(crate) engine: Option<Arc<Engine>>,
+    ended: Arc<AtomicBool>,
+}
+
+#[derive(Clone)]
+struct Shared {
+    name: String,
+    oracle: Oracle,
+    engine: Option<Arc<Engine>>,
+    working: Arc<AtomicUsize>,
+    ended: Arc<AtomicBool>,
+}
+
+/// What an endpoint does for a request: it sleeps for the first, and in a stream
+/// before each event.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    first: Duration,
+    event: Duration,
+}
+
+impl Pace {
+    /// Slow requests are those whose callers may leave meanwhile.
+    fn of(path: &str) -> Self {
+        let [first, event] = if path.ends_with("/slow") { [900, 150] } else { [30, 15] };
+        Self { first: Duration::from_millis(first), event: Duration::from_millis(event) }
+    }
+}
+
+/// The whole answer to a request that is no stream.
+pub(crate) fn answer(id: &str) -> String {
+    format!("answer to {id}")
+}
+
+/// An event of the answer to a request.
+pub(crate) fn event(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {id} {number}\n\n")
+}
+
+impl Endpoint {
+    /// Starts an endpoint of a service.
+    pub(crate) async fn spawn(
+        name: String,
+        service: &'static str,
+        engine: Option<Arc<Engine>>,
+        oracle: &Oracle,
+    ) -> Result<Self> {
+        let ended = Arc::new(AtomicBool::new(false));
+        let shared = Shared {
+            name: name.clone(),
+            oracle: oracle.clone(),
+            engine: engine.clone(),
+            working: Arc::default(),
+            ended: Arc::clone(&ended),
+        };
+        let mut app = Router::new().fallback(serve).with_state(shared);
+        if let Some(engine) = &engine {
+            app = app.merge(super::engine::app(Arc::clone(engine)));
+        }
+        let inner = address::free()?;
+        let listener = TcpListener::bind(inner).await?;
+        tokio::spawn(async move { axum::serve(listener, app).await });
+        let link = Arc::new(Proxy::spawn(address::free()?, inner).await?);
+        Ok(Self { name, service, link, engine, ended })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.link.address
+    }
+
+    /// Its entry in the store.
+    pub(crate) fn entry(&self, state: &str) -> Value {
+        let mut entry = json!({
+            "service": self.service, "address": self.address(), "zone": "zone-1",
+            "version": "1", "slots": SLOTS, "state": state, "cold_remaining_ms": 0, "seq": 1,
+        });
+        if let Some(engine) = &self.engine {
+            entry["models"] = engine.models();
+        }
+        entry
+    }
+
+    /// Ends it, in the midst of whatever it works on.
+    pub(crate) fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        self.link.close();
+    }
+}
+
+/// A place that a request takes, and the work on it.
+struct Place {
+    working: Arc<AtomicUsize>,
+    ended: Arc<AtomicBool>,
+    engine: Option<Arc<Engine>>,
+    work: Work,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.working.fetch_sub(1, Ordering::SeqCst);
+        if let Some(engine) = &self.engine {
+            engine.done();
+        }
+        if self.ended.load(Ordering::SeqCst) {
+            self.work.break_off();
+        }
+    }
+}
+
+async fn serve(State(shared): State<Shared>, request: Request<Body>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let header = |name: &str| {
+        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let id = header("request-id");
+    if head.uri.path() == "/healthz" {
+        return with(Response::builder().header("Instance-Id", &shared.name), 200, Body::empty());
+    }
+    // A caller that leaves while its request comes has had nothing run.
+    let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let expected = header("expect-version").parse::<u64>().ok();
+    let version = shared.engine.as_ref().map(|engine| engine.version());
+    let other = header("target-instance") != shared.name;
+    let older = expected.is_some() && expected != version;
+    let working = shared.working.fetch_add(1, Ordering::SeqCst);
+    let closed = shared.engine.as_ref().is_some_and(|engine| !engine.begin());
+    let full = working >= SLOTS || closed;
+    let ran = !(other || older || full);
+    let run = Run {
+        endpoint: shared.name.clone(),
+        came: shared.oracle.now(),
+        ran,
+        ended: None,
+        broken_off: false,
+        version,
+        wrong: differs(&header, &id, &body),
+    };
+    let work = shared.oracle.came(&id, run);
+    let engine = shared.engine.clone().filter(|_| !closed);
+    let ended = Arc::clone(&shared.ended);
+    let place = Place { working: Arc::clone(&shared.working), ended, engine, work };
+    let mut answered = Response::builder().header("Request-Id", &id);
+    if let Some(version) = version {
+        answered = answered.header("Weight-Versions", version);
+    }
+    if !ran {
+        let status = if other || older { 421 } else { 503 };
+        return with(answered.header("Not-Executed", "1"), status, Body::empty());
+    }
+    let path = head.uri.path();
+    let pace = Pace::of(path);
+    sleep(pace.first).await;
+    let signed = answered.header("Engine-Signature", &shared.name);
+    if !is_stream(path) {
+        return with(signed, 200, Body::from(answer(&id)));
+    }
+    let after = header("last-event-id").parse().unwrap_or(0);
+    let signed = signed.header("Content-Type", "text/event-stream");
+    with(signed, 200, events(id, after, pace, place))
+}
+
+/// Whether requests on a path are answered in events.
+pub(crate) fn is_stream(path: &str) -> bool {
+    path.starts_with("/go/") || path.starts_with("/stop/") || path.starts_with("/model")
+}
+
+/// What is not as the caller sent it.
+fn differs(header: &dyn Fn(&str) -> String, id: &str, body: &Bytes) -> Option<String> {
+    if *body != super::caller::body(id) {
+        return Some("another body".to_owned());
+    }
+    let expected = BTreeMap::from([("tenant", "team"), ("key", "")]);
+    let wrong = expected.into_iter().find(|(name, value)| header(name) != *value)?;
+    Some(format!("{} is {:?}", wrong.0, header(wrong.0)))
+}
+
+fn with(answer: http::response::Builder, status: u16, body: Body) -> Response<Body> {
+    // Names and ids are plain text, so that the head can be made.
+    answer.status(status).body(body).unwrap_or_default()
+}
+
+/// Events after one; what holds its place goes with the stream.
+fn events(id: String, after: u64, pace: Pace, place: Place) -> Body {
+    let all = stream::unfold((after, place), move |(after, place)| {
+        let id = id.clone();
+        async move {
+            if after >= EVENTS {
+                return None;
+            }
+            sleep(pace.event).await;
+            Some((Ok::<_, Infallible>(event(&id, after + 1)), (after + 1, place)))
+        }
+    });
+    Body::from_stream(all)
+}
--- /dev/null
+++ b/crates/bench/src/soak/engine.rs
@@ -0,0 +1,175 @@
+//! What a model engine has besides requests: reports, orders and staged chunks.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use axum::extract::{Path, Query, State};
+use axum::routing::{get, post, put};
+use axum::{Json, Router};
+use bytes::Bytes;
+use cinderspoke_test_support::objects;
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use super::judge::Promise;
+use super::oracle::Oracle;
+use super::origin::{self, CHUNKS};
+
+/// The name of the one model.
+pub(crate) const MODEL: &str = "m";
+
+/// How long loading takes.
+pub(crate) const WARM: Duration = Duration::from_millis(300);
+
+/// How often an engine that waits for its work to end looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+#[derive(Default)]
+struct Inner {
+    version: u64,
+    // Being loaded.
+    next: Option<u64>,
+    orders: u64,
+    running: u32,
+    staged: HashMap<usize, Bytes>,
+}
+
+/// A model engine's state.
+pub(crate) struct Engine {
+    name: String,
+    oracle: Oracle,
+    store: objects::Store,
+    inner: Mutex<Inner>,
+    // Its entry as ready, without models.
+    entry: Mutex<Option<Value>>,
+}
+
+impl Engine {
+    /// An engine with a version of the model.
+    pub(crate) fn new(name: &str, version: u64, oracle: &Oracle, store: &objects::Store) -> Self {
+        Self {
+            name: name.to_owned(),
+            oracle: oracle.clone(),
+            store: store.clone(),
+            inner: Mutex::new(Inner { version, ..Inner::default() }),
+            entry: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The version that requests run on.
+    pub(crate) fn version(&self) -> u64 {
+        self.lock().version
+    }
+
+    /// What it tells of its models.
+    pub(crate) fn models(&self) -> Value {
+        json!([{ "name": MODEL, "version": self.version(), "adapters": [] }])
+    }
+
+    /// Keeps its entry up to date from now on; none once it says that it leaves.
+    pub(crate) fn listed(&self, entry: Option<Value>) {
+        *self.entry.lock().unwrap_or_else(PoisonError::into_inner) = entry;
+    }
+
+    /// Begins a request, unless it takes nothing new.
+    pub(crate) fn begin(&self) -> bool {
+        let mut inner = self.lock();
+        let open = inner.next.is_none();
+        inner.running += u32::from(open);
+        open
+    }
+
+    /// Ends a request.
+    pub(crate) fn done(&self) {
+        self.lock().running -= 1;
+    }
+
+    /// Loads a version once what runs is done.
+    async fn load(self: Arc<Self>, version: u64) {
+        while self.lock().running > 0 {
+            sleep(LOOK).await;
+        }
+        let staged = self.lock().staged.clone();
+        let whole = |chunk: usize| staged.get(&chunk) == Some(&origin::chunk(version, chunk));
+        if let Some(chunk) = (0..CHUNKS).find(|chunk| !whole(*chunk)) {
+            let what = format!("{} loads version {version} without chunk {chunk}", self.name);
+            self.oracle.broken(Promise::Whole, what);
+        }
+        sleep(WARM).await;
+        {
+            let mut inner = self.lock();
+            (inner.version, inner.next) = (version, None);
+        }
+        let entry = self.entry.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(mut entry) = entry {
+            entry["models"] = self.models();
+            self.store.put("servers", &self.name, entry);
+        }
+    }
+}
+
+/// The calls of its own instance.
+pub(crate) fn app(engine: Arc<Engine>) -> Router {
+    Router::new()
+        .route("/report", get(report))
+        .route("/order", post(order))
+        .route("/stage-put/{model}", put(stage))
+        .route("/stage-get/{model}", get(staged))
+        .with_state(engine)
+}
+
+async fn report(State(engine): State<Arc<Engine>>) -> Json<Value> {
+    let models = engine.models();
+    let inner = engine.lock();
+    Json(json!({
+        "stage": "both", "models": models, "busy": inner.next.is_some(), "seq": inner.orders,
+        "queued": 0, "running": inner.running, "kv_used": 100 * inner.running,
+        "kv_total": 300_000, "handles": 0, "pace": 1.0,
+    }))
+}
+
+/// Takes an order to load what is staged. What runs is never broken off: the order
+/// that says so is one that the engine does not follow at once.
+async fn order(State(engine): State<Arc<Engine>>, Json(order): Json<Value>) -> StatusCode {
+    let Some(version) = order["version"].as_u64().filter(|_| order["op"] == "start") else {
+        return StatusCode::BAD_REQUEST;
+    };
+    let mut inner = engine.lock();
+    if inner.version == version {
+        return StatusCode::OK;
+    }
+    let expected = order["expect_rev"].as_u64().unwrap_or(inner.orders);
+    if inner.next.is_some() || expected != inner.orders {
+        return StatusCode::CONFLICT;
+    }
+    inner.next = Some(version);
+    inner.orders += 1;
+    tokio::spawn(Arc::clone(&engine).load(version));
+    StatusCode::ACCEPTED
+}
+
+async fn stage(
+    State(engine): State<Arc<Engine>>,
+    Path(_model): Path<String>,
+    Query(query): Query<HashMap<String, usize>>,
+    bytes: Bytes,
+) -> StatusCode {
+    let Some(number) = query.get("num") else { return StatusCode::BAD_REQUEST };
+    engine.lock().staged.insert(*number, bytes);
+    StatusCode::OK
+}
+
+async fn staged(
+    State(engine): State<Arc<Engine>>,
+    Path(_model): Path<String>,
+    Query(query): Query<HashMap<String, usize>>,
+) -> Result<Bytes, StatusCode> {
+    let number = query.get("num").ok_or(StatusCode::BAD_REQUEST)?;
+    engine.lock().staged.get(number).cloned().ok_or(StatusCode::NOT_FOUND)
+}
--- /dev/null
+++ b/crates/bench/src/soak/mod.rs
@@ -0,0 +1,206 @@
+//! The fault soak: the real programs as processes, and an oracle that checks what
+//! callers, operators and endpoints are promised while things go wrong.
+//!
+//! - [`plan`] lays out faults by a seed, [`player`] plays them upon a [`world`] of
+//!   [`program`]s, links, a store, an [`origin`], and [`endpoint`]s, of which some
+//!   are an [`engine`]; the operators' [`configuration`] is declared to the store.
+//! - [`caller`]s send requests. What they and endpoints see of an [`attempt`] goes to
+//!   the [`oracle`], and [`judge`] says what is broken by it; which [`disturbance`]
+//!   accounts for a breach is decided once for each kind of fault.
+
+mod attempt;
+mod caller;
+mod configuration;
+mod disturbance;
+mod endpoint;
+mod engine;
+mod judge;
+mod oracle;
+mod origin;
+mod plan;
+mod player;
+mod program;
+mod world;
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use self::judge::{Breach, Promise};
+use self::player::Player;
+use self::world::World;
+use crate::console::Console;
+
+/// How many callers there are.
+const CALLERS: u64 = 12;
+
+/// How often the player looks at what is due, and how often attempts are judged.
+const LOOK: Duration = Duration::from_millis(20);
+const LOOKS_TO_SETTLE: u32 = 50;
+
+/// How long work may still end once all callers have left.
+const END: Duration = Duration::from_millis(1500);
+
+/// How many breaches of each promise are told one by one: the first ones tell most.
+const TOLD: usize = 5;
+
+/// What to soak, and where the programs are and their logs go.
+#[derive(Debug)]
+pub(crate) struct Options {
+    pub(crate) seed: u64,
+    pub(crate) length: Duration,
+    pub(crate) gateways: usize,
+    pub(crate) engines: usize,
+    pub(crate) programs: PathBuf,
+    pub(crate) out: PathBuf,
+}
+
+/// What came of it.
+#[derive(Debug, Serialize)]
+pub(crate) struct Summary {
+    seed: u64,
+    processes: usize,
+    faults: usize,
+    requests: u64,
+    broken_promises: usize,
+    unexplained: usize,
+}
+
+impl Summary {
+    /// Whether all promises were kept, but for what faults account for.
+    pub(crate) fn is_good(&self) -> bool {
+        self.unexplained == 0
+    }
+
+    pub(crate) fn to_text(&self) -> String {
+        let Self { seed, processes, faults, requests, broken_promises, unexplained } = self;
+        format!(
+            "seed {seed}: {processes} processes, {faults} faults, {requests} requests, \
+             {broken_promises} promises broken, {unexplained} unexplained"
+        )
+    }
+}
+
+/// Soaks the system, until a signal interrupts it.
+pub(crate) async fn run(options: &Options, console: Console) -> Result<Summary> {
+    let programs = absolute(&options.programs)?;
+    std::fs::create_dir_all(&options.out).context("making the directory of the logs")?;
+    let out = absolute(&options.out)?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    tokio::select! {
+        summary = soak(options, &programs, &out, console) => summary,
+        // The world is dropped with the soak, and the programs with the world.
+        _ = interrupt.recv() => anyhow::bail!("interrupted"),
+        _ = terminate.recv() => anyhow::bail!("told to stop"),
+        _ = hang_up.recv() => anyhow::bail!("the terminal is gone"),
+    }
+}
+
+fn absolute(path: &Path) -> Result<PathBuf> {
+    path.canonicalize().with_context(|| path.display().to_string())
+}
+
+async fn soak(options: &Options, programs: &Path, out: &Path, console: Console) -> Result<Summary> {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let steps = plan::plan(&mut random, options.length);
+    let mut world = World::spawn(programs, out, options.gateways, options.engines).await?;
+    let start = world.oracle.now();
+    let mut others = JoinSet::new();
+    for (number, gateway) in world.gateways.iter().enumerate() {
+        others.spawn(world::balance(gateway.ready, Arc::clone(&world.callers), number));
+    }
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+        random.set_stream(caller + 1);
+        callers.spawn(caller::run(Arc::clone(&world.callers), random));
+    }
+    let mut player = Player::new(random, steps, start);
+    let mut tally = Tally::new(console);
+    let mut looks = 0;
+    while world.oracle.now() < start + options.length {
+        for fault in player.play(&mut world).await? {
+            console.say(&format!("{:7.3} s: {fault:?}", world.oracle.now().as_secs_f64()));
+        }
+        looks += 1;
+        if looks % LOOKS_TO_SETTLE == 0 {
+            world.check_ends();
+            tally.take(world.oracle.settle(false));
+        }
+        sleep(LOOK).await;
+    }
+    callers.shutdown().await;
+    sleep(END).await;
+    world.check_ends();
+    tally.take(world.oracle.settle(true));
+    tally.tell();
+    let (requests, served) = world.oracle.requests();
+    console.say(&format!("{served} of {requests} requests served; logs in {}", out.display()));
+    Ok(Summary {
+        seed: options.seed,
+        processes: world.processes(),
+        faults: player.faults,
+        requests,
+        broken_promises: tally.broken,
+        unexplained: tally.unexplained,
+    })
+}
+
+/// Counts breaches, and tells of them.
+struct Tally {
+    console: Console,
+    broken: usize,
+    unexplained: usize,
+    // By promise, and whether a fault accounts for it.
+    counts: BTreeMap<(bool, Promise), usize>,
+}
+
+impl Tally {
+    fn new(console: Console) -> Self {
+        Self { console, broken: 0, unexplained: 0, counts: BTreeMap::new() }
+    }
+
+    /// Tells how often each promise was broken.
+    fn tell(&self) {
+        for ((excused, promise), count) in &self.counts {
+            let why = if *excused { "a fault accounts for it" } else { "unexplained" };
+            self.console.say(&format!("{promise:?} broken {count} times, {why}"));
+        }
+    }
+
+    fn take(&mut self, breaches: Vec<Breach>) {
+        for Breach { promise, at, excused, what } in breaches {
+            self.broken += 1;
+            self.unexplained += usize::from(!excused);
+            let count = self.counts.entry((excused, promise)).or_default();
+            *count += 1;
+            if !excused && *count <= TOLD {
+                let at = at.as_secs_f64();
+                self.console.say(&format!("{at:7.3} s: {promise:?} broken: {what}"));
+            }
+        }
+    }
+}
+
+impl World {
+    /// Finds programs that ended by themselves.
+    fn check_ends(&mut self) {
+        let gateways = self.gateways.iter_mut().map(|gateway| &mut gateway.program);
+        let ends: Vec<_> =
+            gateways.chain(&mut self.agents).filter_map(|program| program.end()).collect();
+        for end in ends {
+            self.oracle.broken(Promise::Ended, end);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/oracle.rs
@@ -0,0 +1,193 @@
+//! What callers, endpoints and the player have seen, and what is broken by it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::attempt::{Attempt, End, Run};
+use super::disturbance::{Disturbance, Kind, Whom};
+use super::judge::{Bounds, Breach, Facts, Promise, Span, judge};
+
+/// How long an attempt that is over is kept: what comes of it later is seen until then.
+const SETTLE: Duration = Duration::from_secs(8);
+
+#[derive(Default)]
+struct State {
+    attempts: HashMap<String, Attempt>,
+    facts: Facts,
+    breaches: Vec<Breach>,
+    requests: u64,
+    succeeded: u64,
+}
+
+/// The oracle; clones share what was seen.
+#[derive(Clone)]
+pub(crate) struct Oracle {
+    began: Instant,
+    bounds: Bounds,
+    state: Arc<Mutex<State>>,
+}
+
+/// An arrival at an endpoint; dropping it tells that the endpoint is done with it.
+pub(crate) struct Work {
+    oracle: Oracle,
+    id: String,
+    number: usize,
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let now = self.oracle.now();
+        self.oracle.change(&self.id, |attempt| {
+            if let Some(run) = attempt.runs.get_mut(self.number) {
+                run.ended = Some(now);
+            }
+        });
+    }
+}
+
+impl Work {
+    /// Tells that the endpoint breaks it off.
+    pub(crate) fn break_off(&self) {
+        self.oracle.change(&self.id, |attempt| {
+            if let Some(run) = attempt.runs.get_mut(self.number) {
+                run.broken_off = true;
+            }
+        });
+    }
+}
+
+impl Oracle {
+    pub(crate) fn new(bounds: Bounds) -> Self {
+        Self { began: Instant::now(), bounds, state: Arc::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The time since the start of the soak.
+    pub(crate) fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    fn change(&self, id: &str, change: impl FnOnce(&mut Attempt)) {
+        if let Some(attempt) = self.lock().attempts.get_mut(id) {
+            change(attempt);
+        }
+    }
+
+    /// A caller sends a request.
+    pub(crate) fn sent(&self, attempt: Attempt) {
+        let mut state = self.lock();
+        state.requests += 1;
+        state.attempts.insert(attempt.id.clone(), attempt);
+    }
+
+    /// A caller's request turned out not to be sent at all.
+    pub(crate) fn withdrawn(&self, id: &str) {
+        let mut state = self.lock();
+        state.requests -= 1;
+        state.attempts.remove(id);
+    }
+
+    /// An attempt is over for its caller.
+    pub(crate) fn over(&self, id: &str, end: End) {
+        let now = self.now();
+        let good = matches!(end, End::Answered { status: 200, .. });
+        self.change(id, |attempt| attempt.end = Some((now, end)));
+        self.lock().succeeded += u64::from(good);
+    }
+
+    /// A request reaches an endpoint.
+    pub(crate) fn came(&self, id: &str, run: Run) -> Work {
+        let mut number = 0;
+        let mut state = self.lock();
+        match state.attempts.get_mut(id) {
+            Some(attempt) => {
+                number = attempt.runs.len();
+                attempt.runs.push(run);
+            }
+            None => {
+                let Run { endpoint, came, ran, .. } = run;
+                let what = format!("{id} at {endpoint}, which no caller waits for (ran: {ran})");
+                let promise = Promise::Unasked;
+                state.breaches.push(Breach { promise, at: came, excused: false, what });
+            }
+        }
+        Work { oracle: self.clone(), id: id.to_owned(), number }
+    }
+
+    /// The store took that an endpoint leaves.
+    pub(crate) fn leaves(&self, endpoint: &str) {
+        let now = self.now();
+        self.lock().facts.leaving.entry(endpoint.to_owned()).or_insert(now);
+    }
+
+    /// The store took a new version.
+    pub(crate) fn named(&self, version: u64) {
+        let now = self.now();
+        self.lock().facts.versions.push((now, version));
+    }
+
+    /// The store took a configuration with just these routes and keys.
+    pub(crate) fn declared(&self, names: &[String]) {
+        let now = self.now();
+        let declared = &mut self.lock().facts.declared;
+        for name in names {
+            declared.entry(name.clone()).or_insert(Span { from: now, until: None });
+        }
+        for (name, span) in declared.iter_mut() {
+            if !names.contains(name) {
+                span.until.get_or_insert(now);
+            }
+        }
+    }
+
+    /// A fault strikes; gives its number, with which it ends.
+    pub(crate) fn struck(&self, kind: Kind, whom: Whom) -> usize {
+        let from = self.now();
+        let disturbances = &mut self.lock().facts.disturbances;
+        disturbances.push(Disturbance { kind, whom, from, until: None });
+        disturbances.len() - 1
+    }
+
+    /// A fault is over.
+    pub(crate) fn passed(&self, number: usize) {
+        let now = self.now();
+        if let Some(disturbance) = self.lock().facts.disturbances.get_mut(number) {
+            disturbance.until = Some(now);
+        }
+    }
+
+    /// Something broke a promise outside all attempts.
+    pub(crate) fn broken(&self, promise: Promise, what: String) {
+        let at = self.now();
+        self.lock().breaches.push(Breach { promise, at, excused: false, what });
+    }
+
+    /// Judges the attempts that have been over for a while, or all; gives what is
+    /// broken since the last time.
+    pub(crate) fn settle(&self, all: bool) -> Vec<Breach> {
+        let now = self.now();
+        let mut state = self.lock();
+        let State { attempts, facts, breaches, .. } = &mut *state;
+        attempts.retain(|_, attempt| {
+            let settled =
+                all || attempt.end.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) > SETTLE);
+            if settled {
+                breaches.extend(judge(attempt, facts, &self.bounds));
+            }
+            !settled
+        });
+        std::mem::take(breaches)
+    }
+
+    /// How many requests were sent, and how many were served.
+    pub(crate) fn requests(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.requests, state.succeeded)
+    }
+}
--- /dev/null
+++ b/crates/bench/src/soak/plan.rs
@@ -0,0 +1,137 @@
+//! The seeded plan: what goes wrong, and when.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use cinderspoke_test_support::objects::Mood;
+use cinderspoke_test_support::proxy::Way;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// Which links a fault strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Links {
+    /// From gateways to the store.
+    Store,
+    /// From callers to gateways.
+    Callers,
+    /// To endpoints.
+    Endpoints,
+}
+
+/// News that the store takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum News {
+    /// An endpoint says that it leaves, and ends later.
+    Drain,
+    /// An endpoint's entry goes, and it ends later.
+    Entry,
+    /// New weights are named.
+    Version,
+    /// A route comes, and an older one goes.
+    Route,
+    /// A key comes, and an older one is revoked.
+    Key,
+}
+
+/// Something that is done to the system.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// Open connections on all links go silent for good.
+    Silence(Links),
+    /// Open connections on all links are reset.
+    Reset(Links),
+    /// One link takes longer, for a time.
+    Delay(Links, Duration, Duration),
+    /// One link loses what is sent one way, for a time.
+    Cut(Links, Way, Duration),
+    /// The store is in a mood for a time.
+    Store(Mood, Duration),
+    /// The store forgets its history.
+    Forget,
+    /// A program is told to stop, and started again.
+    Term,
+    /// A program is killed, and started again.
+    Kill,
+    /// A program stands still for a time.
+    Freeze(Duration),
+    /// A program is told to read its settings again.
+    Reload,
+    News(News),
+}
+
+/// A fault and when it strikes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Step {
+    pub(crate) at: Duration,
+    pub(crate) fault: Fault,
+}
+
+/// When the first fault strikes.
+const FIRST: Duration = Duration::from_secs(2);
+
+/// How many faults come close together.
+const CLUSTER: Range<usize> = 1..4;
+
+/// Milliseconds between two of these: many last longer, so that they overlap.
+const BETWEEN: Range<u64> = 200..2500;
+
+/// Milliseconds between clusters: most promises hold only for whoever was undisturbed
+/// for 3 s, and a gateway that knows too little does so for long.
+const LULL: Range<u64> = 5000..11_000;
+
+/// Milliseconds from the silence of the store's connections to the news that nobody
+/// hears over them.
+const UNHEARD: Range<u64> = 50..500;
+
+/// Milliseconds that a fault lasts.
+const LASTS: Range<u64> = 300..4000;
+
+/// Lays out the faults of a soak.
+pub(crate) fn plan(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = FIRST;
+    while at < length {
+        for _ in 0..random.random_range(CLUSTER) {
+            let fault = draw(random);
+            steps.push(Step { at, fault });
+            if fault == Fault::Silence(Links::Store) {
+                let at = at + Duration::from_millis(random.random_range(UNHEARD));
+                steps.push(Step { at, fault: Fault::News(news(random)) });
+            }
+            at += Duration::from_millis(random.random_range(BETWEEN));
+        }
+        at += Duration::from_millis(random.random_range(LULL));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+fn draw(random: &mut ChaCha8Rng) -> Fault {
+    let length = Duration::from_millis(random.random_range(LASTS));
+    let links = [Links::Store, Links::Callers, Links::Endpoints][random.random_range(0..3)];
+    match random.random_range(0..20) {
+        0..4 => Fault::Silence(Links::Store),
+        4 => Fault::Silence(links),
+        5 => Fault::Reset(links),
+        6 => Fault::Delay(links, Duration::from_millis(random.random_range(20..200)), length),
+        7 => Fault::Cut(links, if random.random() { Way::Out } else { Way::Back }, length),
+        8 => Fault::Store(Mood::Down, length),
+        9 => {
+            let slow = Duration::from_millis(random.random_range(300..2000));
+            Fault::Store(Mood::Slow(slow), length)
+        }
+        10 => Fault::Store(Mood::Mute, length),
+        11 => Fault::Forget,
+        12 | 13 => Fault::Term,
+        14 => Fault::Kill,
+        15 => Fault::Freeze(length),
+        16 => Fault::Reload,
+        _ => Fault::News(news(random)),
+    }
+}
+
+fn news(random: &mut ChaCha8Rng) -> News {
+    let all = [News::Drain, News::Entry, News::Version, News::Route, News::Key];
+    all[random.random_range(0..all.len())]
+}
--- /dev/null
+++ b/crates/bench/src/soak/player.rs
@@ -0,0 +1,310 @@
+//! Plays the plan: each fault begins at its time, and what it needs later is due then.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use cinderspoke_test_support::objects::Mood;
+use cinderspoke_test_support::proxy::Proxy;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+
+use super::attempt;
+use super::caller;
+use super::configuration::{BOUNDS, GRACE};
+use super::disturbance::{Kind, Whom};
+use super::endpoint::Endpoint;
+use super::engine::MODEL;
+use super::plan::{Fault, Links, News, Step};
+use super::program::Signal;
+use super::world::World;
+
+/// Seconds that an endpoint which leaves goes on to serve beyond what it owes.
+const LONGER_S: std::ops::Range<f64> = 0.5..12.0;
+
+/// How long a program that ended stays away.
+const AWAY: Duration = Duration::from_millis(300);
+
+/// How long until what is waited for is looked at again.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// How many routes and keys come and go.
+const CHANGING: usize = 2;
+
+/// Something that is due later; numbers are of the disturbances that it ends.
+enum Due {
+    Strike(Fault),
+    /// The endpoint that left ends.
+    End(Box<Endpoint>),
+    /// A link is well again.
+    Mend(Arc<Proxy>, usize),
+    /// The store is well again.
+    Well(usize),
+    /// A program that stood still goes on.
+    Wake(usize, Option<usize>),
+    /// A program that was told to stop is started again; killed, if it has not ended by then.
+    Over(usize, Option<usize>, Duration),
+    /// A program starts again.
+    Start(usize, Option<usize>),
+    /// A gateway is waited for.
+    Ready(usize, usize),
+}
+
+/// Plays a plan upon a world.
+pub(crate) struct Player {
+    random: ChaCha8Rng,
+    // In no order; there are few.
+    due: Vec<(Duration, Due)>,
+    // Programs at which something is done.
+    struck: HashSet<usize>,
+    // Whether the store is in a mood.
+    moody: bool,
+    pub(crate) faults: usize,
+}
+
+impl Player {
+    /// A player of steps that count from a start.
+    pub(crate) fn new(random: ChaCha8Rng, steps: Vec<Step>, start: Duration) -> Self {
+        let due = steps.into_iter().map(|Step { at, fault }| (start + at, Due::Strike(fault)));
+        Self { random, due: due.collect(), struck: HashSet::new(), moody: false, faults: 0 }
+    }
+
+    /// Does what is due; gives what was struck.
+    pub(crate) async fn play(&mut self, world: &mut World) -> Result<Vec<Fault>> {
+        let now = world.oracle.now();
+        let (mut due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.due).into_iter().partition(|(at, _)| *at <= now);
+        self.due = later;
+        due.sort_by_key(|(at, _)| *at);
+        let mut struck = Vec::new();
+        for (_, due) in due {
+            match due {
+                Due::Strike(fault) => {
+                    if self.strike(world, fault).await? {
+                        self.faults += 1;
+                        struck.push(fault);
+                    }
+                }
+                due => self.follow(world, due).await?,
+            }
+        }
+        Ok(struck)
+    }
+
+    fn later(&mut self, world: &World, after: Duration, due: Due) {
+        self.due.push((world.oracle.now() + after, due));
+    }
+
+    /// Does what a fault needs later.
+    async fn follow(&mut self, world: &mut World, due: Due) -> Result<()> {
+        match due {
+            Due::Strike(_) => {}
+            Due::End(endpoint) => endpoint.end(),
+            Due::Mend(link, number) => {
+                link.delay(Duration::ZERO);
+                link.cut(None);
+                world.oracle.passed(number);
+            }
+            Due::Well(number) => {
+                world.store.set(Mood::Well);
+                world.oracle.passed(number);
+                self.moody = false;
+            }
+            Due::Wake(program, number) => {
+                world.program(program).signal(Signal::Wake).await?;
+                self.struck.remove(&program);
+                number.into_iter().for_each(|number| world.oracle.passed(number));
+            }
+            Due::Over(program, number, last) => {
+                if world.oracle.now() > last {
+                    world.program(program).kill().await?;
+                }
+                if world.program(program).is_over()? {
+                    self.later(world, AWAY, Due::Start(program, number));
+                } else {
+                    self.later(world, AGAIN, Due::Over(program, number, last));
+                }
+            }
+            Due::Start(program, number) => {
+                world.program(program).start()?;
+                match number {
+                    Some(number) => self.later(world, AGAIN, Due::Ready(program, number)),
+                    None => _ = self.struck.remove(&program),
+                }
+            }
+            Due::Ready(program, number) => {
+                if caller::is_ready(world.gateways[program].ready).await {
+                    world.oracle.passed(number);
+                    self.struck.remove(&program);
+                } else {
+                    self.later(world, AGAIN, Due::Ready(program, number));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Begins a fault; whether it could strike.
+    async fn strike(&mut self, world: &mut World, fault: Fault) -> Result<bool> {
+        match fault {
+            Fault::Silence(links) => {
+                Self::strike_all(world, links, Kind::Silence, Proxy::silence);
+            }
+            Fault::Reset(links) => Self::strike_all(world, links, Kind::Reset, Proxy::reset),
+            Fault::Delay(links, delay, length) => {
+                self.strike_one(world, links, Kind::Delay, length, |link| link.delay(delay));
+            }
+            Fault::Cut(links, way, length) => {
+                self.strike_one(world, links, Kind::Cut, length, |link| link.cut(Some(way)));
+            }
+            Fault::Store(..) if self.moody => return Ok(false),
+            Fault::Store(mood, length) => {
+                let number = world.oracle.struck(Kind::Store, Whom::All);
+                world.store.set(mood);
+                self.moody = true;
+                self.later(world, length, Due::Well(number));
+            }
+            Fault::Forget => world.store.forget(),
+            Fault::Term | Fault::Kill | Fault::Freeze(_) | Fault::Reload => {
+                return self.strike_program(world, fault).await;
+            }
+            Fault::News(news) => self.tell(world, news).await?,
+        }
+        Ok(true)
+    }
+
+    /// Does something in a moment to all links of a sort.
+    fn strike_all(world: &World, links: Links, kind: Kind, strike: impl Fn(&Proxy)) {
+        let number = world.oracle.struck(kind, Whom::All);
+        world.links(links).iter().for_each(|(link, _)| strike(link));
+        world.oracle.passed(number);
+    }
+
+    /// Harms one link of a sort for a time.
+    fn strike_one(
+        &mut self,
+        world: &World,
+        links: Links,
+        kind: Kind,
+        length: Duration,
+        strike: impl Fn(&Proxy),
+    ) {
+        let mut all = world.links(links);
+        let (link, whom) = all.swap_remove(self.random.random_range(0..all.len()));
+        let number = world.oracle.struck(kind, whom);
+        strike(&link);
+        self.later(world, length, Due::Mend(link, number));
+    }
+
+    /// Does something to a program at which nothing is done; whether there is one.
+    async fn strike_program(&mut self, world: &mut World, fault: Fault) -> Result<bool> {
+        let all = 0..world.processes();
+        let free: Vec<_> = all.filter(|number| !self.struck.contains(number)).collect();
+        if free.is_empty() {
+            return Ok(false);
+        }
+        let program = free[self.random.random_range(0..free.len())];
+        // An agent's faults account for nothing: gateways keep what is promised.
+        let gateway = program < world.gateways.len();
+        let oracle = world.oracle.clone();
+        let strike = |kind| gateway.then(|| oracle.struck(kind, Whom::Gateway(program)));
+        match fault {
+            Fault::Reload => {
+                let link = self.random.random_range(500.0..1000.0);
+                let struck = world.program(program);
+                struck.change(|settings| settings["limits"]["link_mbps"] = json!(link))?;
+                struck.signal(Signal::Reload).await?;
+                return Ok(true);
+            }
+            Fault::Term => {
+                let number = strike(Kind::Term);
+                world.program(program).signal(Signal::Terminate).await?;
+                let last = oracle.now() + GRACE;
+                self.later(world, AGAIN, Due::Over(program, number, last));
+            }
+            Fault::Freeze(length) => {
+                let number = strike(Kind::Freeze);
+                world.program(program).signal(Signal::Freeze).await?;
+                self.later(world, length, Due::Wake(program, number));
+            }
+            _ => {
+                let number = strike(Kind::Kill);
+                world.program(program).kill().await?;
+                self.later(world, AWAY, Due::Start(program, number));
+            }
+        }
+        self.struck.insert(program);
+        Ok(true)
+    }
+
+    /// Has the store take news.
+    async fn tell(&mut self, world: &mut World, news: News) -> Result<()> {
+        match news {
+            News::Drain | News::Entry => self.leave(world, news).await?,
+            News::Version => {
+                world.named += 1;
+                let named = json!({ "model": MODEL, "version": world.named });
+                world.store.put("versions", MODEL, named);
+                world.oracle.named(world.named);
+            }
+            News::Route => {
+                let route = format!("/extra-{}/", world.declared);
+                world.offer.send_modify(|offer| {
+                    offer.routes.push((route, attempt::Kind::Safe));
+                    if offer.routes.len() > offer.usual + CHANGING {
+                        offer.former_routes = vec![offer.routes.remove(offer.usual)];
+                    }
+                });
+                world.declare();
+            }
+            News::Key => {
+                let key = format!("key-{}", world.declared);
+                world.offer.send_modify(|offer| {
+                    offer.keys.push(key);
+                    if offer.keys.len() > 1 + CHANGING {
+                        offer.former_keys = vec![offer.keys.remove(1)];
+                    }
+                });
+                world.declare();
+            }
+        }
+        Ok(())
+    }
+
+    /// Has the oldest plain endpoint leave, once there is another one.
+    async fn leave(&mut self, world: &mut World, news: News) -> Result<()> {
+        world.add_plain().await?;
+        let plain = world.endpoints.iter().position(|endpoint| endpoint.engine.is_none());
+        let endpoint = world.endpoints.remove(plain.unwrap_or(0));
+        let name = endpoint.name.as_str();
+        match news {
+            News::Drain => world.store.put("servers", name, endpoint.entry("draining")),
+            _ => world.store.remove("servers", name),
+        }
+        world.oracle.leaves(name);
+        let longer = Duration::from_secs_f64(self.random.random_range(LONGER_S));
+        self.later(world, BOUNDS.drain + longer, Due::End(Box::new(endpoint)));
+        Ok(())
+    }
+}
+
+impl World {
+    /// The links of a sort, and whom each concerns.
+    fn links(&self, links: Links) -> Vec<(Arc<Proxy>, Whom)> {
+        let gateways = self.gateways.iter().enumerate();
+        match links {
+            Links::Store => {
+                gateways.map(|(at, it)| (Arc::clone(&it.store), Whom::Gateway(at))).collect()
+            }
+            Links::Callers => {
+                gateways.map(|(at, it)| (Arc::clone(&it.callers), Whom::Gateway(at))).collect()
+            }
+            Links::Endpoints => {
+                let link = |it: &Endpoint| (Arc::clone(&it.link), Whom::Endpoint(it.name.clone()));
+                self.endpoints.iter().map(link).collect()
+            }
+        }
+    }
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -4,6 +4,7 @@
 //! TCP, and misbehave on request. Tests and the bench use the same ones.
 //!
 //! - [`platform`]: the object API and the list of instances.
+//! - [`objects`]: a store of objects with lists and watches; [`proxy`]: a link to harm.
 //! - [`weights`]: the weight store and the origin.
 //! - [`engine`] and [`service`]: the endpoints.
 //! - [`network`]: links in memory, for experiments on a paused clock.
@@ -19,7 +20,9 @@
 pub mod load;
 pub mod network;
 pub mod node;
+pub mod objects;
 pub mod platform;
+pub mod proxy;
 pub mod samples;
 pub mod service;
 pub mod weights;
