Soak: the oracle's judge has tests, short soaks are tests

Cause: nothing showed that the oracle finds what it is there to find, nor that its links are silent and not only slow. The judge is pure and stands in test-support; its tests cover each promise with and without faults that account for a breach.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -63,7 +63,8 @@
         programs: path("programs").unwrap_or_default(),
         out: path("out").unwrap_or_else(|| temporary.path().to_owned()),
     };
-    let summary = soak::run(&options, console).await?;
+    // Faults and breaches are told beside the line of JSON too: they say why it fails.
+    let summary = soak::run(&options, Console { json: false }).await?;
     console.write(&summary.to_text(), &summary)?;
     ensure!(summary.is_good(), "promises were broken that no fault accounts for");
     Ok(())
--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind};
+use cinderspoke_test_support::oracle::judge::{LATE, MARGIN};
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -17,10 +19,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::attempt::{Attempt, End, Kind};
 use super::configuration::TIMEOUT;
 use super::endpoint::{EVENTS, answer, event, is_stream};
-use super::judge::{LATE, MARGIN};
 use super::oracle::Oracle;
 
 /// What callers know of a gateway.
--- a/crates/bench/src/soak/configuration.rs
+++ b/crates/bench/src/soak/configuration.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use cinderspoke_test_support::address::shared_port;
+use cinderspoke_test_support::oracle::attempt::Kind;
+use cinderspoke_test_support::oracle::judge::Bounds;
 use serde_json::{Value, json};
 
-use super::attempt::Kind;
 use super::caller::Offer;
 use super::engine::{MODEL, WARM};
-use super::judge::Bounds;
 use super::origin::{CHUNK_BYTES, CHUNKS};
 
 /// The service of plain endpoints.
--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -12,6 +12,7 @@
 use axum::body::Body;
 use axum::extract::State;
 use bytes::Bytes;
+use cinderspoke_test_support::oracle::attempt::Run;
 use cinderspoke_test_support::{address, proxy::Proxy};
 use futures::stream;
 use http::{Request, Response};
@@ -20,7 +21,6 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use super::attempt::Run;
 use super::engine::Engine;
 use super::oracle::{Oracle, Work};
 
--- a/crates/bench/src/soak/engine.rs
+++ b/crates/bench/src/soak/engine.rs
@@ -9,11 +9,11 @@
 use axum::{Json, Router};
 use bytes::Bytes;
 use cinderspoke_test_support::objects;
+use cinderspoke_test_support::oracle::judge::Promise;
 use http::StatusCode;
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use super::judge::Promise;
 use super::oracle::Oracle;
 use super::origin::{self, CHUNKS};
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -4,17 +4,13 @@
 //! - [`plan`] lays out faults by a seed, [`player`] plays them upon a [`world`] of
 //!   [`program`]s, links, a store, an [`origin`], and [`endpoint`]s, of which some
 //!   are an [`engine`]; the operators' [`configuration`] is declared to the store.
-//! - [`caller`]s send requests. What they and endpoints see of an [`attempt`] goes to
-//!   the [`oracle`], and [`judge`] says what is broken by it; which [`disturbance`]
-//!   accounts for a breach is decided once for each kind of fault.
+//! - [`caller`]s send requests. What they and endpoints see of each goes to the
+//!   [`oracle`], which has it judged and keeps what is broken.
 
-mod attempt;
 mod caller;
 mod configuration;
-mod disturbance;
 mod endpoint;
 mod engine;
-mod judge;
 mod oracle;
 mod origin;
 mod plan;
@@ -28,6 +24,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use cinderspoke_test_support::oracle::judge::{Breach, Promise};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -35,7 +32,6 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use self::judge::{Breach, Promise};
 use self::player::Player;
 use self::world::World;
 use crate::console::Console;
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -4,12 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cinderspoke_test_support::oracle::attempt::{Attempt, End, Run};
+use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind, Whom};
+use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
 use tokio::time::Instant;
 
-use super::attempt::{Attempt, End, Run};
-use super::disturbance::{Disturbance, Kind, Whom};
-use super::judge::{Bounds, Breach, Facts, Promise, Span, judge};
-
 /// How long an attempt that is over is kept: what comes of it later is seen until then.
 const SETTLE: Duration = Duration::from_secs(8);
 
--- a/crates/bench/src/soak/player.rs
+++ b/crates/bench/src/soak/player.rs
@@ -6,15 +6,15 @@
 
 use anyhow::Result;
 use cinderspoke_test_support::objects::Mood;
+use cinderspoke_test_support::oracle::attempt;
+use cinderspoke_test_support::oracle::disturbance::{Kind, Whom};
 use cinderspoke_test_support::proxy::Proxy;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 
-use super::attempt;
 use super::caller;
 use super::configuration::{BOUNDS, GRACE};
-use super::disturbance::{Kind, Whom};
 use super::endpoint::Endpoint;
 use super::engine::MODEL;
 use super::plan::{Fault, Links, News, Step};
--- /dev/null
+++ b/crates/bench/tests/testsuite/judge.rs
@@ -0,0 +1,240 @@
+//! What the oracle of the soak says of an attempt.
+
+use std::time::Duration;
+
+use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind, Run};
+use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind as Fault, Whom};
+use cinderspoke_test_support::oracle::judge::{Bounds, Facts, Promise, Span, judge};
+
+const BOUNDS: Bounds = Bounds {
+    contact: Duration::from_secs(3),
+    drain: Duration::from_secs(2),
+    version: Duration::from_secs(8),
+    apply: Duration::from_secs(2),
+    loss_slack: Duration::from_millis(200),
+};
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// A request that is sent after 50 s and answered as it should be.
+fn attempt(kind: Kind) -> Attempt {
+    let answered = End::Answered { status: 200, signed: true, wrong: None };
+    Attempt {
+        id: "r1".into(),
+        gateway: 0,
+        kind,
+        route: "/a/".into(),
+        key: "key".into(),
+        sent: at(50.0),
+        runs: vec![run("e1", 50.0)],
+        end: Some((at(50.1), answered)),
+    }
+}
+
+fn run(endpoint: &str, came: f64) -> Run {
+    Run {
+        endpoint: endpoint.into(),
+        came: at(came),
+        ran: true,
+        ended: Some(at(came + 0.05)),
+        broken_off: false,
+        version: Some(1),
+        wrong: None,
+    }
+}
+
+fn refused(status: u16) -> End {
+    End::Answered { status, signed: false, wrong: None }
+}
+
+/// The route and key have always been there.
+fn facts() -> Facts {
+    let always = Span { from: Duration::ZERO, until: None };
+    let declared = ["/a/", "key"].map(|name| (name.to_owned(), always));
+    Facts { declared: declared.into(), ..Facts::default() }
+}
+
+fn struck(kind: Fault, whom: Whom, from: f64, until: Option<f64>) -> Disturbance {
+    Disturbance { kind, whom, from: at(from), until: until.map(at) }
+}
+
+/// What is broken, and whether a fault accounts for it.
+fn broken(attempt: &Attempt, facts: &Facts) -> Vec<(Promise, bool)> {
+    let breaches = judge(attempt, facts, &BOUNDS);
+    breaches.into_iter().map(|breach| (breach.promise, breach.excused)).collect()
+}
+
+#[test]
+fn an_answer_as_it_should_be_breaks_nothing() {
+    for kind in [Kind::Safe, Kind::Unsafe, Kind::Resumable, Kind::Stream] {
+        assert_eq!(broken(&attempt(kind), &facts()), []);
+    }
+}
+
+#[test]
+fn a_wrong_answer_is_accounted_for_by_no_fault() {
+    let mut attempt = attempt(Kind::Safe);
+    let wrong = Some("of another".to_owned());
+    attempt.end = Some((at(50.1), End::Answered { status: 200, signed: true, wrong }));
+    let mut facts = facts();
+    facts.disturbances.push(struck(Fault::Kill, Whom::All, 49.0, None));
+    assert_eq!(broken(&attempt, &facts), [(Promise::Mixed, false)]);
+}
+
+#[yare::parameterized(
+    safe = { Kind::Safe, false },
+    once = { Kind::Unsafe, true },
+    resumable = { Kind::Resumable, false },
+    stream = { Kind::Stream, true },
+)]
+fn what_may_not_repeat_runs_once(kind: Kind, breaks: bool) {
+    let mut attempt = attempt(kind);
+    attempt.runs.push(run("e2", 50.05));
+    let expected = if breaks { vec![(Promise::Twice, false)] } else { vec![] };
+    assert_eq!(broken(&attempt, &facts()), expected);
+    // One that was turned away has not run.
+    attempt.runs[1].ran = false;
+    assert_eq!(broken(&attempt, &facts()), []);
+}
+
+#[yare::parameterized(
+    late = { 408 }, elsewhere = { 421 }, many = { 429 }, busy = { 503 },
+)]
+fn what_is_refused_has_not_run(status: u16) {
+    let mut attempt = attempt(Kind::Unsafe);
+    attempt.end = Some((at(50.1), refused(status)));
+    assert_eq!(broken(&attempt, &facts()), [(Promise::Refused, false)]);
+    attempt.runs.clear();
+    assert_eq!(broken(&attempt, &facts()), []);
+}
+
+#[yare::parameterized(
+    in_time = { 47.8, None, &[] },
+    late = { 47.6, None, &[(Promise::Drain, false)] },
+    soon_after_a_silence = { 40.0, Some((Fault::Silence, 48.0)), &[(Promise::Drain, true)] },
+    long_after_a_silence = { 40.0, Some((Fault::Silence, 46.0)), &[(Promise::Drain, false)] },
+    told_in_a_silence = { 40.0, Some((Fault::Silence, 39.0)), &[(Promise::Drain, false)] },
+    told_in_an_outage = { 40.0, Some((Fault::Store, 39.0)), &[(Promise::Drain, true)] },
+)]
+fn an_endpoint_that_leaves(said: f64, fault: Option<(Fault, f64)>, expected: &[(Promise, bool)]) {
+    let mut facts = facts();
+    facts.leaving.insert("e1".into(), at(said));
+    let fault = fault.map(|(kind, from)| struck(kind, Whom::All, from, Some(from)));
+    facts.disturbances.extend(fault);
+    assert_eq!(broken(&attempt(Kind::Safe), &facts), expected);
+}
+
+#[test]
+fn a_fault_at_another_gateway_or_endpoint_accounts_for_nothing() {
+    let mut facts = facts();
+    facts.leaving.insert("e1".into(), at(40.0));
+    facts.disturbances.push(struck(Fault::Freeze, Whom::Gateway(1), 49.0, None));
+    facts.disturbances.push(struck(Fault::Cut, Whom::Endpoint("e2".into()), 49.0, None));
+    assert_eq!(broken(&attempt(Kind::Safe), &facts), [(Promise::Drain, false)]);
+    facts.disturbances.push(struck(Fault::Cut, Whom::Endpoint("e1".into()), 49.0, None));
+    assert_eq!(broken(&attempt(Kind::Safe), &facts), [(Promise::Drain, true)]);
+}
+
+#[yare::parameterized(
+    in_time = { 41.8, None, &[] },
+    late = { 41.6, None, &[(Promise::Version, false)] },
+    a_cut_meanwhile = { 41.6, Some((Fault::Cut, 43.0)), &[(Promise::Version, true)] },
+    a_cut_long_before = { 30.0, Some((Fault::Cut, 41.0)), &[(Promise::Version, false)] },
+    a_silence_meanwhile = { 41.6, Some((Fault::Silence, 43.0)), &[(Promise::Version, false)] },
+    a_silence_just_now = { 41.6, Some((Fault::Silence, 48.0)), &[(Promise::Version, true)] },
+)]
+fn an_old_version(named: f64, fault: Option<(Fault, f64)>, expected: &[(Promise, bool)]) {
+    let mut facts = facts();
+    facts.versions = vec![(Duration::ZERO, 1), (at(named), 2)];
+    let fault = fault.map(|(kind, from)| struck(kind, Whom::All, from, Some(from)));
+    facts.disturbances.extend(fault);
+    assert_eq!(broken(&attempt(Kind::Resumable), &facts), expected);
+}
+
+#[yare::parameterized(
+    revoked_just_now = { 48.0, &[] },
+    revoked_long_ago = { 47.6, &[(Promise::Config, false)] },
+)]
+fn a_revoked_key_runs_nothing(until: f64, expected: &[(Promise, bool)]) {
+    let mut facts = facts();
+    facts.declared.get_mut("key").unwrap().until = Some(at(until));
+    assert_eq!(broken(&attempt(Kind::Safe), &facts), expected);
+}
+
+#[yare::parameterized(
+    declared_just_now = { 48.0, &[] },
+    declared_long_ago = { 47.6, &[(Promise::Config, false)] },
+)]
+fn what_is_allowed_is_not_denied(from: f64, expected: &[(Promise, bool)]) {
+    let mut facts = facts();
+    facts.declared.get_mut("/a/").unwrap().from = at(from);
+    let mut attempt = attempt(Kind::Safe);
+    attempt.runs.clear();
+    attempt.end = Some((at(50.1), refused(404)));
+    assert_eq!(broken(&attempt, &facts), expected);
+}
+
+#[yare::parameterized(
+    nothing = { None, &[(Promise::Lost, false)] },
+    planned_stop = { Some(Fault::Term), &[(Promise::Lost, false)] },
+    kill = { Some(Fault::Kill), &[(Promise::Lost, true)] },
+    reset = { Some(Fault::Reset), &[(Promise::Lost, true)] },
+)]
+fn an_answer_that_is_cut_off(fault: Option<Fault>, expected: &[(Promise, bool)]) {
+    let mut attempt = attempt(Kind::Safe);
+    attempt.end = Some((at(51.0), End::Cut));
+    let mut facts = facts();
+    facts.disturbances.extend(fault.map(|kind| struck(kind, Whom::Gateway(0), 50.5, None)));
+    assert_eq!(broken(&attempt, &facts), expected);
+}
+
+#[test]
+fn a_request_that_crosses_a_close_is_not_lost() {
+    let mut attempt = attempt(Kind::Unsafe);
+    attempt.runs.clear();
+    attempt.end = Some((at(50.1), End::Cut));
+    assert_eq!(broken(&attempt, &facts()), []);
+    attempt.end = Some((at(50.3), End::Cut));
+    assert_eq!(broken(&attempt, &facts()), [(Promise::Lost, false)]);
+}
+
+#[test]
+fn an_answer_that_does_not_come_is_accounted_for_by_a_fault_at_an_endpoint_it_never_reached() {
+    let mut attempt = attempt(Kind::Unsafe);
+    attempt.runs.clear();
+    attempt.end = Some((at(56.0), End::Silent));
+    let mut facts = facts();
+    assert_eq!(broken(&attempt, &facts), [(Promise::Unanswered, false)]);
+    facts.disturbances.push(struck(Fault::Cut, Whom::Endpoint("e1".into()), 51.0, Some(52.0)));
+    assert_eq!(broken(&attempt, &facts), [(Promise::Unanswered, true)]);
+}
+
+#[yare::parameterized(
+    ends = { Kind::Safe, Some(50.8), &[] },
+    goes_on = { Kind::Safe, Some(51.0), &[(Promise::Gone, false)] },
+    never_ends = { Kind::Stream, None, &[(Promise::Gone, false)] },
+    may_go_on = { Kind::Unsafe, Some(52.0), &[] },
+)]
+fn work_ends_with_its_caller(kind: Kind, ended: Option<f64>, expected: &[(Promise, bool)]) {
+    let mut attempt = attempt(kind);
+    attempt.end = Some((at(50.1), End::Left));
+    attempt.runs[0].ended = ended.map(at);
+    assert_eq!(broken(&attempt, &facts()), expected);
+}
+
+#[test]
+fn nothing_is_sent_on_after_its_caller_left() {
+    let mut attempt = attempt(Kind::Safe);
+    attempt.end = Some((at(50.1), End::Left));
+    attempt.runs[0] = run("e1", 51.0);
+    assert_eq!(broken(&attempt, &facts()), [(Promise::Gone, false)]);
+}
+
+#[test]
+fn an_endpoint_gets_what_the_caller_sent() {
+    let mut attempt = attempt(Kind::Safe);
+    attempt.runs[0].wrong = Some("another body".into());
+    assert_eq!(broken(&attempt, &facts()), [(Promise::Unasked, false)]);
+}
--- /dev/null
+++ b/crates/bench/tests/testsuite/soak.rs
@@ -0,0 +1,89 @@
+//! Short soaks of the real programs.
+
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Command, Output};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use tempfile::TempDir;
+use toml::Table;
+
+/// How long anything may take before a test fails: long, since machines are busy.
+const LONG: Duration = Duration::from_secs(20);
+
+/// The command, with the programs that have been built beside the bench.
+fn command(seed: &str, seconds: &str) -> Command {
+    let bench = env!("CARGO_BIN_EXE_cinderspoke-bench");
+    let programs = Path::new(bench).parent().unwrap();
+    for program in ["cinderspoke-entry", "cinderspoke-agent"] {
+        assert!(
+            programs.join(program).exists(),
+            "{program} is built with the workspace: cargo test --workspace"
+        );
+    }
+    let mut command = Command::new(bench);
+    command.args(["soak", "--json", "--seed", seed, "--seconds", seconds, "--programs"]);
+    command.arg(programs);
+    command
+}
+
+/// Plays a seed.
+fn soak(seed: &str, seconds: &str) -> (Output, Value) {
+    let output = command(seed, seconds).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    let summary = text.lines().last().and_then(|line| serde_json::from_str(line).ok());
+    let summary = summary.unwrap_or_else(|| panic!("{}", String::from_utf8_lossy(&output.stderr)));
+    (output, summary)
+}
+
+/// Plays a seed for 20 s, in which these faults strike, and finds all promises kept.
+fn assert_kept(seed: &str, faults: &[&str]) {
+    let (output, summary) = soak(seed, "20");
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(summary["unexplained"], 0, "{summary}\n{told}");
+    assert!(output.status.success(), "{told}");
+    assert!(summary["requests"].as_u64().unwrap() > 0, "{summary}");
+    assert_eq!(summary["processes"], 4);
+    for fault in faults {
+        assert!(told.contains(fault), "{fault} is not in the plan of seed {seed}:\n{told}");
+    }
+}
+
+#[test]
+fn promises_are_kept_while_programs_end_and_start_and_an_entry_goes() {
+    assert_kept("8", &["Kill", "Term", "News(Entry)", "Forget"]);
+}
+
+/// Routes come and endpoints go while nobody hears of it over the connections that are open.
+#[test]
+fn promises_are_kept_while_the_stores_connections_are_silent() {
+    assert_kept("6", &["Silence(Store)", "News(Route)", "News(Entry)"]);
+}
+
+/// Waits until something holds.
+fn until(mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < LONG, "it did not come to hold");
+        sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn an_interrupted_soak_leaves_no_process() {
+    let out = TempDir::new().unwrap();
+    let mut soak = command("1", "60").arg("--out").arg(out.path()).spawn().unwrap();
+    let mut ready: Option<SocketAddr> = None;
+    until(|| {
+        let text = std::fs::read_to_string(out.path().join("gateway-0.toml"));
+        let settings = text.ok().and_then(|text| text.parse::<Table>().ok());
+        ready = settings.and_then(|it| it["listen"]["ready"].as_str()?.parse().ok());
+        ready.is_some_and(|ready| TcpStream::connect(ready).is_ok())
+    });
+    let id = soak.id().to_string();
+    assert!(Command::new("kill").args(["-INT", &id]).status().unwrap().success());
+    assert!(!soak.wait().unwrap().success());
+    until(|| TcpStream::connect(ready.unwrap()).is_err());
+}
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`platform`]: the object API and the list of instances.
 //! - [`objects`]: a store of objects with lists and watches; [`proxy`]: a link to harm.
+//! - [`oracle`]: what is promised, and whether an attempt kept it.
 //! - [`weights`]: the weight store and the origin.
 //! - [`engine`] and [`service`]: the endpoints.
 //! - [`network`]: links in memory, for experiments on a paused clock.
@@ -21,6 +22,7 @@
 pub mod network;
 pub mod node;
 pub mod objects;
+pub mod oracle;
 pub mod platform;
 pub mod proxy;
 pub mod samples;
--- a/crates/bench/src/soak/disturbance.rs
+++ b/crates/test-support/src/oracle/disturbance.rs
@@ -4,7 +4,7 @@
 
 /// A kind of fault that is no planned work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Kind {
+pub enum Kind {
     /// Open connections are silent for good; new ones work.
     Silence,
     /// Open connections are reset.
@@ -49,7 +49,7 @@
 
 /// Whom a fault disturbs.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Whom {
+pub enum Whom {
     /// All gateways and endpoints.
     All,
     /// The gateway of a number.
@@ -60,36 +60,43 @@
 
 /// A fault that was played; times are since the start of the soak.
 #[derive(Debug, Clone)]
-pub(crate) struct Disturbance {
-    pub(crate) kind: Kind,
-    pub(crate) whom: Whom,
-    pub(crate) from: Duration,
-    // None while it lasts.
-    pub(crate) until: Option<Duration>,
+pub struct Disturbance {
+    /// What it is.
+    pub kind: Kind,
+    /// Whom it disturbs.
+    pub whom: Whom,
+    /// When it struck.
+    pub from: Duration,
+    /// When it was over; none while it lasts.
+    pub until: Option<Duration>,
 }
 
 /// A time and who is looked at in it.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Window<'a> {
-    pub(crate) from: Duration,
-    pub(crate) until: Duration,
-    pub(crate) gateway: usize,
-    pub(crate) endpoint: Option<&'a str>,
+pub struct Window<'a> {
+    /// From when on.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+    /// The gateway that is looked at.
+    pub gateway: usize,
+    /// The endpoint that is looked at, if one is.
+    pub endpoint: Option<&'a str>,
 }
 
 impl Disturbance {
     /// Whether it lasted at some moment of a time.
-    pub(crate) fn overlaps(&self, window: &Window<'_>) -> bool {
+    pub fn overlaps(&self, window: &Window<'_>) -> bool {
         self.from <= window.until && self.until.is_none_or(|until| until >= window.from)
     }
 
     /// Whether it harmed the path to one endpoint.
-    pub(crate) fn is_on_endpoint(&self) -> bool {
+    pub fn is_on_endpoint(&self) -> bool {
         matches!(self.whom, Whom::Endpoint(_))
     }
 
     /// Whether whoever is looked at was disturbed.
-    pub(crate) fn touches(&self, window: &Window<'_>) -> bool {
+    pub fn touches(&self, window: &Window<'_>) -> bool {
         let concerned = match &self.whom {
             Whom::All => true,
             Whom::Gateway(number) => *number == window.gateway,
@@ -99,17 +106,17 @@
     }
 
     /// Whether it may have cut an answer off.
-    pub(crate) fn cuts(&self, window: &Window<'_>) -> bool {
+    pub fn cuts(&self, window: &Window<'_>) -> bool {
         self.kind.terms().cuts && self.touches(window)
     }
 
     /// Whether it suspended the time for a change of versions, for anyone.
-    pub(crate) fn suspends(&self, window: &Window<'_>) -> bool {
+    pub fn suspends(&self, window: &Window<'_>) -> bool {
         self.kind.terms().link && self.overlaps(window)
     }
 
     /// Whether it made the store unstable, for anyone.
-    pub(crate) fn unsettles(&self, window: &Window<'_>) -> bool {
+    pub fn unsettles(&self, window: &Window<'_>) -> bool {
         self.kind.terms().store && self.overlaps(window)
     }
 }
--- a/crates/bench/src/soak/judge.rs
+++ b/crates/test-support/src/oracle/judge.rs
@@ -9,17 +9,17 @@
 /// By how much all that is bound by a time may come later: the machine runs the
 /// stand-ins, the links and all programs, and is shared with others. Milliseconds
 /// are usual; a bound missed by more is not the machine's doing.
-pub(crate) const MARGIN: Duration = Duration::from_millis(300);
+pub const MARGIN: Duration = Duration::from_millis(300);
 
 /// How long work may go on after its caller left, as the platform allows.
 const GONE: Duration = Duration::from_millis(500);
 
 /// How long after a route's time its answer may come, as the platform allows.
-pub(crate) const LATE: Duration = Duration::from_millis(500);
+pub const LATE: Duration = Duration::from_millis(500);
 
 /// Something that is promised to callers and operators.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub(crate) enum Promise {
+pub enum Promise {
     /// An answer is whole and the request's own.
     Mixed,
     /// What may not be repeated runs once.
@@ -48,45 +48,56 @@
 
 /// A promise that was not kept.
 #[derive(Debug, Clone)]
-pub(crate) struct Breach {
-    pub(crate) promise: Promise,
-    pub(crate) at: Duration,
-    // Whether a fault accounts for it.
-    pub(crate) excused: bool,
-    pub(crate) what: String,
+pub struct Breach {
+    /// Which one.
+    pub promise: Promise,
+    /// When.
+    pub at: Duration,
+    /// Whether a fault accounts for it.
+    pub excused: bool,
+    /// What was seen.
+    pub what: String,
 }
 
 /// The platform's bounds.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Bounds {
-    pub(crate) contact: Duration,
-    pub(crate) drain: Duration,
-    pub(crate) version: Duration,
-    pub(crate) apply: Duration,
-    pub(crate) loss_slack: Duration,
+pub struct Bounds {
+    /// For how long a gateway has to be undisturbed before it is held to a time.
+    pub contact: Duration,
+    /// How long an endpoint that leaves may get requests.
+    pub drain: Duration,
+    /// How long requests may begin on an old version.
+    pub version: Duration,
+    /// Until when a configuration has to be in force.
+    pub apply: Duration,
+    /// How long after its last byte a request that nobody took may be cut off.
+    pub loss_slack: Duration,
 }
 
 /// When a route or key was in the operators' configuration.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Span {
-    pub(crate) from: Duration,
-    pub(crate) until: Option<Duration>,
+pub struct Span {
+    /// From when on.
+    pub from: Duration,
+    /// When it was taken away, if it was.
+    pub until: Option<Duration>,
 }
 
 /// What the platform had acknowledged, and what was done to the system.
 #[derive(Debug, Default)]
-pub(crate) struct Facts {
-    // By endpoint: when the store took that it leaves, or that its entry is gone.
-    pub(crate) leaving: HashMap<String, Duration>,
-    // Named versions of the one model, in their order.
-    pub(crate) versions: Vec<(Duration, u64)>,
-    // By route's prefix or key.
-    pub(crate) declared: HashMap<String, Span>,
-    pub(crate) disturbances: Vec<Disturbance>,
+pub struct Facts {
+    /// By endpoint: when the store took that it leaves, or that its entry is gone.
+    pub leaving: HashMap<String, Duration>,
+    /// Named versions of the one model, in their order.
+    pub versions: Vec<(Duration, u64)>,
+    /// By route's prefix or key.
+    pub declared: HashMap<String, Span>,
+    /// The faults that were played.
+    pub disturbances: Vec<Disturbance>,
 }
 
 /// Judges an attempt that is over.
-pub(crate) fn judge(attempt: &Attempt, facts: &Facts, bounds: &Bounds) -> Vec<Breach> {
+pub fn judge(attempt: &Attempt, facts: &Facts, bounds: &Bounds) -> Vec<Breach> {
     let case = Case { attempt, facts, bounds };
     let mut breaches = Vec::from_iter(case.answer());
     breaches.extend(case.repeats());
--- /dev/null
+++ b/crates/test-support/src/oracle/mod.rs
@@ -0,0 +1,9 @@
+//! What callers, operators and endpoints are promised, and whether it was kept.
+//!
+//! - [`attempt`]: a request as its caller and endpoints have seen it.
+//! - [`disturbance`]: what a fault suspends, decided once for each kind of fault.
+//! - [`judge`]: what is broken by an attempt. Pure, so that tests need no processes.
+
+pub mod attempt;
+pub mod disturbance;
+pub mod judge;
