Soak: whom a fault strikes is drawn from its own step; engines break off what runs

Engines that were told to break off let requests end first. A late look of the oracle itself was counted against the product; it is told now, and counts as a fault.

--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -1,7 +1,7 @@
 //! The stand-in of an endpoint: a plain service, or a model engine's requests.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -19,6 +19,7 @@
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::engine::Engine;
@@ -129,9 +130,28 @@
     working: Arc<AtomicUsize>,
     ended: Arc<AtomicBool>,
     engine: Option<Arc<Engine>>,
+    // Changes when the engine breaks off what runs.
+    cuts: Option<watch::Receiver<u64>>,
     work: Work,
 }
 
+impl Place {
+    /// Works for a time; an error if the work is broken off meanwhile.
+    async fn work(&mut self, time: Duration) -> io::Result<()> {
+        let Some(cuts) = &mut self.cuts else {
+            sleep(time).await;
+            return Ok(());
+        };
+        tokio::select! {
+            () = sleep(time) => Ok(()),
+            _ = cuts.changed() => {
+                self.work.break_off();
+                Err(io::Error::other("broken off"))
+            }
+        }
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.working.fetch_sub(1, Ordering::SeqCst);
@@ -176,7 +196,8 @@
     let work = shared.oracle.came(&id, run);
     let engine = shared.engine.clone().filter(|_| !closed);
     let ended = Arc::clone(&shared.ended);
-    let place = Place { working: Arc::clone(&shared.working), ended, engine, work };
+    let cuts = engine.as_ref().map(|engine| engine.cuts());
+    let mut place = Place { working: Arc::clone(&shared.working), ended, engine, cuts, work };
     let mut answered = Response::builder().header("Request-Id", &id);
     if let Some(version) = version {
         answered = answered.header("Weight-Versions", version);
@@ -187,8 +208,13 @@
     }
     let path = head.uri.path();
     let pace = Pace::of(path);
-    sleep(pace.first).await;
+    let worked = place.work(pace.first).await;
     let signed = answered.header("Engine-Signature", &shared.name);
+    if let Err(error) = worked {
+        // An error before the first byte closes the connection without a whole answer.
+        let body = stream::iter([Err::<Bytes, _>(error)]);
+        return with(signed, 200, Body::from_stream(body));
+    }
     if !is_stream(path) {
         return with(signed, 200, Body::from(answer(&id)));
     }
@@ -219,14 +245,14 @@
 
 /// Events after one; what holds its place goes with the stream.
 fn events(id: String, after: u64, pace: Pace, place: Place) -> Body {
-    let all = stream::unfold((after, place), move |(after, place)| {
+    let all = stream::try_unfold((after, place), move |(after, mut place)| {
         let id = id.clone();
         async move {
             if after >= EVENTS {
-                return None;
+                return Ok(None);
             }
-            sleep(pace.event).await;
-            Some((Ok::<_, Infallible>(event(&id, after + 1)), (after + 1, place)))
+            place.work(pace.event).await?;
+            Ok::<_, io::Error>(Some((event(&id, after + 1), (after + 1, place))))
         }
     });
     Body::from_stream(all)
--- a/crates/bench/src/soak/engine.rs
+++ b/crates/bench/src/soak/engine.rs
@@ -12,6 +12,7 @@
 use cinderspoke_test_support::oracle::judge::Promise;
 use http::StatusCode;
 use serde_json::{Value, json};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use super::oracle::Oracle;
@@ -42,8 +43,10 @@
     oracle: Oracle,
     store: objects::Store,
     inner: Mutex<Inner>,
-    // Its entry as ready, without models.
+    // Its entry as ready.
     entry: Mutex<Option<Value>>,
+    // How often it was told to break off what runs.
+    cuts: watch::Sender<u64>,
 }
 
 impl Engine {
@@ -55,6 +58,7 @@
             store: store.clone(),
             inner: Mutex::new(Inner { version, ..Inner::default() }),
             entry: Mutex::default(),
+            cuts: watch::Sender::new(0),
         }
     }
 
@@ -77,6 +81,11 @@
         *self.entry.lock().unwrap_or_else(PoisonError::into_inner) = entry;
     }
 
+    /// Changes when what runs is to be broken off.
+    pub(crate) fn cuts(&self) -> watch::Receiver<u64> {
+        self.cuts.subscribe()
+    }
+
     /// Begins a request, unless it takes nothing new.
     pub(crate) fn begin(&self) -> bool {
         let mut inner = self.lock();
@@ -134,8 +143,7 @@
     }))
 }
 
-/// Takes an order to load what is staged. What runs is never broken off: the order
-/// that says so is one that the engine does not follow at once.
+/// Takes an order to load what is staged.
 async fn order(State(engine): State<Arc<Engine>>, Json(order): Json<Value>) -> StatusCode {
     let Some(version) = order["version"].as_u64().filter(|_| order["op"] == "start") else {
         return StatusCode::BAD_REQUEST;
@@ -150,6 +158,9 @@
     }
     inner.next = Some(version);
     inner.orders += 1;
+    if order["method"] == "cut" {
+        engine.cuts.send_modify(|cuts| *cuts += 1);
+    }
     tokio::spawn(Arc::clone(&engine).load(version));
     StatusCode::ACCEPTED
 }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -43,6 +43,10 @@
 const LOOK: Duration = Duration::from_millis(20);
 const LOOKS_TO_SETTLE: u32 = 50;
 
+/// By how much a look may come late before what was seen meanwhile counts as seen
+/// late: half of the oracle's margin.
+const STALL: Duration = Duration::from_millis(150);
+
 /// How long work may still end once all callers have left.
 const END: Duration = Duration::from_millis(1500);
 
@@ -122,19 +126,28 @@
         random.set_stream(caller + 1);
         callers.spawn(caller::run(Arc::clone(&world.callers), random));
     }
-    let mut player = Player::new(random, steps, start);
+    let mut player = Player::new(steps, start);
     let mut tally = Tally::new(console);
     let mut looks = 0;
     while world.oracle.now() < start + options.length {
         for fault in player.play(&mut world).await? {
-            console.say(&format!("{:7.3} s: {fault:?}", world.oracle.now().as_secs_f64()));
+            console.say(&format!("{:7.3} s: {fault}", world.oracle.now().as_secs_f64()));
         }
         looks += 1;
         if looks % LOOKS_TO_SETTLE == 0 {
             world.check_ends();
             tally.take(world.oracle.settle(false));
         }
+        let before = world.oracle.now();
         sleep(LOOK).await;
+        if world.oracle.now() > before + LOOK + STALL {
+            world.oracle.stalled(before);
+            let took = (world.oracle.now() - before).as_millis();
+            console.say(&format!(
+                "{:7.3} s: the machine stood still for {took} ms",
+                before.as_secs_f64()
+            ));
+        }
     }
     callers.shutdown().await;
     sleep(END).await;
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -153,6 +153,12 @@
         disturbances.len() - 1
     }
 
+    /// The machine stood still until now, so that what was seen was seen late.
+    pub(crate) fn stalled(&self, from: Duration) {
+        let (kind, whom, until) = (Kind::Stall, Whom::All, Some(self.now()));
+        self.lock().facts.disturbances.push(Disturbance { kind, whom, from, until });
+    }
+
     /// A fault is over.
     pub(crate) fn passed(&self, number: usize) {
         let now = self.now();
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -65,6 +65,9 @@
 pub(crate) struct Step {
     pub(crate) at: Duration,
     pub(crate) fault: Fault,
+    // What is drawn when it strikes, such as whom, is drawn from this seed: it depends
+    // neither on the soak's length nor on what was drawn for others.
+    pub(crate) seed: u64,
 }
 
 /// When the first fault strikes.
@@ -93,11 +96,12 @@
     let mut at = FIRST;
     while at < length {
         for _ in 0..random.random_range(CLUSTER) {
-            let fault = draw(random);
-            steps.push(Step { at, fault });
+            let (fault, seed) = (draw(random), random.random());
+            steps.push(Step { at, fault, seed });
             if fault == Fault::Silence(Links::Store) {
                 let at = at + Duration::from_millis(random.random_range(UNHEARD));
-                steps.push(Step { at, fault: Fault::News(news(random)) });
+                let (fault, seed) = (Fault::News(news(random)), random.random());
+                steps.push(Step { at, fault, seed });
             }
             at += Duration::from_millis(random.random_range(BETWEEN));
         }
--- a/crates/test-support/src/oracle/disturbance.rs
+++ b/crates/test-support/src/oracle/disturbance.rs
@@ -21,6 +21,8 @@
     Freeze,
     /// A program is killed and started again.
     Kill,
+    /// The machine kept the oracle itself from running.
+    Stall,
 }
 
 /// What of the promises a kind of fault suspends, decided once for each kind.
@@ -38,7 +40,8 @@
     /// Silent and reset connections are over in a moment: new ones work at once.
     fn terms(self) -> Terms {
         let (cuts, link, store) = match self {
-            Self::Silence | Self::Reset | Self::Freeze | Self::Kill => (true, false, false),
+            Self::Silence | Self::Reset => (true, false, false),
+            Self::Freeze | Self::Kill | Self::Stall => (true, false, false),
             Self::Delay | Self::Cut => (true, true, false),
             Self::Store => (true, true, true),
             Self::Term => (false, false, false),
