--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod patience;
 mod pick;
 mod rollout;
+mod supply;
 mod tally;
 mod timeline;
 mod turn;
