--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -12,8 +12,8 @@
 //!   long a caller has waited; [`pick`] chooses an endpoint or refuses, [`health`]
 //!   leaves out those that fail.
 //! - How engines change weights: [`listing`] says whom to ask for what a version
-//!   consists of, [`supply`] whether its chunks still come, [`changeover`] when each
-//!   engine goes over, [`link`] whether what is sent to one may be held up.
+//!   consists of, [`changeover`] when each engine goes over, [`link`] whether what is
+//!   sent to one may be held up.
 //! - What may be repeated: [`attempt`] knows what became of each send, and
 //!   [`budget`] bounds sends beyond the first, of which each gateway has a share:
 //!   [`gossip`] says how many gateways there are.
@@ -38,7 +38,6 @@
 pub mod patience;
 pub mod pick;
 pub mod rollout;
-pub mod supply;
 pub mod tally;
 pub mod timeline;
 pub mod turn;
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -1,12 +1,10 @@
 //! Bringing the wanted version into the engine.
 
-use std::convert::Infallible;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, bail};
 use cinderspoke_core::gateway::changeover::{Changeover, wave};
-use cinderspoke_core::gateway::supply::{Supply, is_worth_loading, time_to_collect};
 use cinderspoke_core::manifest::Manifest;
 use cinderspoke_ports::gateway::Engine;
 use cinderspoke_types::digest::Digest;
@@ -16,7 +14,6 @@
 use super::load::Load;
 use super::plan::{Plans, Wanted};
 use super::report::Reporter;
-use crate::util::clock::Clock;
 
 /// How long to wait after something failed.
 const RETRY: Duration = Duration::from_millis(200);
@@ -33,10 +30,6 @@
 /// the changeover.
 const FINISH: Duration = Duration::from_millis(3800);
 
-/// How long a version goes on being collected at most, for want of a newer one's
-/// listing: the listing takes 0.1 to 0.5 s through the tree of agents.
-const LISTING: Duration = Duration::from_millis(600);
-
 /// The part of a version's chunks at which the first wave closes: the rest
 /// takes about as long as requests take to end.
 const CLOSING: f64 = 0.75;
@@ -55,9 +48,6 @@
     collector: Collector,
     // What is being brought, or was last.
     current: Mutex<Option<Digest>>,
-    // The last version that was given up for a newer one.
-    given_up: Mutex<Option<Wanted>>,
-    clock: Clock,
 }
 
 impl Bringer {
@@ -65,8 +55,7 @@
     #[must_use]
     pub(super) fn new(reporter: Arc<Reporter>, collector: Collector) -> Self {
         let (plans, engine) = (Arc::clone(&collector.plans), Arc::clone(&collector.engine));
-        let (current, given_up) = (Mutex::default(), Mutex::default());
-        Self { reporter, plans, engine, collector, current, given_up, clock: Clock::start() }
+        Self { reporter, plans, engine, collector, current: Mutex::default() }
     }
 
     fn current(&self) -> MutexGuard<'_, Option<Digest>> {
@@ -86,7 +75,9 @@
             let superseded = self.superseded(&wanted);
             tokio::select! {
                 biased;
-                () = superseded => self.give_up(wanted.clone()),
+                () = superseded => {
+                    tracing::info!(version = %wanted.version, "a newer version is wanted");
+                }
                 result = self.bring(&wanted) => if let Err(error) = result {
                     let error = format!("{error:#}");
                     tracing::warn!(version = %wanted.version, error, "bringing a version");
@@ -119,31 +110,7 @@
             if whole {
                 sleep_until(began + FINISH).await;
             }
-            return;
         }
-        // Until its listing is known, nothing of the newer one can come, while the
-        // last chunks of this one may: should the newer one not come, they are needed.
-        let listed = self.collector.manifest(&newer);
-        if timeout(LISTING, listed).await.is_err() {
-            tracing::info!(version = %newer.version, "a newer version is not listed yet");
-        }
-    }
-
-    /// Leaves a version for a newer one that is wanted.
-    fn give_up(&self, wanted: Wanted) {
-        let held = self.current().map_or(0, |manifest| self.collector.held(manifest));
-        tracing::info!(version = %wanted.version, held, "a newer version is wanted");
-        *self.given_up.lock().unwrap_or_else(PoisonError::into_inner) = Some(wanted);
-    }
-
-    /// The version that was given up last, if it is older than another one and may
-    /// still be of use, and how long collecting it may take.
-    fn worth_taking_up(&self, newer: &Wanted) -> Option<(Wanted, Duration)> {
-        let given_up = self.given_up.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let older =
-            given_up.filter(|older| older.model == newer.model && older.version < newer.version)?;
-        let time = time_to_collect(self.plans.left(&older))?;
-        Some((older, time))
     }
 
     /// Whether a part of the chunks of what is being brought is there.
@@ -178,7 +145,6 @@
             collected = self.collector.collect(wanted, &manifest) => collected?,
             () = self.collector.listed_anew(wanted) => bail!("its listing was wrong"),
             () = self.close_early(wanted, &manifest), if changeover == Changeover::First => {}
-            never = self.make_do(wanted, &manifest) => match never {},
         }
         tracing::info!(
             version = %wanted.version,
@@ -199,52 +165,6 @@
         Ok(())
     }
 
-    /// Has the engine answer with the version that was given up for this one, while
-    /// this one does not come; never ends.
-    ///
-    /// Else an origin that is away just after two versions were named leaves engines
-    /// without service for as long, although all of the first may lie among them.
-    async fn make_do(&self, newer: &Wanted, manifest: &Manifest) -> Infallible {
-        loop {
-            self.until_stalled(manifest.digest()).await;
-            if let Some((older, time)) = self.worth_taking_up(newer) {
-                match self.take_up(&older, time).await {
-                    Ok(()) => return std::future::pending().await,
-                    Err(error) => {
-                        let error = format!("{error:#}");
-                        tracing::info!(version = %older.version, error, "taking a version up again");
-                    }
-                }
-            }
-            sleep(RETRY).await;
-        }
-    }
-
-    /// Waits until a version's chunks do not come, while its engine is open.
-    async fn until_stalled(&self, manifest: Digest) {
-        let mut supply = Supply::new(self.collector.held(manifest), self.clock.now());
-        while !(supply.is_stalled(self.clock.now()) && self.reporter.is_open()) {
-            sleep(LOOK).await;
-            supply.holds(self.collector.held(manifest), self.clock.now());
-        }
-    }
-
-    /// Brings a version that was given up into the engine, from what other agents have
-    /// of it: the origin's link is the newer one's.
-    async fn take_up(&self, older: &Wanted, time: Duration) -> Result<()> {
-        let manifest = self.collector.known(older).context("its listing is not known")?;
-        tracing::info!(version = %older.version, "a version is taken up again");
-        let collected = self.collector.collect_from_peers(&manifest);
-        timeout(time, collected).await.context("agents do not have it all")??;
-        tracing::info!(version = %older.version, "weights collected");
-        if !is_worth_loading(self.plans.left(older)) {
-            bail!("its time is over");
-        }
-        let load = Load { engine: self.engine.as_ref(), reporter: &self.reporter, wanted: older };
-        let chunks = self.collector.whole(manifest.digest()).context("chunks are gone")?;
-        load.run(&manifest, chunks, self.changeover(older)).await
-    }
-
     /// Waits until the engine forgets the version, or another one is wanted.
     async fn rest(&self, wanted: &Wanted) -> Result<()> {
         let mut reports = self.reporter.subscribe();
--- a/src/cinderspoke/stager/collect.rs
+++ b/src/cinderspoke/stager/collect.rs
@@ -133,30 +133,9 @@
         self.transfers.shelf.whole(manifest)
     }
 
-    /// How many chunks of a version are there.
-    pub(super) fn held(&self, manifest: Digest) -> usize {
-        self.transfers.shelf.progress(manifest).map_or(0, |(held, _)| held)
-    }
-
-    /// The chunks of a version, if its listing is known.
-    pub(super) fn known(&self, wanted: &Wanted) -> Option<Manifest> {
-        self.listings.known(wanted)
-    }
-
     /// Collects all chunks from peers and the origin.
     pub(super) async fn collect(&self, wanted: &Wanted, manifest: &Manifest) -> Result<()> {
-        self.draw(self.context(wanted, manifest)?, manifest).await
-    }
-
-    /// Collects all chunks from peers alone, which may not have them all.
-    pub(super) async fn collect_from_peers(&self, manifest: &Manifest) -> Result<()> {
-        let origin = Arc::clone(&self.transfers.origin);
-        self.draw(self.drawing_from(origin, Duration::ZERO), manifest).await
-    }
-
-    /// Collects all chunks, following how plans name the peers.
-    async fn draw(&self, context: transfer::Context, manifest: &Manifest) -> Result<()> {
-        let context = Arc::new(context);
+        let context = Arc::new(self.context(wanted, manifest)?);
         let mut plans = self.plans.subscribe();
         let (members, receiver) = watch::channel(self.members(&plans.borrow_and_update()));
         tokio::select! {
@@ -172,27 +151,17 @@
         let chunk_bytes = manifest.as_raw().chunk_size.as_u64();
         let (model, version) = (wanted.model.clone(), wanted.version);
         let origin = self.open(declared);
-        let (manifest, shelf) = (manifest.clone(), Arc::clone(&self.transfers.shelf));
-        let source = VersionSource { origin, model, version, manifest, shelf };
-        Ok(self.drawing_from(Arc::new(source), spacing(chunk_bytes, declared.rate)))
-    }
-
-    /// What a transfer needs that draws from an origin with so much between chunks.
-    fn drawing_from(
-        &self,
-        origin: Arc<dyn cinderspoke_ports::Origin>,
-        origin_spacing: Duration,
-    ) -> transfer::Context {
+        let source = VersionSource { origin, model, version, chunk_bytes };
         let transfers = &self.transfers;
-        transfer::Context {
+        Ok(transfer::Context {
             shelf: Arc::clone(&transfers.shelf),
-            origin,
+            origin: Arc::new(source),
             client: transfers.client.clone(),
             pacer: Arc::clone(&transfers.pacer),
             link: Arc::clone(&transfers.link),
-            origin_spacing,
+            origin_spacing: spacing(chunk_bytes, declared.rate),
             ..*transfers
-        }
+        })
     }
 
     /// Keeps the members of the swarm as plans name them; never ends.
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -59,8 +59,6 @@
     wanted: Mutex<Option<Wanted>>,
     // Kept for gateways that start when no other one is left to ask.
     timeline: Mutex<Timeline>,
-    // For how long a version may begin requests once a newer one is named.
-    overlap: Duration,
     clock: Clock,
 }
 
@@ -75,7 +73,6 @@
             plan: watch::Sender::new(Plan::default()),
             wanted: Mutex::default(),
             timeline: Mutex::default(),
-            overlap: Duration::from_millis(settings.bounds.version_ms),
             clock: Clock::start(),
         }
     }
@@ -126,13 +123,6 @@
         self.timeline().ages(self.clock.now())
     }
 
-    /// How much longer a version may begin requests; none where no newer one is
-    /// known to have been named.
-    #[must_use]
-    pub fn left(&self, wanted: &Wanted) -> Option<Duration> {
-        self.timeline().left(&wanted.model, wanted.version, self.overlap, self.clock.now())
-    }
-
     /// Reads the plan of a gateway.
     ///
     /// # Errors
