--- a/src/cinderspoke/stager/source.rs
+++ b/src/cinderspoke/stager/source.rs
@@ -10,6 +10,7 @@
 use cinderspoke_ports::gateway::Origin;
 use cinderspoke_ports::{Error, Origin as Source};
 use cinderspoke_types::digest::Digest;
+use tokio::time::Instant;
 
 /// Stands where transfers have no origin of their own.
 pub(super) struct NoOrigin;
@@ -35,6 +36,17 @@
     async fn read(&self, _manifest: Digest, range: Range<u64>) -> Result<Bytes, Error> {
         let chunk = range.start.checked_div(self.chunk_bytes).unwrap_or_default();
         let chunk = usize::try_from(chunk).unwrap_or(usize::MAX);
-        self.origin.chunk(&self.model, self.version, chunk).await
+        let began = Instant::now();
+        let read = self.origin.chunk(&self.model, self.version, chunk).await;
+        let (version, took_ms) = (self.version, began.elapsed().as_millis() as u64);
+        // One line for each chunk among all agents: they tell when the origin fell
+        // silent, and what had come until then.
+        match &read {
+            Ok(_) => tracing::info!(%version, chunk, took_ms, "the origin gave a chunk"),
+            Err(error) => {
+                tracing::info!(%version, chunk, took_ms, %error, "the origin gave no chunk");
+            }
+        }
+        read
     }
 }
