--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod event;
 mod gossip;
 mod health;
+mod late;
 mod link;
 mod listing;
 mod load;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod gateway;
 mod kills;
+mod late;
 mod memory;
 mod once;
 mod operations;
