FAILING tests of the review: a peer whose connection goes silent passes for one without news

Two fail, one (the control) passes; nothing is mended here.

Cause: an agent waits 10 s for news of what a peer holds, and 20 s more for the answer (agent/holdings.rs, HOLDINGS_WAIT and MARGIN). A connection that has gone silent thus passes for a peer without news for 30 s, the same cause as with the store's watches.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod requests;
 mod settings;
 mod shares;
+mod silent_peer;
 mod spread;
 mod stagers;
 mod turns;
--- /dev/null
+++ b/tests/testsuite/silent_peer.rs
@@ -0,0 +1,141 @@
+//! A transfer whose connection to a peer, over which it hears what that holds, has gone
+//! silent, while new ones work.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use axum::extract::Request;
+use axum::middleware::{Next, from_fn};
+use bytes::Bytes;
+use cinderspoke::agent::fetch::Times;
+use cinderspoke::agent::peers::{self, Giver};
+use cinderspoke::agent::shelf::Shelf;
+use cinderspoke::agent::transfer::{Context, Members, collect};
+use cinderspoke::util::clock::Clock;
+use cinderspoke::util::pace::Pacer;
+use cinderspoke_core::manifest::{Algorithm, Manifest};
+use cinderspoke_core::transfer::Policy;
+use cinderspoke_ports::client::Client;
+use cinderspoke_ports::{Error, Origin};
+use cinderspoke_schema::control::Peer;
+use cinderspoke_types::digest::Digest;
+use cinderspoke_types::size;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+const CHUNKS: usize = 24;
+
+/// How long until a transfer waits for news of its peer.
+const SETTLED: Duration = Duration::from_millis(500);
+
+/// Within how long a version whose chunks are all at a peer has to be drawn: what an old
+/// version may take, on the deployments that allow the least.
+const DRAWN: Duration = Duration::from_millis(8000);
+
+/// An origin that is away.
+struct Away;
+
+#[async_trait]
+impl Origin for Away {
+    async fn read(&self, _: Digest, _: Range<u64>) -> Result<Bytes, Error> {
+        Err(Error::Unavailable("away".into()))
+    }
+}
+
+fn chunk(number: usize) -> Bytes {
+    Bytes::from(vec![number as u8; 64])
+}
+
+fn manifest() -> Manifest {
+    let digests = (0..CHUNKS).map(|number| Algorithm::Sha256.chunk(&chunk(number)));
+    Manifest::listed(size::Bytes::new(64), digests.collect())
+}
+
+fn member(name: &str, address: SocketAddr) -> Peer {
+    Peer {
+        instance: name.parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        region: "a".parse().unwrap(),
+        address: address.to_string().parse().unwrap(),
+    }
+}
+
+/// A peer; what it holds is told but for the calls with such numbers, which get no answer.
+async fn peer(shelf: &Arc<Shelf>, unanswered: Range<usize>) -> SocketAddr {
+    let pacer = Arc::new(Pacer::new(None));
+    let giver = Giver::new(Arc::clone(shelf), pacer, 2, Duration::from_millis(400));
+    let calls = Arc::new(AtomicUsize::new(0));
+    let app = peers::app(Arc::new(giver)).layer(from_fn(move |request: Request, next: Next| {
+        let (calls, unanswered) = (Arc::clone(&calls), unanswered.clone());
+        async move {
+            let tells = request.uri().path().starts_with("/v1/holdings/");
+            if tells && unanswered.contains(&calls.fetch_add(1, Ordering::SeqCst)) {
+                std::future::pending::<()>().await;
+            }
+            next.run(request).await
+        }
+    }));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(axum::serve(listener, app).into_future());
+    address
+}
+
+fn context() -> Context {
+    Context {
+        shelf: Arc::new(Shelf::new(size::Bytes::new(1 << 20))),
+        origin: Arc::new(Away),
+        client: Client::new(),
+        pacer: Arc::new(Pacer::new(None)),
+        policy: Policy::default(),
+        link_rate: None,
+        limit: 6,
+        origin_limit: 1,
+        origin_spacing: Duration::ZERO,
+        penalty: Duration::from_millis(250),
+        times: Times { chunk: Duration::from_millis(1000), wait: Duration::from_millis(700) },
+        slow: None,
+        link: Arc::default(),
+        introduction: Duration::from_millis(40),
+        clock: Clock::start(),
+    }
+}
+
+/// How long it takes to draw what a peer comes to hold meanwhile.
+async fn draws(unanswered: Range<usize>) -> Duration {
+    let (shelf, manifest) = (Arc::new(Shelf::new(size::Bytes::new(1 << 20))), manifest());
+    shelf.open(&manifest);
+    shelf.put(Algorithm::Sha256.chunk(&chunk(0)), chunk(0));
+    let address = peer(&shelf, unanswered).await;
+    let own = member("e0", SocketAddr::from(([127, 0, 0, 1], 9)));
+    let members = Members { own, peers: vec![member("e1", address)], origin_weight: 0.5 };
+    let (_sender, members) = watch::channel(members);
+    let began = Instant::now();
+    let drawing = tokio::spawn(collect(Arc::new(context()), manifest, members));
+    sleep(SETTLED).await;
+    (1..CHUNKS)
+        .for_each(|number| shelf.put(Algorithm::Sha256.chunk(&chunk(number)), chunk(number)));
+    let drawn = timeout(DRAWN, drawing).await;
+    assert!(drawn.is_ok(), "not drawn after {:?}", began.elapsed());
+    began.elapsed()
+}
+
+#[tokio::test]
+async fn what_a_peer_comes_to_hold_is_drawn() {
+    assert!(draws(0..0).await < Duration::from_secs(3));
+}
+
+#[tokio::test]
+async fn what_a_peer_comes_to_hold_is_drawn_though_the_connection_to_it_went_silent() {
+    draws(1..2).await;
+}
+
+#[tokio::test]
+async fn what_a_peer_holds_is_drawn_though_the_connection_to_it_was_silent_at_first() {
+    draws(0..1).await;
+}
