Tests of the review: doubts, and ages after silence, that no test showed broken

Not shown still: news asked for without a pause to gather, waits not drawn (all gateways would ask at once), the announcement of a gateway on a connection that is kept, the longest time for an answer to a watch.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,3 +26,4 @@
 mod spread;
 mod stagers;
 mod turns;
+mod watches;
