--- a/crates/core/src/gateway/timeline.rs
+++ b/crates/core/src/gateway/timeline.rs
@@ -47,19 +47,6 @@
         }
     }
 
-    /// The age by which an older version ends that both this one and an older one
-    /// with another age have followed.
-    #[must_use]
-    fn or_older(self, older: Self) -> Self {
-        match (self, older) {
-            (Self::Within(one), Self::Seen(other)) | (Self::Seen(one), Self::Within(other)) => {
-                Self::Within(one.max(other))
-            }
-            (Self::Within(one), Self::Within(other)) => Self::Within(one.max(other)),
-            (one, other) => one.or(other),
-        }
-    }
-
     /// How well it is known, without how long it is.
     fn kind(self) -> std::mem::Discriminant<Self> {
         std::mem::discriminant(&self)
@@ -100,27 +87,59 @@
     fn now(self, now: Duration) -> Age {
         self.age.after(now.saturating_sub(self.at))
     }
+
+    /// How much longer a version may begin requests that one of this age followed.
+    fn left(self, overlap: Duration, now: Duration) -> Duration {
+        match self.now(now) {
+            Age::Seen(age) | Age::Within(age) => overlap.saturating_sub(age),
+            // It may be the oldest of all: an old version that goes on too long
+            // breaks a promise, one that ends too soon costs a few seconds' service.
+            Age::Found => Duration::ZERO,
+        }
+    }
+
+    /// The one of two ages that leaves an older version less time.
+    fn ending_first(self, other: Self, now: Duration) -> Self {
+        let overlap = Duration::MAX;
+        if self.left(overlap, now) <= other.left(overlap, now) { self } else { other }
+    }
+}
+
+/// The versions of a model.
+// Invariant: at most `KEPT` versions, the newest ones.
+#[derive(Debug, Default)]
+struct Versions {
+    noted: BTreeMap<Version, Noted>,
+    // The newest version that is not kept any more, with the age of that one of all that
+    // are not which leaves older ones the least time: what they ended must not begin again.
+    forgotten: Option<(Version, Noted)>,
 }
 
-/// Keeps only the newest versions. The oldest that stays takes over the age of
-/// the one before it: what that one ended must not begin again.
-fn forget_oldest(versions: &mut BTreeMap<Version, Noted>, now: Duration) {
-    while versions.len() > KEPT {
-        let Some((_, forgotten)) = versions.pop_first() else { return };
-        if let Some(mut oldest) = versions.first_entry() {
-            let age = oldest.get().now(now).or_older(forgotten.now(now));
-            oldest.insert(Noted { age, at: now });
+impl Versions {
+    /// Keeps only the newest versions.
+    fn forget_oldest(&mut self, now: Duration) {
+        while self.noted.len() > KEPT {
+            let Some((version, noted)) = self.noted.pop_first() else { return };
+            self.forgotten = Some(match self.forgotten {
+                Some((newest, known)) => (newest.max(version), known.ending_first(noted, now)),
+                None => (version, noted),
+            });
         }
     }
+
+    /// The ages of versions that are newer than one.
+    fn newer_than(&self, version: Version) -> impl Iterator<Item = &Noted> {
+        let forgotten = self.forgotten.iter().map(|(forgotten, noted)| (forgotten, noted));
+        let all = self.noted.iter().chain(forgotten);
+        all.filter(move |(known, _)| **known > version).map(|(_, noted)| noted)
+    }
 }
 
 /// For how long versions have been named, to tell how long an older one may
 /// still begin requests.
-// Invariant: at most `KEPT` versions of a model, its newest ones; the oldest of
-// them has at least the age of all that are no longer kept.
 #[derive(Debug, Default)]
 pub struct Timeline {
-    noted: BTreeMap<Model, BTreeMap<Version, Noted>>,
+    models: BTreeMap<Model, Versions>,
 }
 
 impl Timeline {
@@ -145,13 +164,13 @@
 
     /// Notes an age, if it is better than the one that is known.
     fn note(&mut self, model: &Model, version: Version, age: Age, now: Duration) -> bool {
-        let versions = self.noted.entry(model.clone()).or_default();
-        let oldest = versions.first_key_value().map(|(oldest, _)| *oldest);
-        let kept = versions.len() < KEPT || oldest < Some(version);
-        let known = versions.get(&version).map(|noted| noted.now(now));
+        let versions = self.models.entry(model.clone()).or_default();
+        let oldest = versions.noted.first_key_value().map(|(oldest, _)| *oldest);
+        let kept = versions.noted.len() < KEPT || oldest < Some(version);
+        let known = versions.noted.get(&version).map(|noted| noted.now(now));
         let better = known.map_or(age, |known| known.or(age));
-        versions.insert(version, Noted { age: better, at: now });
-        forget_oldest(versions, now);
+        versions.noted.insert(version, Noted { age: better, at: now });
+        versions.forget_oldest(now);
         let news = known.is_none_or(|known| known.kind() != better.kind());
         kept && news
     }
@@ -159,10 +178,11 @@
     /// What is known of ages, for another process.
     #[must_use]
     pub fn ages(&self, now: Duration) -> Ages {
-        let versions = |noted: &BTreeMap<Version, Noted>| {
-            noted.iter().map(|(version, noted)| (*version, noted.now(now))).collect()
+        let ages = |versions: &Versions| {
+            versions.noted.iter().map(|(version, noted)| (*version, noted.now(now))).collect()
         };
-        Ages(self.noted.iter().map(|(model, noted)| (model.clone(), versions(noted))).collect())
+        let models = self.models.iter();
+        Ages(models.map(|(model, versions)| (model.clone(), ages(versions))).collect())
     }
 
     /// How much longer a version may begin requests, so long after a newer one
@@ -175,13 +195,7 @@
         overlap: Duration,
         now: Duration,
     ) -> Option<Duration> {
-        let newer = self.noted.get(model)?.iter().filter(|(known, _)| **known > version);
-        let left = |noted: &Noted| match noted.now(now) {
-            Age::Seen(age) | Age::Within(age) => overlap.saturating_sub(age),
-            // It may be the oldest of all: an old version that goes on too long
-            // breaks a promise, one that ends too soon costs a few seconds' service.
-            Age::Found => Duration::ZERO,
-        };
-        newer.map(|(_, noted)| left(noted)).min()
+        let versions = self.models.get(model)?;
+        versions.newer_than(version).map(|noted| noted.left(overlap, now)).min()
     }
 }
--- a/src/cinderspoke/agent/holdings.rs
+++ b/src/cinderspoke/agent/holdings.rs
@@ -15,14 +15,16 @@
 
 use crate::util::http::{Call, Client};
 
-/// How long a peer waits for more chunks before it answers.
-const HOLDINGS_WAIT: Duration = Duration::from_secs(10);
+/// How long a peer waits for more chunks before it answers. Its connection may have gone
+/// silent for good, which shows only when the answer is due: with [`MARGIN`] that is
+/// after 6 s, and a version has to be on all instances in little more.
+const HOLDINGS_WAIT: Duration = Duration::from_secs(3);
 
 /// The least time between two looks at a peer's holdings.
 const HOLDINGS_PAUSE: Duration = Duration::from_millis(20);
 
-/// How much longer than it waits a peer may take to answer.
-const MARGIN: Duration = Duration::from_secs(20);
+/// How much longer than it waits a peer may take to answer, over a link that chunks fill.
+const MARGIN: Duration = Duration::from_secs(3);
 
 /// How long to stay away from a peer that did not answer.
 const RETRY: Duration = Duration::from_millis(100);
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -240,8 +240,8 @@
                 watch.fail();
                 let error = Error::Unavailable(format!("no answer within {limit:?}"));
                 tell_failure(&*source, &knowledge, &watch, &error);
-                if watch.failures() == 1 {
-                    // What silenced this connection may have silenced the others.
+                if revision.is_some() && watch.failures() == 1 {
+                    // What silenced this watch may have silenced the others.
                     knowledge.doubt();
                 }
                 late.push_back(call);
