Tests, failing: entries are kept too long, or given up, around outages of the store

- A list of another gateway that keeps a lapsed entry puts it back where it is known to have gone, and makes one that was leaving ready again.
- The time for which it is kept begins anew with each gateway that is told, and with each kind of fact that is read again.
- An entry that was written anew after the outage and goes is taken for a lapsed one.
- Of two entries with one address in a list, the one with the later name is kept.

Beside them pass: news older than what is known undo no leaving and take no address; a gateway that knows nothing takes what another keeps.

--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -97,3 +97,88 @@
     assert!(listed(&one).is_empty());
     assert!(listed(&other).is_empty(), "whoever did not return is gone everywhere");
 }
+
+#[test]
+fn what_was_given_up_is_not_taken_back_from_who_still_keeps_it() {
+    let (mut one, mut other) = (Keeper::default(), Keeper::default());
+    for keeper in [&mut one, &mut other] {
+        keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    }
+    other.apply(Revision(2), vec![Change::Removed("a".into())], ms(900));
+    one.returned(ms(1000));
+    one.apply(Revision(3), vec![Change::Removed("a".into())], ms(1000));
+    tell(&one, &mut other, 1100);
+    assert!(listed(&other).is_empty(), "its own word of the removal stands");
+}
+
+#[test]
+fn who_was_about_to_leave_is_not_ready_again_where_another_gateway_keeps_it() {
+    let (mut one, mut other) = (Keeper::default(), Keeper::default());
+    for keeper in [&mut one, &mut other] {
+        keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    }
+    other.apply(Revision(2), vec![put("a", "10.0.0.1:1", State::Leaving)], ms(900));
+    one.returned(ms(1000));
+    one.apply(Revision(3), vec![Change::Removed("a".into())], ms(1000));
+    tell(&one, &mut other, 1100);
+    assert!(listed(&other).is_empty(), "it has left");
+}
+
+#[test]
+fn a_gateway_that_knows_nothing_yet_takes_what_another_keeps() {
+    let (mut one, mut other) = (Keeper::default(), Keeper::default());
+    one.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    one.returned(ms(1000));
+    one.apply(Revision(3), vec![Change::Removed("a".into())], ms(1000));
+    tell(&one, &mut other, 1100);
+    assert_eq!(listed(&other), ["a"], "it may be back");
+    assert!(other.settle(ms(1100) + SETTLE));
+}
+
+#[test]
+fn an_entry_that_came_back_after_an_outage_and_goes_is_gone_at_once() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    keeper.returned(ms(1000));
+    keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1000));
+    keeper.apply(Revision(3), vec![put("a", "10.0.0.1:1", State::Ready)], ms(1500));
+    assert!(keeper.apply(Revision(4), vec![Change::Removed("a".into())], ms(1600)));
+    assert!(listed(&keeper).is_empty(), "it was written anew, so it did not lapse");
+}
+
+#[test]
+fn whoever_lost_its_address_does_not_take_it_back_from_a_list_that_holds_both() {
+    // The entry of an endpoint that died lasts a while beside that of the endpoint
+    // that has its address now.
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), vec![put("z", "10.0.0.1:1", State::Ready)], ms(0));
+    keeper.apply(Revision(2), vec![put("a", "10.0.0.1:1", State::Ready)], ms(100));
+    let both =
+        BTreeMap::from(["a", "z"].map(|name| (name.into(), entry("10.0.0.1:1", State::Ready))));
+    let both = Directory { entries: both, ..Directory::default() };
+    keeper.replace(Revision(2), both, ms(200));
+    assert_eq!(listed(&keeper), ["a"]);
+    keeper.apply(Revision(3), vec![Change::Removed("z".into())], ms(300));
+    assert_eq!(listed(&keeper), ["a"]);
+}
+
+#[test]
+fn a_first_list_with_an_address_twice_loses_neither_endpoint() {
+    let mut keeper = Keeper::default();
+    let both =
+        BTreeMap::from(["a", "z"].map(|name| (name.into(), entry("10.0.0.1:1", State::Ready))));
+    let both = Directory { entries: both, ..Directory::default() };
+    keeper.replace(Revision(2), both, ms(200));
+    keeper.apply(Revision(3), vec![Change::Removed("z".into())], ms(300));
+    assert_eq!(listed(&keeper), ["a"], "whoever has the address now");
+}
+
+#[test]
+fn an_older_news_of_a_ready_endpoint_does_not_undo_that_it_leaves() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(5), vec![put("a", "10.0.0.1:1", State::Leaving)], ms(0));
+    assert!(!keeper.apply(Revision(4), vec![put("a", "10.0.0.1:1", State::Ready)], ms(10)));
+    assert!(!keeper.apply(Revision(4), vec![put("b", "10.0.0.1:1", State::Ready)], ms(10)));
+    assert_eq!(listed(&keeper), ["a"], "nor takes its address");
+    assert_eq!(keeper.directory().entries.values().next().unwrap().state, State::Leaving);
+}
--- a/tests/testsuite/gateway/outage.rs
+++ b/tests/testsuite/gateway/outage.rs
@@ -57,3 +57,12 @@
     assert!(!outage.told(ms(200), ms(5000)));
     assert_eq!(outage.last_answer(ms(5000)), Some(ms(200)));
 }
+
+#[test]
+fn answers_to_who_lost_the_platform_too_are_told_only_once_all_had_time_to_return() {
+    let mut outage = outage();
+    outage.answered(ms(10_000));
+    assert_eq!(outage.last_answer(ms(10_100)), Some(ms(9100)), "that of before the outage");
+    outage.answered(ms(14_000));
+    assert_eq!(outage.last_answer(ms(14_100)), Some(ms(100)));
+}
