The first who is answered after an outage for all does not end it for the others

Cause: any answer to another gateway half a second after this one lost the store counted as proof that only this one was cut off, also the first after the store's return. Whoever was a little slower dropped at once what had lapsed.

A gateway that lost the store itself tells of answers to it only 3 s after its return, when all had time to be answered: 1.2 s of pause, 1.5 s of a call, and the way. One that knows its outage for its own tells at once.

Before: two tests fail; after, they pass, and answers around an outage of one gateway still tell it so. Not mended: a gateway whose watch waits all through an outage has not lost the store, and tells of its first answer.

--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -10,6 +10,10 @@
 /// the platform takes a while to be known to another.
 const MARGIN: Duration = Duration::from_millis(500);
 
+/// How long after the platform's return a gateway may still take it for lost: its
+/// longest pause, 1.2 s, the time limit of a call, 1.5 s, and the way here.
+const NOTICE: Duration = Duration::from_secs(3);
+
 /// What is known of this gateway's last outage of the platform.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 // Invariant: `returned` is none while the platform does not answer.
@@ -32,14 +36,25 @@
 
     /// Takes in that the platform answers this gateway again.
     pub fn end(&mut self, now: Duration) {
-        if self.returned.is_none() {
+        if self.lost.is_some() && self.returned.is_none() {
             self.returned = Some(now);
         }
     }
 
-    /// Takes in that the platform answered this gateway.
+    /// Takes in that the platform answered this gateway. Who lost it as well and is
+    /// answered sooner than others does not tell them: it was not away for them only.
     pub fn answered(&mut self, now: Duration) {
-        self.answered = self.answered.max(Some(now));
+        let recent = self.returned.is_none_or(|returned| now < returned + NOTICE);
+        if self.lost.is_none() || self.own || !recent {
+            self.answered = self.answered.max(Some(now));
+        }
+    }
+
+    /// When the platform answered this gateway again after the last outage; none while
+    /// it does not, or where there was none.
+    #[must_use]
+    pub fn returned(&self) -> Option<Duration> {
+        self.returned
     }
 
     /// Takes in that the platform answered some gateway so long ago; whether this
--- a/tests/testsuite/gateway/outage.rs
+++ b/tests/testsuite/gateway/outage.rs
@@ -66,3 +66,11 @@
     outage.answered(ms(14_000));
     assert_eq!(outage.last_answer(ms(14_100)), Some(ms(100)));
 }
+
+#[test]
+fn answers_after_an_outage_of_ones_own_are_told_at_once() {
+    let mut outage = outage();
+    assert!(outage.told(ms(3000), ms(10_200)));
+    outage.answered(ms(10_300));
+    assert_eq!(outage.last_answer(ms(10_400)), Some(ms(100)));
+}
