Entries that go are kept from the first answer after an outage on, not from each kind's

Cause: configuration, versions and endpoints are each read again at their own time, up to 2.7 s apart, and each began anew the 2.5 s for which entries that go are kept.

Before: the test of it fails, an entry was kept 0.7 s longer than 2.5 s after the first answer, by as much as the second kind came later; after: it passes.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -109,10 +109,10 @@
         self.revision
     }
 
-    /// Takes in that the platform answers again after it had been away.
-    pub fn returned(&mut self, now: Duration) {
-        self.settling = Some(now + SETTLE);
-        self.due = self.settling;
+    /// Takes in when the platform answered again after it had been away.
+    pub fn returned(&mut self, at: Duration) {
+        self.settling = Some(at + SETTLE);
+        self.due = self.due.max(self.settling);
     }
 
     /// Takes in that the platform was away for this gateway only, so that no entry
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -192,8 +192,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.outage.end(now);
-        if !state.outage.is_own() {
-            state.keeper.returned(now);
+        // Each kind of fact is read again at its own time; entries return from the first on.
+        if let Some(at) = state.outage.returned().filter(|_| !state.outage.is_own()) {
+            state.keeper.returned(at);
         }
     }
 
