An entry that came back after an outage and goes is gone at once

Ruled out as a sign: that an entry stands in the whole list that is read at the return, since it may be about to lapse.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -87,6 +87,8 @@
     settling: Option<Duration>,
     // When those that are kept are given up.
     due: Option<Duration>,
+    // Those that were written anew since the platform's return: if they go, they left.
+    back: BTreeSet<Endpoint>,
 }
 
 impl Keeper {
@@ -111,6 +113,9 @@
 
     /// Takes in when the platform answered again after it had been away.
     pub fn returned(&mut self, at: Duration) {
+        if self.settling != Some(at + SETTLE) {
+            self.back.clear();
+        }
         self.settling = Some(at + SETTLE);
         self.due = self.due.max(self.settling);
     }
@@ -185,7 +190,9 @@
 
     /// Puts an entry; true when the list is another then.
     fn put(&mut self, name: Endpoint, entry: Entry) -> bool {
-        self.directory.missing.remove(&name);
+        if self.directory.missing.remove(&name) {
+            self.back.insert(name.clone());
+        }
         let entries = &mut self.directory.entries;
         // An address belongs to one endpoint: whoever had it before is gone.
         let before = entries.len();
@@ -196,10 +203,10 @@
     }
 
     /// Removes an entry; while entries settle after an outage, one that was ready
-    /// is only noted as missing.
+    /// and may have lapsed is only noted as missing.
     fn remove(&mut self, name: Endpoint, settling: bool) -> bool {
-        let entry = self.directory.entries.get(&name);
-        if settling && entry.is_some_and(Entry::is_ready) {
+        let lapsed = settling && !self.back.contains(&name);
+        if lapsed && self.directory.entries.get(&name).is_some_and(Entry::is_ready) {
             self.directory.missing.insert(name);
             return false;
         }
@@ -213,6 +220,7 @@
             return false;
         }
         (self.settling, self.due) = (None, None);
+        self.back.clear();
         let missing = std::mem::take(&mut self.directory.missing);
         self.give_up(missing)
     }
