--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -146,6 +146,7 @@
         let changed = self.apply(revision, changes, now);
         if !listed.missing.is_empty() {
             // Whoever tells of them gives them up without a newer list.
+            self.back.retain(|name| !listed.missing.contains(name));
             self.directory.missing.extend(listed.missing);
             self.due = self.due.max(Some(now + listed.left.min(SETTLE)));
         }
--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -182,3 +182,16 @@
     assert_eq!(listed(&keeper), ["a"], "nor takes its address");
     assert_eq!(keeper.directory().entries.values().next().unwrap().state, State::Leaving);
 }
+
+#[test]
+fn that_another_gateway_keeps_an_entry_as_well_does_not_tell_that_it_is_back() {
+    let (mut one, mut other) = (Keeper::default(), Keeper::default());
+    for keeper in [&mut one, &mut other] {
+        keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+        keeper.returned(ms(1000));
+        keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1000));
+    }
+    tell(&one, &mut other, 1100);
+    other.replace(Revision(2), Directory::default(), ms(1200));
+    assert_eq!(listed(&other), ["a"], "it may be back");
+}
