An address goes to whom came last, not to the later name in a list

Cause: a whole list was put entry by entry in the order of names, each taking its address from whoever had it. An endpoint that died is listed for three heartbeats, its address may be another's after two seconds: in between, a list holds both, and where the dead one's name came later, it displaced the one that lives, which stayed unlisted until its entry changed or the whole list was read again.

Within a list nobody displaces another that is as new to it; whoever was displaced stays so while its entry lasts and the address is taken.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -89,6 +89,8 @@
     due: Option<Duration>,
     // Those that were written anew since the platform's return: if they go, they left.
     back: BTreeSet<Endpoint>,
+    // Those whose address another endpoint has now. Their entries last a while yet.
+    displaced: BTreeSet<Endpoint>,
 }
 
 impl Keeper {
@@ -141,9 +143,12 @@
             .filter(|name| !listed.entries.contains_key(*name))
             .cloned()
             .collect();
-        let mut changes: Vec<_> = gone.into_iter().map(Change::Removed).collect();
-        changes.extend(listed.entries.into_iter().map(|(name, entry)| Change::Put(name, entry)));
-        let changed = self.apply(revision, changes, now);
+        self.displaced.retain(|name| listed.entries.contains_key(name));
+        let known: BTreeSet<_> = self.directory.entries.keys().cloned().collect();
+        let mut changed = self.apply(revision, gone.into_iter().map(Change::Removed), now);
+        for (name, entry) in listed.entries {
+            changed |= self.put(name, entry, |other| known.contains(other));
+        }
         if !listed.missing.is_empty() {
             // Whoever tells of them gives them up without a newer list.
             self.back.retain(|name| !listed.missing.contains(name));
@@ -168,7 +173,12 @@
     }
 
     /// Takes in changes up to a revision; true when anything changed.
-    pub fn apply(&mut self, revision: Revision, changes: Vec<Change>, now: Duration) -> bool {
+    pub fn apply(
+        &mut self,
+        revision: Revision,
+        changes: impl IntoIterator<Item = Change>,
+        now: Duration,
+    ) -> bool {
         if revision < self.revision {
             return false;
         }
@@ -184,23 +194,53 @@
     /// Takes in one change; true when the list is another then.
     fn apply_one(&mut self, change: Change, settling: bool) -> bool {
         match change {
-            Change::Put(name, entry) => self.put(name, entry),
+            Change::Put(name, entry) => self.put(name, entry, |_| true),
             Change::Removed(name) => self.remove(name, settling),
         }
     }
 
-    /// Puts an entry; true when the list is another then.
-    fn put(&mut self, name: Endpoint, entry: Entry) -> bool {
+    /// Puts an entry, in place of those that had its address where they may be
+    /// older; true when the list is another then.
+    fn put(&mut self, name: Endpoint, entry: Entry, older: impl Fn(&Endpoint) -> bool) -> bool {
+        if self.is_displaced(&name, &entry) {
+            return false;
+        }
         if self.directory.missing.remove(&name) {
             self.back.insert(name.clone());
         }
-        let entries = &mut self.directory.entries;
-        // An address belongs to one endpoint: whoever had it before is gone.
-        let before = entries.len();
-        entries.retain(|other, known| *other == name || known.address != entry.address);
-        let replaced = entries.len() != before;
-        let old = entries.insert(name, entry.clone());
-        replaced || old.as_ref() != Some(&entry)
+        let displaced = self.displace(&name, entry.address, older);
+        let old = self.directory.entries.insert(name, entry.clone());
+        displaced || old.as_ref() != Some(&entry)
+    }
+
+    /// Whether an entry is of an endpoint whose address another one has now.
+    fn is_displaced(&self, name: &Endpoint, entry: &Entry) -> bool {
+        let taken = || self.directory.entries.values().any(|known| known.address == entry.address);
+        self.displaced.contains(name) && taken()
+    }
+
+    /// Removes those that had an address before its endpoint; true when any did.
+    fn displace(
+        &mut self,
+        name: &Endpoint,
+        address: SocketAddr,
+        older: impl Fn(&Endpoint) -> bool,
+    ) -> bool {
+        let Directory { entries, missing, .. } = &mut self.directory;
+        // An endpoint that was there already displaces nobody by being there still.
+        if entries.get(name).is_some_and(|known| known.address == address) {
+            return false;
+        }
+        let had = |(other, known): &(&Endpoint, &Entry)| {
+            *other != name && known.address == address && older(other)
+        };
+        let gone: BTreeSet<_> =
+            entries.iter().filter(had).map(|(other, _)| other.clone()).collect();
+        entries.retain(|other, _| !gone.contains(other));
+        missing.retain(|other| !gone.contains(other));
+        self.displaced.remove(name);
+        self.displaced.extend(gone.iter().cloned());
+        !gone.is_empty()
     }
 
     /// Removes an entry; while entries settle after an outage, one that was ready
@@ -211,6 +251,7 @@
             self.directory.missing.insert(name);
             return false;
         }
+        self.displaced.remove(&name);
         self.directory.missing.remove(&name);
         self.directory.entries.remove(&name).is_some()
     }
