--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -48,6 +48,14 @@
     pub reports_models: bool,
 }
 
+impl Entry {
+    /// Whether the endpoint takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state == State::Ready
+    }
+}
+
 /// The list at a revision.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Directory {
@@ -56,6 +64,9 @@
     /// Those of them that lapsed around an outage: kept until they are back or
     /// the time is up.
     pub missing: BTreeSet<Endpoint>,
+    /// For how much longer those are kept; told along, since a time that began anew
+    /// with each gateway would let an endpoint that left live on from one to the next.
+    pub left: Duration,
 }
 
 /// A change of one entry.
@@ -76,6 +87,10 @@
     settling: Option<Duration>,
     // When those that are kept are given up.
     due: Option<Duration>,
+    // Those that were written anew since the platform's return: if they go, they left.
+    back: BTreeSet<Endpoint>,
+    // Those whose address another endpoint has now. Their entries last a while yet.
+    displaced: BTreeSet<Endpoint>,
 }
 
 impl Keeper {
@@ -85,16 +100,26 @@
         &self.directory
     }
 
+    /// The list as another gateway is told of it.
+    #[must_use]
+    pub fn tell(&self, now: Duration) -> Directory {
+        let left = self.due.map_or(Duration::ZERO, |due| due.saturating_sub(now));
+        Directory { left, ..self.directory.clone() }
+    }
+
     /// The revision of the list.
     #[must_use]
     pub fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// Takes in that the platform answers again after it had been away.
-    pub fn returned(&mut self, now: Duration) {
-        self.settling = Some(now + SETTLE);
-        self.due = self.settling;
+    /// Takes in when the platform answered again after it had been away.
+    pub fn returned(&mut self, at: Duration) {
+        if self.settling != Some(at + SETTLE) {
+            self.back.clear();
+        }
+        self.settling = Some(at + SETTLE);
+        self.due = self.due.max(self.settling);
     }
 
     /// Takes in that the platform was away for this gateway only, so that no entry
@@ -110,6 +135,7 @@
         if revision < self.revision {
             return false;
         }
+        let listed = self.credible(listed);
         let gone: Vec<_> = self
             .directory
             .entries
@@ -117,19 +143,42 @@
             .filter(|name| !listed.entries.contains_key(*name))
             .cloned()
             .collect();
-        let mut changes: Vec<_> = gone.into_iter().map(Change::Removed).collect();
-        changes.extend(listed.entries.into_iter().map(|(name, entry)| Change::Put(name, entry)));
-        let changed = self.apply(revision, changes, now);
+        self.displaced.retain(|name| listed.entries.contains_key(name));
+        let known: BTreeSet<_> = self.directory.entries.keys().cloned().collect();
+        let mut changed = self.apply(revision, gone.into_iter().map(Change::Removed), now);
+        for (name, entry) in listed.entries {
+            changed |= self.put(name, entry, |other| known.contains(other));
+        }
         if !listed.missing.is_empty() {
             // Whoever tells of them gives them up without a newer list.
+            self.back.retain(|name| !listed.missing.contains(name));
             self.directory.missing.extend(listed.missing);
-            self.due = self.due.max(Some(now + SETTLE));
+            self.due = self.due.max(Some(now + listed.left.min(SETTLE)));
         }
         changed
     }
 
+    /// A list without what another gateway keeps and this one knows to have left, or
+    /// to be about to; who knows nothing yet takes all.
+    fn credible(&self, mut listed: Directory) -> Directory {
+        if self.revision == Revision::default() {
+            return listed;
+        }
+        let entries = &self.directory.entries;
+        let ready = |name: &Endpoint| entries.get(name).is_some_and(Entry::is_ready);
+        let (kept, left): (BTreeSet<_>, BTreeSet<_>) = listed.missing.into_iter().partition(ready);
+        listed.missing = kept;
+        listed.entries.retain(|name, _| !left.contains(name));
+        listed
+    }
+
     /// Takes in changes up to a revision; true when anything changed.
-    pub fn apply(&mut self, revision: Revision, changes: Vec<Change>, now: Duration) -> bool {
+    pub fn apply(
+        &mut self,
+        revision: Revision,
+        changes: impl IntoIterator<Item = Change>,
+        now: Duration,
+    ) -> bool {
         if revision < self.revision {
             return false;
         }
@@ -145,31 +194,64 @@
     /// Takes in one change; true when the list is another then.
     fn apply_one(&mut self, change: Change, settling: bool) -> bool {
         match change {
-            Change::Put(name, entry) => self.put(name, entry),
+            Change::Put(name, entry) => self.put(name, entry, |_| true),
             Change::Removed(name) => self.remove(name, settling),
         }
     }
 
-    /// Puts an entry; true when the list is another then.
-    fn put(&mut self, name: Endpoint, entry: Entry) -> bool {
-        self.directory.missing.remove(&name);
-        let entries = &mut self.directory.entries;
-        // An address belongs to one endpoint: whoever had it before is gone.
-        let before = entries.len();
-        entries.retain(|other, known| *other == name || known.address != entry.address);
-        let replaced = entries.len() != before;
-        let old = entries.insert(name, entry.clone());
-        replaced || old.as_ref() != Some(&entry)
+    /// Puts an entry, in place of those that had its address where they may be
+    /// older; true when the list is another then.
+    fn put(&mut self, name: Endpoint, entry: Entry, older: impl Fn(&Endpoint) -> bool) -> bool {
+        if self.is_displaced(&name, &entry) {
+            return false;
+        }
+        if self.directory.missing.remove(&name) {
+            self.back.insert(name.clone());
+        }
+        let displaced = self.displace(&name, entry.address, older);
+        let old = self.directory.entries.insert(name, entry.clone());
+        displaced || old.as_ref() != Some(&entry)
+    }
+
+    /// Whether an entry is of an endpoint whose address another one has now.
+    fn is_displaced(&self, name: &Endpoint, entry: &Entry) -> bool {
+        let taken = || self.directory.entries.values().any(|known| known.address == entry.address);
+        self.displaced.contains(name) && taken()
+    }
+
+    /// Removes those that had an address before its endpoint; true when any did.
+    fn displace(
+        &mut self,
+        name: &Endpoint,
+        address: SocketAddr,
+        older: impl Fn(&Endpoint) -> bool,
+    ) -> bool {
+        let Directory { entries, missing, .. } = &mut self.directory;
+        // An endpoint that was there already displaces nobody by being there still.
+        if entries.get(name).is_some_and(|known| known.address == address) {
+            return false;
+        }
+        let had = |(other, known): &(&Endpoint, &Entry)| {
+            *other != name && known.address == address && older(other)
+        };
+        let gone: BTreeSet<_> =
+            entries.iter().filter(had).map(|(other, _)| other.clone()).collect();
+        entries.retain(|other, _| !gone.contains(other));
+        missing.retain(|other| !gone.contains(other));
+        self.displaced.remove(name);
+        self.displaced.extend(gone.iter().cloned());
+        !gone.is_empty()
     }
 
     /// Removes an entry; while entries settle after an outage, one that was ready
-    /// is only noted as missing.
+    /// and may have lapsed is only noted as missing.
     fn remove(&mut self, name: Endpoint, settling: bool) -> bool {
-        let entry = self.directory.entries.get(&name);
-        if settling && entry.is_some_and(|entry| entry.state == State::Ready) {
+        let lapsed = settling && !self.back.contains(&name);
+        if lapsed && self.directory.entries.get(&name).is_some_and(Entry::is_ready) {
             self.directory.missing.insert(name);
             return false;
         }
+        self.displaced.remove(&name);
         self.directory.missing.remove(&name);
         self.directory.entries.remove(&name).is_some()
     }
@@ -180,6 +262,7 @@
             return false;
         }
         (self.settling, self.due) = (None, None);
+        self.back.clear();
         let missing = std::mem::take(&mut self.directory.missing);
         self.give_up(missing)
     }
