An entry that goes some time after the store's return is kept for one renewal only

Each gateway kept the entry like those that lapsed in the cut, until 2.5 s after its own return at 24.2 to 24.9 s (log lines 'endpoints changed ... outage' at 27.06 to 27.94 s), and none had heard the store meanwhile, by which the others would have known.

Change: what goes later than 0.3 s after the return is kept for 1.5 s: endpoints that live renew their entries about every 1.2 s. What lapsed in the outage has 2.5 s as before.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -20,6 +20,15 @@
 /// within two seconds, and the rest is for the way here.
 pub const SETTLE: Duration = Duration::from_millis(2500);
 
+/// How long after the platform's return the first news still tell of what happened
+/// while it was away.
+const FIRST_NEWS: Duration = Duration::from_millis(300);
+
+/// How long an entry may be missing that goes later than that: endpoints renew theirs
+/// about every 1.2 s, so one that lapsed and lives is back by then. One that left may
+/// get nothing 2 s after its entry went.
+pub const RENEWAL: Duration = Duration::from_millis(1500);
+
 /// Whether an endpoint takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -87,6 +96,8 @@
     settling: Option<Duration>,
     // When those that are kept are given up.
     due: Option<Duration>,
+    // Until when those are kept that went some time after the platform's return.
+    renewing: BTreeMap<Endpoint, Duration>,
     // Those that were written anew since the platform's return: if they go, they left.
     back: BTreeSet<Endpoint>,
     // Those whose address another endpoint has now. Their entries last a while yet.
@@ -113,6 +124,12 @@
         self.revision
     }
 
+    /// Whether entries may be kept that the platform does not list.
+    #[must_use]
+    pub fn is_settling(&self) -> bool {
+        self.due.is_some()
+    }
+
     /// Takes in when the platform answered again after it had been away.
     pub fn returned(&mut self, at: Duration) {
         if self.settling != Some(at + SETTLE) {
@@ -183,19 +200,19 @@
             return false;
         }
         self.revision = revision;
-        let settling = self.settling.is_some_and(|until| now < until);
+        let settling = self.settling.filter(|until| now < *until);
         let mut changed = false;
         for change in changes {
-            changed |= self.apply_one(change, settling);
+            changed |= self.apply_one(change, settling, now);
         }
         changed
     }
 
     /// Takes in one change; true when the list is another then.
-    fn apply_one(&mut self, change: Change, settling: bool) -> bool {
+    fn apply_one(&mut self, change: Change, settling: Option<Duration>, now: Duration) -> bool {
         match change {
             Change::Put(name, entry) => self.put(name, entry, |_| true),
-            Change::Removed(name) => self.remove(name, settling),
+            Change::Removed(name) => self.remove(name, settling, now),
         }
     }
 
@@ -245,9 +262,13 @@
 
     /// Removes an entry; while entries settle after an outage, one that was ready
     /// and may have lapsed is only noted as missing.
-    fn remove(&mut self, name: Endpoint, settling: bool) -> bool {
-        let lapsed = settling && !self.back.contains(&name);
-        if lapsed && self.directory.entries.get(&name).is_some_and(Entry::is_ready) {
+    fn remove(&mut self, name: Endpoint, settling: Option<Duration>, now: Duration) -> bool {
+        let settling = settling.filter(|_| !self.back.contains(&name));
+        let ready = self.directory.entries.get(&name).is_some_and(Entry::is_ready);
+        if let Some(until) = settling.filter(|_| ready) {
+            if now + SETTLE > until + FIRST_NEWS {
+                self.renewing.insert(name.clone(), now + RENEWAL);
+            }
             self.directory.missing.insert(name);
             return false;
         }
@@ -258,13 +279,20 @@
 
     /// Gives up entries that are not back in time; true when any was.
     pub fn settle(&mut self, now: Duration) -> bool {
-        if self.due.is_none_or(|due| now < due) {
-            return false;
+        if self.due.is_some_and(|due| due <= now) {
+            (self.settling, self.due) = (None, None);
+            self.back.clear();
+            self.renewing.clear();
+            let missing = std::mem::take(&mut self.directory.missing);
+            return self.give_up(missing);
         }
-        (self.settling, self.due) = (None, None);
-        self.back.clear();
-        let missing = std::mem::take(&mut self.directory.missing);
-        self.give_up(missing)
+        let is_late = |(_, until): &(&Endpoint, &Duration)| **until <= now;
+        let late: BTreeSet<_> =
+            self.renewing.iter().filter(is_late).map(|(name, _)| name.clone()).collect();
+        self.renewing.retain(|name, _| !late.contains(name));
+        // Those that are back are missing no more.
+        let late = late.into_iter().filter(|name| self.directory.missing.remove(name)).collect();
+        self.give_up(late)
     }
 
     /// Removes entries; true when any was there.
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -10,7 +10,7 @@
 
 use async_trait::async_trait;
 use cinderspoke_core::gateway::catalog::Declared;
-use cinderspoke_core::gateway::directory::SETTLE;
+use cinderspoke_core::gateway::directory::{RENEWAL, SETTLE};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::watch::{AWAY, DOUBT, Freshness, LATE_CALLS, MARGIN, Watch};
@@ -165,7 +165,11 @@
 
     async fn watch(&self, after: Revision, wait: Duration) -> Result<Answer<'_>, Error> {
         let seen = self.0.registry.watch_endpoints(after, wait).await?;
-        let changed = |fact| _ = self.0.knowledge.changed(fact, STORE);
+        let changed = |fact| {
+            self.0.knowledge.changed(fact, STORE);
+            // What went and may be back is given up when that has had its time.
+            settle_after(&self.0.knowledge, RENEWAL);
+        };
         Ok(Box::new(move |_| take_news(seen, changed)))
     }
 
@@ -342,9 +346,17 @@
 
 /// Gives up entries that lapsed during an outage once they had time to be back.
 pub(super) fn settle_later(knowledge: &Arc<Knowledge>) {
+    settle_after(knowledge, SETTLE);
+}
+
+/// Gives up, after a time, entries that are kept and not back; does nothing if none is.
+fn settle_after(knowledge: &Arc<Knowledge>, time: Duration) {
+    if !knowledge.keeps_entries() {
+        return;
+    }
     let knowledge = Arc::clone(knowledge);
     tokio::spawn(async move {
-        sleep(SETTLE).await;
+        sleep(time).await;
         knowledge.settle();
     });
 }
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -265,6 +265,12 @@
         }
     }
 
+    /// Whether entries may be kept that the platform does not list.
+    #[must_use]
+    pub fn keeps_entries(&self) -> bool {
+        self.lock().keeper.is_settling()
+    }
+
     /// Gives up entries that lapsed while the platform was away and are not back.
     pub fn settle(&self) {
         let now = self.clock.now();
--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -195,3 +195,38 @@
     other.replace(Revision(2), Directory::default(), ms(1200));
     assert_eq!(listed(&other), ["a"], "it may be back");
 }
+
+// Symptom: requests reach an endpoint over two seconds after its entry went. Sequence:
+// all gateways are cut from the store for 4 s; an endpoint leaves 0.4 to 1.1 s after they
+// hear it again. Cause: its entry was kept like those that lapsed in the cut, until 2.5 s
+// after the return, 2.4 s after it went.
+#[test]
+fn an_entry_that_goes_some_time_after_the_return_is_kept_for_one_renewal() {
+    let mut keeper = Keeper::default();
+    let all = vec![
+        put("a", "10.0.0.1:1", State::Ready),
+        put("b", "10.0.0.2:1", State::Ready),
+        put("c", "10.0.0.3:1", State::Ready),
+    ];
+    keeper.apply(Revision(1), all, ms(0));
+    keeper.returned(ms(1000));
+    keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1010));
+    keeper.apply(Revision(3), vec![Change::Removed("b".into())], ms(1500));
+    assert!(!keeper.settle(ms(2900)));
+    assert!(keeper.settle(ms(3050)));
+    assert_eq!(listed(&keeper), ["a", "c"], "what lapsed in the outage is kept for longer");
+    assert!(keeper.settle(ms(1000) + SETTLE));
+    assert_eq!(listed(&keeper), ["c"]);
+}
+
+#[test]
+fn an_entry_that_lapsed_some_time_after_the_return_and_is_back_stays() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    keeper.returned(ms(1000));
+    keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1500));
+    keeper.apply(Revision(3), vec![put("a", "10.0.0.1:1", State::Ready)], ms(2600));
+    assert!(!keeper.settle(ms(3100)));
+    assert!(!keeper.settle(ms(1000) + SETTLE));
+    assert_eq!(listed(&keeper), ["a"]);
+}
