What is kept for one renewal only is told with the time that is left

Cause: a gateway that learns of such an entry from another one, before its own watch tells it, kept it until the end of the other's whole time.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -76,6 +76,8 @@
     /// For how much longer those are kept; told along, since a time that began anew
     /// with each gateway would let an endpoint that left live on from one to the next.
     pub left: Duration,
+    /// Those of them that are kept for less, and how much longer.
+    pub renewing: BTreeMap<Endpoint, Duration>,
 }
 
 /// A change of one entry.
@@ -115,7 +117,10 @@
     #[must_use]
     pub fn tell(&self, now: Duration) -> Directory {
         let left = self.due.map_or(Duration::ZERO, |due| due.saturating_sub(now));
-        Directory { left, ..self.directory.clone() }
+        let renewing = self.renewing.iter();
+        let renewing =
+            renewing.map(|(name, until)| (name.clone(), until.saturating_sub(now))).collect();
+        Directory { left, renewing, ..self.directory.clone() }
     }
 
     /// The revision of the list.
@@ -169,6 +174,13 @@
         if !listed.missing.is_empty() {
             // Whoever tells of them gives them up without a newer list.
             self.back.retain(|name| !listed.missing.contains(name));
+            for (name, left) in listed.renewing {
+                let until = now + left.min(RENEWAL);
+                self.renewing
+                    .entry(name)
+                    .and_modify(|known| *known = until.min(*known))
+                    .or_insert(until);
+            }
             self.directory.missing.extend(listed.missing);
             self.due = self.due.max(Some(now + listed.left.min(SETTLE)));
         }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -350,7 +350,7 @@
 }
 
 /// Gives up, after a time, entries that are kept and not back; does nothing if none is.
-fn settle_after(knowledge: &Arc<Knowledge>, time: Duration) {
+pub(super) fn settle_after(knowledge: &Arc<Knowledge>, time: Duration) {
     if !knowledge.keeps_entries() {
         return;
     }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -15,6 +15,7 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
+use cinderspoke_core::gateway::directory::RENEWAL;
 use cinderspoke_core::gateway::fact::Revision;
 use cinderspoke_core::gateway::gossip;
 use cinderspoke_core::gateway::name::Service;
@@ -26,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
-use super::follow::settle_later;
+use super::follow::{settle_after, settle_later};
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
 use super::outstanding;
@@ -197,6 +198,7 @@
             let kept = !directory.value.missing.is_empty();
             self.knowledge.listed(directory, "gateway");
             if kept {
+                settle_after(&self.knowledge, RENEWAL);
                 settle_later(&self.knowledge);
             }
         }
--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -230,3 +230,17 @@
     assert!(!keeper.settle(ms(1000) + SETTLE));
     assert_eq!(listed(&keeper), ["a"]);
 }
+
+#[test]
+fn a_gateway_that_is_told_of_such_an_entry_keeps_it_no_longer() {
+    let (mut one, mut other) = (Keeper::default(), Keeper::default());
+    for keeper in [&mut one, &mut other] {
+        keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
+        keeper.returned(ms(1000));
+    }
+    one.apply(Revision(2), vec![Change::Removed("a".into())], ms(1500));
+    other.replace(one.revision(), one.tell(ms(1600)), ms(1600));
+    assert!(!other.settle(ms(2900)));
+    assert!(other.settle(ms(3050)));
+    assert_eq!(listed(&other), [""; 0]);
+}
