--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -209,7 +209,7 @@
     Answered(Answer<'a>),
     /// The newest call failed.
     Failed(Error),
-    /// The newest call is late, or so are all.
+    /// Nothing came in time, which is how long was waited; the newest call is late now.
     Silent(Duration),
     /// The newest call was given up for another one.
     Overtaken,
