--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -9,9 +9,9 @@
 //!   they are told as it changes.
 //! - [`serve`] takes callers' requests, whose [`head`] has to come in time, and
 //!   [`forward`] brings them to endpoints: it has [`understand`] read what is asked
-//!   and [`choose`] name an endpoint; [`send`] sends over the connections of a [`pool`], each a [`socket`],
-//!   [`answer`] reads what comes back, and what no endpoint answers ends in a
-//!   [`refusal`].
+//!   and [`choose`] name an endpoint; [`send`] sends over the connections of a
+//!   [`pool`], each a [`socket`], [`answer`] reads what comes back, and what no
+//!   endpoint answers ends in a [`refusal`].
 //! - [`stream`] is an answer in events; [`passing`] passes it on and has another
 //!   endpoint go on with it.
 //! - [`context`] is what all requests share, [`target`] what is kept of each
