--- a/crates/bench/tests/testsuite/soak.rs
+++ b/crates/bench/tests/testsuite/soak.rs
@@ -67,6 +67,14 @@
     assert_kept("72", &["Silence(Store)", "News(Drain) plain-1"]);
 }
 
+/// An entry goes just before the store is down, and each gateway takes it for one that
+/// lapsed meanwhile: it is kept until 2.5 s after the gateway's own return, which is up to
+/// 1.2 s after the store's.
+#[test]
+fn promises_are_kept_where_an_entry_goes_just_before_the_store_is_down() {
+    assert_kept("212", &["News(Entry) plain-2", "Store(Down"]);
+}
+
 /// Waits until something holds.
 fn until(mut holds: impl FnMut() -> bool) {
     let began = Instant::now();
