What a coordinator takes in and has done stands in a file of its own

Ruled out: splitting the state itself; its parts share every field.

Lints clean, the tests of decisions, kills and changes of the configuration pass.

--- a/crates/core/src/coordinator.rs
+++ b/crates/core/src/coordinator/mod.rs
@@ -6,6 +6,8 @@
 //! whose holder sums up the zone's members, and the planner's lease, for which
 //! only holders of a zone's lease compete.
 
+mod event;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +27,8 @@
 use crate::placement::{Placements, place};
 use crate::turn;
 
+pub use self::event::{Action, Event, Write};
+
 /// A configuration in force, with the files that it was read from.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Active {
@@ -36,58 +40,6 @@
     pub configuration: Configuration,
 }
 
-/// What happens to an entry instance's control state.
-#[derive(Debug, Clone)]
-pub enum Event {
-    /// An agent reported.
-    Heartbeat(Heartbeat),
-    /// Objects were read or watched.
-    Objects(Vec<Object>),
-    /// The files of a root were read.
-    Parts(Root, Vec<Part>),
-    /// Another entry instance told what it knows.
-    Relay(RelayState),
-    /// The platform's list names these instances as leaving.
-    Leaving(Vec<Instance>),
-    /// A write took effect; `sent` is when it was sent.
-    Written {
-        /// What was written.
-        write: Write,
-        /// The object's new revision.
-        revision: Revision,
-        /// When it was sent.
-        sent: Duration,
-    },
-    /// A write did not take effect, or that is not known.
-    NotWritten(Write),
-    /// Time passed.
-    Tick,
-}
-
-/// A write to the platform.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Write {
-    /// The object's key.
-    pub key: String,
-    /// Its new value.
-    pub value: String,
-    /// What it must be.
-    pub expect: Expect,
-}
-
-/// What to do next.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Read the files of a root.
-    ReadParts(Root),
-    /// Read an object, since a write to it has failed.
-    Read(String),
-    /// Write an object; the outcome is due as an event.
-    Write(Write),
-    /// Show the traffic threads the state anew.
-    Publish,
-}
-
 /// Settings of a coordinator.
 #[derive(Debug, Clone)]
 pub struct Settings {
