The platform's words of the soak stand in platform/, once

Cause: the soak's callers, endpoints and engines spelled the platform's headers, calls and objects outside platform/, a second time beside the adapter.

Change: the names are in platform/src/words.rs, used by the adapter and by a crate of stand-ins in platform/stand-ins, which is not shipped; the soak speaks through its types.

Ruled out: the whole soak in platform/: its plan and oracle know nothing of the platform.

Conclusion: no behaviour changed; programs are built from the same names as before.

--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cinderspoke_stand_ins::request::{READY, answered, is_signed, question, without_versions};
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind};
 use cinderspoke_test_support::oracle::judge::{LATE, MARGIN};
+use http::header::HOST as HOST_HEADER;
 use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -19,8 +21,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use super::configuration::TIMEOUT;
+use super::configuration::{HOST, TIMEOUT};
 use super::endpoint::{EVENTS, answer, event, is_stream};
+use super::engine::MODEL;
 use super::oracle::Oracle;
 
 /// What callers know of a gateway.
@@ -162,14 +165,8 @@
 }
 
 fn request(id: &str, path: &str, key: &str) -> http::Result<Request<Full<Bytes>>> {
-    Request::post(path)
-        .header("Host", "soak.example")
-        .header("Request-Id", id)
-        .header("Request-Deadline", TIMEOUT.as_millis().to_string())
-        .header("Key", key)
-        .header("Model", "m")
-        .header("Token-Usage", "100,60")
-        .body(Full::from(body(id)))
+    let head = Request::post(path).header(HOST_HEADER, HOST);
+    question(head, id, TIMEOUT, key, MODEL).body(Full::from(body(id)))
 }
 
 /// The whole body; none if it did not come whole.
@@ -179,14 +176,13 @@
 
 /// What is wrong with an answer that came whole.
 fn checked(id: &str, path: &str, status: u16, headers: &HeaderMap, body: &Bytes) -> End {
-    let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-    let signed = header("engine-signature").is_some();
+    let (signed, answered) = (is_signed(headers), answered(headers));
     let expected = if is_stream(path) { events(id) } else { answer(id) };
     let got = String::from_utf8_lossy(body);
     let wrong = if status == 200 && !signed {
         Some("a success that no endpoint signed".to_owned())
-    } else if header("request-id").is_some_and(|other| other != id) {
-        Some(format!("the answer to {}", header("request-id").unwrap_or_default()))
+    } else if answered.is_some_and(|other| other != id) {
+        Some(format!("the answer to {}", answered.unwrap_or_default()))
     } else if status == 200 && without_versions(&got) != expected {
         Some(format!("another body: {got:?}"))
     } else {
@@ -199,19 +195,13 @@
     (1..=EVENTS).map(|number| event(id, number)).collect()
 }
 
-/// Events without the lines that tell of another version.
-fn without_versions(text: &str) -> String {
-    let lines = text.split_inclusive('\n');
-    lines.filter(|line| !line.starts_with("weight-versions:")).collect()
-}
-
 /// Whether a gateway says that it takes new connections.
 pub(crate) async fn is_ready(address: SocketAddr) -> bool {
     let question = async {
         let stream = TcpStream::connect(address).await.ok()?;
         let (mut connection, driver) = handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(driver);
-        let request = Request::get("/readyz").header("Host", "soak").body(Full::<Bytes>::default());
+        let request = Request::get(READY).header(HOST_HEADER, HOST).body(Full::<Bytes>::default());
         let answer: Response<Incoming> = connection.send_request(request.ok()?).await.ok()?;
         Some(answer.status().is_success())
     };
--- a/crates/bench/src/soak/configuration.rs
+++ b/crates/bench/src/soak/configuration.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cinderspoke_stand_ins::spec::{self, Engines, Repeat, Route};
 use cinderspoke_test_support::address::shared_port;
 use cinderspoke_test_support::oracle::attempt::Kind;
 use cinderspoke_test_support::oracle::judge::Bounds;
@@ -18,6 +19,12 @@
 /// The service of model engines.
 pub(crate) const ENGINES: &str = "engines";
 
+/// The one availability zone.
+pub(crate) const ZONE: &str = "zone-1";
+
+/// The host that callers ask.
+pub(crate) const HOST: &str = "soak.example";
+
 /// How long callers wait for an answer, and the time of each route.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -47,44 +54,29 @@
     Offer { usual: routes.len(), routes, keys: vec!["key-0".to_owned()], ..Offer::default() }
 }
 
-fn route((prefix, kind): &(String, Kind)) -> Value {
-    let word = match kind {
-        Kind::Safe => "safe",
-        Kind::Unsafe => "unsafe",
-        Kind::Resumable | Kind::Stream => "streaming",
+fn route((prefix, kind): &(String, Kind)) -> Route<'_> {
+    let repeat = match kind {
+        Kind::Safe => Repeat::Safe,
+        Kind::Unsafe => Repeat::Once,
+        Kind::Resumable => Repeat::Resume,
+        Kind::Stream => Repeat::Stream,
     };
     let service = if prefix.starts_with("/model") { ENGINES } else { PLAIN };
-    json!({
-        "name": prefix, "host": "soak.example", "path_prefix": prefix, "kind": word,
-        "timeout_ms": TIMEOUT.as_millis() as u64, "target_latency_ms": 4000, "priority": 1,
-        "service": service, "max_attempts": 2, "public": false, "sticky": false,
-        "resumable": *kind == Kind::Resumable,
-    })
+    Route { host: HOST, prefix, service, repeat, timeout: TIMEOUT }
 }
 
 /// The configuration of a version, with what is in force.
 pub(crate) fn declared(version: u64, offer: &Offer, origin: SocketAddr) -> Value {
     let routes: Vec<_> = offer.routes.iter().map(route).collect();
-    let engine = json!({
-        "slots": 16, "kv_capacity_tokens": 300_000, "step_ms": 5.0, "per_seq_ms": 0.1,
-        "context_per_k": 0.1, "read_per_s": 20_000.0, "pairs_per_m": 0.1, "chunk": 512,
-        "stride": 1, "usual": { "prompt": 100, "answer": 60 }, "layers": 4,
-        "models": [{ "name": MODEL, "warm_s": WARM.as_secs_f64() }],
-        "chunks": CHUNKS, "chunk_bytes": CHUNK_BYTES,
-    });
-    json!({
-        "version": version, "routes": routes,
-        "services": [
-            { "name": PLAIN, "health_path": "/healthz", "max_connections": 100 },
-            { "name": ENGINES, "health_path": "/healthz", "max_connections": 100, "engine": engine },
-            { "name": "weights", "origin": origin, "link_mbps": 100.0, "max_connections": 8 },
-        ],
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 10_000,
-            "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
-        },
-        "tenants": [{ "name": "team", "api_keys": offer.keys }],
-    })
+    let engines = Engines {
+        service: ENGINES,
+        model: MODEL,
+        warm: WARM,
+        chunks: CHUNKS,
+        chunk_bytes: CHUNK_BYTES,
+        origin,
+    };
+    spec::configuration(version, &routes, PLAIN, engines, &offer.keys)
 }
 
 /// The settings of a program, but for what makes it a gateway or an agent.
@@ -95,9 +87,9 @@
     seeds: &[SocketAddr],
 ) -> Value {
     json!({
-        "instance": name, "zone": "zone-1", "region": "region-1", "address": own.ip(),
+        "instance": name, "zone": ZONE, "region": "region-1", "address": own.ip(),
         "store": store, "seeds": seeds, "heartbeat_ms": 1200, "first_start": true,
-        "regions": { "zone-1": "region-1" },
+        "regions": { ZONE: "region-1" },
         "ports": { "first": shared_port(), "last": shared_port() },
         "limits": { "link_mbps": 1000.0, "descriptors": 4000, "memory_mb": 260 },
         "bounds": {
--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -1,6 +1,5 @@
 //! The stand-in of an endpoint: a plain service, or a model engine's requests.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -12,16 +11,20 @@
 use axum::body::Body;
 use axum::extract::State;
 use bytes::Bytes;
+use cinderspoke_stand_ins::request::{self, Arrival};
+use cinderspoke_stand_ins::spec;
 use cinderspoke_test_support::oracle::attempt::Run;
 use cinderspoke_test_support::{address, proxy::Proxy};
 use futures::stream;
+use http::header::CONTENT_TYPE;
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use super::configuration::ZONE;
 use super::engine::Engine;
 use super::oracle::{Oracle, Work};
 
@@ -107,15 +110,11 @@
     }
 
     /// Its entry in the store.
-    pub(crate) fn entry(&self, state: &str) -> Value {
-        let mut entry = json!({
-            "service": self.service, "address": self.address(), "zone": "zone-1",
-            "version": "1", "slots": SLOTS, "state": state, "cold_remaining_ms": 0, "seq": 1,
-        });
-        if let Some(engine) = &self.engine {
-            entry["models"] = engine.models();
-        }
-        entry
+    pub(crate) fn entry(&self, leaves: bool) -> Value {
+        let models = self.engine.as_ref().map(|engine| engine.models());
+        let (service, address) = (self.service, self.address());
+        let endpoint = spec::Endpoint { service, address, zone: ZONE, slots: SLOTS, leaves };
+        spec::entry(endpoint, models)
     }
 
     /// Ends it, in the midst of whatever it works on.
@@ -166,20 +165,16 @@
 
 async fn serve(State(shared): State<Shared>, request: Request<Body>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let header = |name: &str| {
-        let value = head.headers.get(name).and_then(|value| value.to_str().ok());
-        value.unwrap_or_default().to_owned()
-    };
-    let id = header("request-id");
-    if head.uri.path() == "/healthz" {
-        return with(Response::builder().header("Instance-Id", &shared.name), 200, Body::empty());
+    let arrival = Arrival::read(&head.headers);
+    if head.uri.path() == request::HEALTH {
+        return with(request::health(&shared.name), 200, Body::empty());
     }
+    let id = arrival.id.clone();
     // A caller that leaves while its request comes has had nothing run.
     let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-    let expected = header("expect-version").parse::<u64>().ok();
     let version = shared.engine.as_ref().map(|engine| engine.version());
-    let other = header("target-instance") != shared.name;
-    let older = expected.is_some() && expected != version;
+    let other = arrival.target != shared.name;
+    let older = arrival.version.is_some() && arrival.version != version;
     let working = shared.working.fetch_add(1, Ordering::SeqCst);
     let closed = shared.engine.as_ref().is_some_and(|engine| !engine.begin());
     let full = working >= SLOTS || closed;
@@ -191,25 +186,22 @@
         ended: None,
         broken_off: false,
         version,
-        wrong: differs(&header, &id, &body),
+        wrong: differs(&arrival, &body),
     };
     let work = shared.oracle.came(&id, run);
     let engine = shared.engine.clone().filter(|_| !closed);
     let ended = Arc::clone(&shared.ended);
     let cuts = engine.as_ref().map(|engine| engine.cuts());
     let mut place = Place { working: Arc::clone(&shared.working), ended, engine, cuts, work };
-    let mut answered = Response::builder().header("Request-Id", &id);
-    if let Some(version) = version {
-        answered = answered.header("Weight-Versions", version);
-    }
+    let answered = request::answer(&id, version);
     if !ran {
         let status = if other || older { 421 } else { 503 };
-        return with(answered.header("Not-Executed", "1"), status, Body::empty());
+        return with(request::not_run(answered), status, Body::empty());
     }
     let path = head.uri.path();
     let pace = Pace::of(path);
     let worked = place.work(pace.first).await;
-    let signed = answered.header("Engine-Signature", &shared.name);
+    let signed = request::sign(answered, &shared.name);
     if let Err(error) = worked {
         // An error before the first byte closes the connection without a whole answer.
         let body = stream::iter([Err::<Bytes, _>(error)]);
@@ -218,9 +210,8 @@
     if !is_stream(path) {
         return with(signed, 200, Body::from(answer(&id)));
     }
-    let after = header("last-event-id").parse().unwrap_or(0);
-    let signed = signed.header("Content-Type", "text/event-stream");
-    with(signed, 200, events(id, after, pace, place))
+    let signed = signed.header(CONTENT_TYPE, "text/event-stream");
+    with(signed, 200, events(id, arrival.after, pace, place))
 }
 
 /// Whether requests on a path are answered in events.
@@ -229,13 +220,13 @@
 }
 
 /// What is not as the caller sent it.
-fn differs(header: &dyn Fn(&str) -> String, id: &str, body: &Bytes) -> Option<String> {
-    if *body != super::caller::body(id) {
+fn differs(arrival: &Arrival, body: &Bytes) -> Option<String> {
+    if *body != super::caller::body(&arrival.id) {
         return Some("another body".to_owned());
     }
-    let expected = BTreeMap::from([("tenant", "team"), ("key", "")]);
-    let wrong = expected.into_iter().find(|(name, value)| header(name) != *value)?;
-    Some(format!("{} is {:?}", wrong.0, header(wrong.0)))
+    let Arrival { team, key, .. } = arrival;
+    let sound = team == spec::TEAM && key.is_empty();
+    (!sound).then(|| format!("the team is {team:?} and the key {key:?}"))
 }
 
 fn with(answer: http::response::Builder, status: u16, body: Body) -> Response<Body> {
--- a/crates/bench/src/soak/engine.rs
+++ b/crates/bench/src/soak/engine.rs
@@ -8,10 +8,13 @@
 use axum::routing::{get, post, put};
 use axum::{Json, Router};
 use bytes::Bytes;
-use cinderspoke_test_support::objects;
+use cinderspoke_stand_ins::engine::{
+    Busy, CHUNK, ORDER, Order, REPORT, STAGE, STAGED, report as told,
+};
+use cinderspoke_stand_ins::{spec, store};
 use cinderspoke_test_support::oracle::judge::Promise;
 use http::StatusCode;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -41,7 +44,7 @@
 pub(crate) struct Engine {
     name: String,
     oracle: Oracle,
-    store: objects::Store,
+    store: store::Store,
     inner: Mutex<Inner>,
     // Its entry as ready.
     entry: Mutex<Option<Value>>,
@@ -51,7 +54,7 @@
 
 impl Engine {
     /// An engine with a version of the model.
-    pub(crate) fn new(name: &str, version: u64, oracle: &Oracle, store: &objects::Store) -> Self {
+    pub(crate) fn new(name: &str, version: u64, oracle: &Oracle, store: &store::Store) -> Self {
         Self {
             name: name.to_owned(),
             oracle: oracle.clone(),
@@ -73,7 +76,7 @@
 
     /// What it tells of its models.
     pub(crate) fn models(&self) -> Value {
-        json!([{ "name": MODEL, "version": self.version(), "adapters": [] }])
+        spec::models(MODEL, self.version())
     }
 
     /// Keeps its entry up to date from now on; none once it says that it leaves.
@@ -117,8 +120,8 @@
         }
         let entry = self.entry.lock().unwrap_or_else(PoisonError::into_inner).clone();
         if let Some(mut entry) = entry {
-            entry["models"] = self.models();
-            self.store.put("servers", &self.name, entry);
+            spec::set_models(&mut entry, self.models());
+            self.store.put(spec::ENDPOINTS, &self.name, entry);
         }
     }
 }
@@ -126,39 +129,36 @@
 /// The calls of its own instance.
 pub(crate) fn app(engine: Arc<Engine>) -> Router {
     Router::new()
-        .route("/report", get(report))
-        .route("/order", post(order))
-        .route("/stage-put/{model}", put(stage))
-        .route("/stage-get/{model}", get(staged))
+        .route(REPORT, get(report))
+        .route(ORDER, post(order))
+        .route(&format!("{STAGE}/{{model}}"), put(stage))
+        .route(&format!("{STAGED}/{{model}}"), get(staged))
         .with_state(engine)
 }
 
 async fn report(State(engine): State<Arc<Engine>>) -> Json<Value> {
     let models = engine.models();
     let inner = engine.lock();
-    Json(json!({
-        "stage": "both", "models": models, "busy": inner.next.is_some(), "seq": inner.orders,
-        "queued": 0, "running": inner.running, "kv_used": 100 * inner.running,
-        "kv_total": 300_000, "handles": 0, "pace": 1.0,
-    }))
+    let (loading, orders, running) = (inner.next.is_some(), inner.orders, inner.running);
+    Json(told(&models, Busy { loading, orders, running }))
 }
 
 /// Takes an order to load what is staged.
 async fn order(State(engine): State<Arc<Engine>>, Json(order): Json<Value>) -> StatusCode {
-    let Some(version) = order["version"].as_u64().filter(|_| order["op"] == "start") else {
+    let Some(Order { version, expected, breaks_off }) = Order::read(&order) else {
         return StatusCode::BAD_REQUEST;
     };
     let mut inner = engine.lock();
     if inner.version == version {
         return StatusCode::OK;
     }
-    let expected = order["expect_rev"].as_u64().unwrap_or(inner.orders);
-    if inner.next.is_some() || expected != inner.orders {
+    let unexpected = expected.is_some_and(|expected| expected != inner.orders);
+    if inner.next.is_some() || unexpected {
         return StatusCode::CONFLICT;
     }
     inner.next = Some(version);
     inner.orders += 1;
-    if order["method"] == "cut" {
+    if breaks_off {
         engine.cuts.send_modify(|cuts| *cuts += 1);
     }
     tokio::spawn(Arc::clone(&engine).load(version));
@@ -171,7 +171,7 @@
     Query(query): Query<HashMap<String, usize>>,
     bytes: Bytes,
 ) -> StatusCode {
-    let Some(number) = query.get("num") else { return StatusCode::BAD_REQUEST };
+    let Some(number) = query.get(CHUNK) else { return StatusCode::BAD_REQUEST };
     engine.lock().staged.insert(*number, bytes);
     StatusCode::OK
 }
@@ -181,6 +181,6 @@
     Path(_model): Path<String>,
     Query(query): Query<HashMap<String, usize>>,
 ) -> Result<Bytes, StatusCode> {
-    let number = query.get("num").ok_or(StatusCode::BAD_REQUEST)?;
+    let number = query.get(CHUNK).ok_or(StatusCode::BAD_REQUEST)?;
     engine.lock().staged.get(number).cloned().ok_or(StatusCode::NOT_FOUND)
 }
--- a/crates/bench/src/soak/origin.rs
+++ b/crates/bench/src/soak/origin.rs
@@ -8,9 +8,11 @@
 use axum::routing::get;
 use axum::{Json, Router};
 use bytes::Bytes;
+use cinderspoke_stand_ins::engine;
+use cinderspoke_stand_ins::origin::{CHUNK, LISTING, VERSION, listing as told};
 use cinderspoke_test_support::address;
 use http::StatusCode;
-use serde_json::{Value, json};
+use serde_json::Value;
 use sha2::{Digest, Sha256};
 use tokio::net::TcpListener;
 
@@ -30,27 +32,25 @@
 pub(crate) async fn spawn() -> Result<SocketAddr> {
     let address = address::free()?;
     let listener = TcpListener::bind(address).await?;
-    let app =
-        Router::new().route("/manifest/{model}", get(listing)).route("/piece/{model}", get(piece));
+    let app = Router::new()
+        .route(&format!("{LISTING}/{{model}}"), get(listing))
+        .route(&format!("{CHUNK}/{{model}}"), get(piece));
     tokio::spawn(async move { axum::serve(listener, app).await });
     Ok(address)
 }
 
 async fn listing(Query(query): Query<HashMap<String, u64>>) -> Result<Json<Value>, StatusCode> {
-    let version = *query.get("version").ok_or(StatusCode::GONE)?;
+    let version = *query.get(VERSION).ok_or(StatusCode::GONE)?;
     let digest = |number| {
         let digest = Sha256::digest(chunk(version, number));
         digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>()
     };
     let digests: Vec<_> = (0..CHUNKS).map(digest).collect();
-    Ok(Json(json!({
-        "model": super::engine::MODEL, "version": version, "chunk_bytes": CHUNK_BYTES,
-        "layers": 4, "digests": digests,
-    })))
+    Ok(Json(told(super::engine::MODEL, version, CHUNK_BYTES, &digests)))
 }
 
 async fn piece(Query(query): Query<HashMap<String, u64>>) -> Result<Bytes, StatusCode> {
-    let version = *query.get("version").ok_or(StatusCode::GONE)?;
-    let number = *query.get("num").ok_or(StatusCode::BAD_REQUEST)?;
+    let version = *query.get(VERSION).ok_or(StatusCode::GONE)?;
+    let number = *query.get(engine::CHUNK).ok_or(StatusCode::BAD_REQUEST)?;
     Ok(chunk(version, number as usize))
 }
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -3,7 +3,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use cinderspoke_test_support::objects::Mood;
+use cinderspoke_stand_ins::store::Mood;
 use cinderspoke_test_support::proxy::Way;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
--- a/crates/bench/src/soak/player.rs
+++ b/crates/bench/src/soak/player.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use cinderspoke_test_support::objects::Mood;
+use cinderspoke_stand_ins::spec;
+use cinderspoke_stand_ins::store::Mood;
 use cinderspoke_test_support::oracle::attempt;
 use cinderspoke_test_support::oracle::disturbance::{Kind, Whom};
 use cinderspoke_test_support::proxy::Proxy;
@@ -256,8 +257,7 @@
             News::Drain | News::Entry => self.leave(world, news).await?,
             News::Version => {
                 world.named += 1;
-                let named = json!({ "model": MODEL, "version": world.named });
-                world.store.put("versions", MODEL, named);
+                world.store.put(spec::VERSIONS, MODEL, spec::named(MODEL, world.named));
                 world.oracle.named(world.named);
                 world.named.to_string()
             }
@@ -296,8 +296,8 @@
         let endpoint = world.endpoints.remove(plain.unwrap_or(0));
         let name = endpoint.name.clone();
         match news {
-            News::Drain => world.store.put("servers", &name, endpoint.entry("draining")),
-            _ => world.store.remove("servers", &name),
+            News::Drain => world.store.put(spec::ENDPOINTS, &name, endpoint.entry(true)),
+            _ => world.store.remove(spec::ENDPOINTS, &name),
         }
         world.oracle.leaves(&name);
         let longer = Duration::from_secs_f64(self.random.random_range(LONGER_S));
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use anyhow::{Result, ensure};
+use cinderspoke_stand_ins::spec;
+use cinderspoke_stand_ins::store::Store;
 use cinderspoke_test_support::address::{self, shared_port};
-use cinderspoke_test_support::objects::Store;
 use cinderspoke_test_support::proxy::Proxy;
 use serde_json::json;
 use tokio::sync::watch;
@@ -96,7 +97,7 @@
             seeds: Vec::new(),
             spawned: 0,
         };
-        world.store.put("versions", MODEL, json!({ "model": MODEL, "version": 1 }));
+        world.store.put(spec::VERSIONS, MODEL, spec::named(MODEL, 1));
         world.declare();
         for _ in 0..PLAIN_ENDPOINTS {
             world.add_plain().await?;
@@ -165,8 +166,8 @@
     }
 
     fn list(&mut self, endpoint: Endpoint) {
-        let entry = endpoint.entry("ready");
-        self.store.put("servers", &endpoint.name, entry.clone());
+        let entry = endpoint.entry(false);
+        self.store.put(spec::ENDPOINTS, &endpoint.name, entry.clone());
         if let Some(engine) = &endpoint.engine {
             engine.listed(Some(entry));
         }
@@ -178,7 +179,7 @@
         self.declared += 1;
         let offer = self.offer.borrow().clone();
         let declared = configuration::declared(self.declared, &offer, self.origin);
-        self.store.put("config", "main", declared);
+        self.store.put(spec::CONFIGURATION, spec::NEWEST, declared);
         let routes = offer.routes.into_iter().map(|(route, _)| route);
         self.oracle.declared(&routes.chain(offer.keys).collect::<Vec<_>>());
     }
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod load;
 pub mod network;
 pub mod node;
-pub mod objects;
 pub mod oracle;
 pub mod platform;
 pub mod proxy;
