A request under which endpoints end one after the other is held back by all gateways

Cause: every attempt was judged by itself. A request that had ended an engine was repeated at the next within milliseconds, and its caller came again at a gateway that knew of nothing. Class: retries spread a fault, as nothing remembers across attempts and gateways what a request did.

Change: where a connection breaks off before the answer and the endpoint then refuses new ones, all requests it had are suspects, known by their fingerprints. Gateways tell each other of suspects with the news they tell anyway, times as ages. After three ends, at least one of a send that followed another end, a request is answered 503 at once with when to come back: 30 to 60 s, twice as long after each trial; gateways try one after the other. An answer clears a suspect everywhere.

Ruled out: holding back after ends at the same moment (a loss of power ends all endpoints with the same request of many callers); counting every broken connection (they are reset by other faults too); waiting for the list of endpoints, which tells of an end seconds later.

--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -82,6 +82,7 @@
             directory: self.keeper.revision(),
             directory_hash: self.directory_hash,
             answered: self.outage.last_answer(now),
+            ..Known::default()
         }
     }
 }
--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -1,12 +1,18 @@
-//! Telling endpoints that ended under a request from connections that broke off.
+//! Telling endpoints that ended under a request from connections that broke off, and
+//! holding back the requests that end one after the other.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cinderspoke_core::gateway::name::Request;
-use cinderspoke_core::gateway::suspect::{Fingerprint, Identity};
+use cinderspoke_core::gateway::suspect::{
+    Admission, Crash, Fingerprint, Identity, Merged, News, Table, Told,
+};
+use cinderspoke_core::rendezvous::Key;
 
 use super::context::Context;
+use super::knowledge::Knowledge;
 use super::target::Target;
 use super::understand::Asked;
 
@@ -14,6 +20,10 @@
     /// What is the same in all attempts at this request.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| self.to_fingerprint())
+    }
+
+    fn to_fingerprint(&self) -> Fingerprint {
         let key = self.call.key.as_deref().unwrap_or_default();
         Fingerprint::of(&Identity {
             method: self.head.method.as_str(),
@@ -28,6 +38,7 @@
 
 /// A send whose connection broke off before the answer was whole.
 struct Broken {
+    context: Arc<Context>,
     target: Arc<Target>,
     request: Request,
     fingerprint: Fingerprint,
@@ -38,31 +49,175 @@
 
 /// Finds out whether an endpoint has ended under a request whose connection broke off.
 ///
-/// Apart from the request, which may go on at another endpoint meanwhile.
-pub fn look_into(context: &Arc<Context>, asked: &Asked, target: &Arc<Target>, sent: Duration) {
+/// Apart from the request, which may go on at another endpoint meanwhile; only one that
+/// is suspected already waits, so that it ends no endpoint more than it has to.
+pub async fn look_into(
+    context: &Arc<Context>,
+    asked: &Asked,
+    target: &Arc<Target>,
+    sent: Duration,
+) {
     let broken = Broken {
+        context: Arc::clone(context),
         target: Arc::clone(target),
         request: asked.call.id.clone(),
         fingerprint: asked.fingerprint(),
         sent,
         broke: context.clock.now(),
     };
-    tokio::spawn(async move {
+    let is_suspected = context.knowledge.suspects().is_suspected(broken.fingerprint);
+    let looking = tokio::spawn(async move {
         if broken.target.pool.is_refused().await {
             broken.ended();
         }
     });
+    if is_suspected && let Err(error) = looking.await {
+        tracing::error!(%error, "looking for the end of an endpoint");
+    }
 }
 
 impl Broken {
     /// Takes in that the endpoint has ended.
     fn ended(&self) {
+        let crash = Crash {
+            id: rand::random(),
+            endpoint: self.target.name.clone(),
+            sent: self.sent,
+            broke: self.broke,
+        };
+        let news = self.context.knowledge.crashed(self.fingerprint, &crash);
         tracing::info!(
             id = %self.request,
             endpoint = %self.target.name,
             fingerprint = %self.fingerprint,
             after_ms = self.broke.saturating_sub(self.sent).as_millis() as u64,
+            held = news == News::Held,
             "an endpoint ended under a request"
         );
     }
 }
+
+/// What a gateway knows of requests under which endpoints ended.
+#[derive(Debug)]
+pub struct Suspects {
+    table: Mutex<Table>,
+    // Whether there are any: without one, no request has to be looked up.
+    any: AtomicBool,
+    // Ranks this gateway among all.
+    key: Key,
+}
+
+impl Suspects {
+    /// Nothing is known yet to the gateway of a name.
+    #[must_use]
+    pub fn new(gateway: &str) -> Self {
+        Self { table: Mutex::default(), any: AtomicBool::new(false), key: Key::of(gateway) }
+    }
+
+    /// Acts on the table; nothing else does meanwhile.
+    fn act<T>(&self, act: impl FnOnce(&mut Table) -> T) -> T {
+        let mut table: MutexGuard<'_, Table> =
+            self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        let acted = act(&mut table);
+        self.any.store(!table.is_empty(), Ordering::Relaxed);
+        acted
+    }
+
+    /// Whether there are any.
+    #[must_use]
+    pub fn any(&self) -> bool {
+        self.any.load(Ordering::Relaxed)
+    }
+
+    /// Whether endpoints ended before they answered a request.
+    #[must_use]
+    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
+        self.any() && self.act(|table| table.is_suspected(fingerprint))
+    }
+
+    /// Takes in that an endpoint ended before it answered a request.
+    pub fn crashed(&self, fingerprint: Fingerprint, crash: &Crash, now: Duration) -> News {
+        self.act(|table| table.crashed(fingerprint, crash, now))
+    }
+
+    /// Takes in that a request was answered.
+    pub fn answered(&self, fingerprint: Fingerprint, now: Duration) -> News {
+        self.act(|table| table.answered(fingerprint, now))
+    }
+
+    /// Whether a request may be sent.
+    pub fn admit(&self, fingerprint: Fingerprint, now: Duration) -> Admission {
+        self.act(|table| table.admit(fingerprint, self.key, rand::random(), now))
+    }
+
+    /// Takes in what another gateway tells.
+    pub fn merge(&self, told: &[Told], now: Duration) -> Merged {
+        self.act(|table| table.merge(told, now))
+    }
+
+    /// What other gateways are to be told.
+    #[must_use]
+    pub fn tell(&self, now: Duration) -> Vec<Told> {
+        if self.any() { self.act(|table| table.tell(now)) } else { Vec::new() }
+    }
+}
+
+impl Context {
+    /// For how long a request is held back, if it may not be sent now.
+    pub fn holds_back(&self, asked: &Asked) -> Option<Duration> {
+        if !self.knowledge.suspects().any() {
+            return None;
+        }
+        self.knowledge.admit(asked.fingerprint())
+    }
+
+    /// Takes in that an endpoint answered a request: it does not end those that begin it.
+    pub fn was_answered(&self, asked: &Asked) {
+        if self.knowledge.suspects().any() {
+            self.knowledge.was_answered(asked.fingerprint());
+        }
+    }
+}
+
+impl Knowledge {
+    /// Takes in that an endpoint ended before it answered a request.
+    fn crashed(&self, fingerprint: Fingerprint, crash: &Crash) -> News {
+        let news = self.suspects().crashed(fingerprint, crash, self.clock().now());
+        if news != News::Known {
+            self.tell_others();
+        }
+        news
+    }
+
+    /// Takes in that a request was answered.
+    fn was_answered(&self, fingerprint: Fingerprint) {
+        if self.suspects().answered(fingerprint, self.clock().now()) != News::Known {
+            tracing::info!(%fingerprint, "a suspected request was answered");
+            self.tell_others();
+        }
+    }
+
+    /// For how long a request is held back, if it may not be sent now.
+    fn admit(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        match self.suspects().admit(fingerprint, self.clock().now()) {
+            Admission::Pass => None,
+            Admission::Trial => {
+                tracing::info!(%fingerprint, "a request that was held back is tried");
+                self.tell_others();
+                None
+            }
+            Admission::Held(left) => Some(left),
+        }
+    }
+
+    /// Takes in what another gateway knows of suspected requests.
+    pub fn told_suspects(&self, told: &[Told]) {
+        let merged = self.suspects().merge(told, self.clock().now());
+        for fingerprint in &merged.held {
+            tracing::info!(%fingerprint, "a request is held back, as other gateways tell");
+        }
+        if merged.is_news {
+            self.tell_others();
+        }
+    }
+}
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -65,18 +65,22 @@
     context.earn_repeat(&asked.service);
     context.demanded(&asked.service);
     let mut sends = Sends::default();
-    let come_back = loop {
+    let (why, come_back) = loop {
+        if let Some(left) = context.holds_back(&asked) {
+            break (Why::EndsEndpoints, left);
+        }
         let chosen = match sends.choose(context, &asked, &mut record) {
             Ok(chosen) => chosen,
-            Err(come_back) => break come_back,
+            Err(come_back) => break (Why::NoEndpoint, come_back),
         };
         if sends.history.sends() > 0 && !context.spend_repeat(&asked.service) {
-            break COME_BACK;
+            break (Why::NoEndpoint, COME_BACK);
         }
         sends.tried.push(chosen.target.name.clone());
         let sent = context.clock.now();
         let (fate, failure) = match attempt(context, &asked, &chosen, &mut record).await {
             Attempt::Whole(response) => {
+                context.was_answered(&asked);
                 record.answered(response.status());
                 return response.map(whole);
             }
@@ -86,30 +90,51 @@
             Attempt::Failed(fate, failure) => (fate, failure),
         };
         record.failed_send(&chosen.target.name, fate);
+        if fate == Fate::Failed {
+            context.was_answered(&asked);
+        }
         if fate == Fate::BrokenOff {
-            crash::look_into(context, &asked, &chosen.target, sent);
+            crash::look_into(context, &asked, &chosen.target, sent).await;
         }
         sends.record(fate);
         sends.failed(failure);
         let repeatable = asked.route.kind.repeatable();
         let affordable = Instant::now() + LEAST_LEFT < asked.end && sends.unsent < MOST_UNSENT;
         if sends.history.next(repeatable, asked.route.attempts, affordable) != Next::Retry {
-            break COME_BACK;
+            break (Why::NoEndpoint, COME_BACK);
         }
     };
     if let Some(failure) = sends.take_failure() {
         record.answered(failure.status());
         return failure.map(whole);
     }
-    let refusal = unanswered(&asked, sends.history.promise(), come_back);
+    let refusal = unanswered(&asked, sends.history.promise(), why, come_back);
     record.refused(refusal.status, refusal.why);
     context.refuse(&refusal)
 }
 
+/// Why nothing more is sent for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Why {
+    /// No endpoint takes it, or it may not be sent again.
+    NoEndpoint,
+    /// Endpoints end when they begin it.
+    EndsEndpoints,
+}
+
+impl Why {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no endpoint can take the request now",
+            Self::EndsEndpoints => "endpoints ended when they began this request",
+        }
+    }
+}
+
 /// The refusal of a request that no endpoint answered; says no more than is true.
-fn unanswered(asked: &Asked, promise: Promise, come_back: Duration) -> Refusal {
+fn unanswered(asked: &Asked, promise: Promise, why: Why, come_back: Duration) -> Refusal {
     match promise {
-        Promise::NotRun => Refusal::not_run("no endpoint can take the request now", come_back),
+        Promise::NotRun => Refusal::not_run(why.as_str(), come_back),
         Promise::Nothing if Instant::now() + LEAST_LEFT >= asked.end => {
             Refusal::bad(StatusCode::GATEWAY_TIMEOUT, "no answer came in time")
         }
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -20,6 +20,7 @@
 use cinderspoke_schema::settings;
 
 use super::belief::Belief;
+use super::crash::Suspects;
 use super::message::Known;
 use super::outstanding::Untold;
 use super::target::Target;
@@ -42,6 +43,7 @@
     changes: Signal,
     doubts: Signal,
     untold: Arc<Untold>,
+    suspects: Suspects,
     terms: ArcSwap<Terms>,
     zone: Zone,
     clock: Clock,
@@ -58,6 +60,7 @@
             changes: Signal::default(),
             doubts: Signal::default(),
             untold: Arc::default(),
+            suspects: Suspects::new(&settings.instance),
             terms: ArcSwap::from_pointee(terms),
             zone: settings.zone.as_str().into(),
             clock,
@@ -134,6 +137,17 @@
         self.lock().targets.values().cloned().collect()
     }
 
+    /// Requests under which endpoints ended.
+    #[must_use]
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
+    /// Has others told soon of what is news.
+    pub fn tell_others(&self) {
+        self.changes.raise();
+    }
+
     /// A way to wait for news.
     #[must_use]
     pub fn subscribe(&self) -> Receiver {
@@ -335,7 +349,8 @@
     /// What is known, in a few words that tell whether another process knows more.
     #[must_use]
     pub fn known(&self) -> Known {
-        self.lock().known(self.clock.now())
+        let now = self.clock.now();
+        Known { suspects: self.suspects.tell(now), ..self.lock().known(now) }
     }
 
     /// The configuration, if it is newer than a version.
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -13,6 +13,7 @@
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_core::gateway::suspect::Told;
 use cinderspoke_core::gateway::tally::Outstanding;
 use cinderspoke_core::gateway::timeline::Ages;
 use cinderspoke_core::rendezvous::Key;
@@ -39,6 +40,8 @@
     pub directory_hash: u64,
     /// How long ago the platform last answered any gateway, as far as is known.
     pub answered: Option<Duration>,
+    /// Requests under which endpoints ended.
+    pub suspects: Vec<Told>,
 }
 
 /// What goes between processes without an answer.
--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -91,6 +91,7 @@
                     if let Some(live) = self.live.take() {
                         live.finish();
                     }
+                    self.context.was_answered(&self.asked);
                     self.record.answered(self.status);
                     return None;
                 }
@@ -138,7 +139,7 @@
         live.target().sign(Sign::Silence, self.context.clock.now());
         self.record.failed_send(&live.target().name, stopped.fate());
         if stopped == Stopped::BrokeOff {
-            crash::look_into(&self.context, &self.asked, live.target(), live.sent_at());
+            crash::look_into(&self.context, &self.asked, live.target(), live.sent_at()).await;
         }
         drop(live);
         // Without a number there is nothing to go on after.
@@ -147,7 +148,7 @@
             let resumable = self.asked.route.kind.repeatable();
             let time_left = Instant::now() < self.asked.end;
             let next = self.sends.history.next(resumable, self.asked.route.attempts, time_left);
-            if next != Next::Retry {
+            if next != Next::Retry || self.context.holds_back(&self.asked).is_some() {
                 return;
             }
             let Ok(chosen) = self.sends.choose(&self.context, &self.asked, &mut self.record) else {
@@ -168,7 +169,7 @@
                 Err(fate) => {
                     self.record.failed_send(&chosen.target.name, fate);
                     if fate == Fate::BrokenOff {
-                        crash::look_into(&self.context, &self.asked, &chosen.target, sent);
+                        crash::look_into(&self.context, &self.asked, &chosen.target, sent).await;
                     }
                     self.sends.record(fate);
                 }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -141,6 +141,7 @@
         self.meet(others);
         let own = self.knowledge.known();
         self.knowledge.told_ages(&known.ages, "gateway");
+        self.knowledge.told_suspects(&known.suspects);
         if let Some(age) = known.answered {
             self.knowledge.told_answered(age);
         }
--- a/src/cinderspoke/gateway/understand.rs
+++ b/src/cinderspoke/gateway/understand.rs
@@ -1,12 +1,13 @@
 //! Finding out what a request asks, and reading it whole.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cinderspoke_core::gateway::call::Call;
 use cinderspoke_core::gateway::catalog::{Access, Catalog, Limits, Route};
 use cinderspoke_core::gateway::name::{Service, Team};
+use cinderspoke_core::gateway::suspect::Fingerprint;
 use cinderspoke_core::rendezvous::Key;
 use http::{StatusCode, request};
 use http_body_util::{BodyExt, Limited};
@@ -39,6 +40,8 @@
     pub end: Instant,
     /// How long its caller had waited before this attempt.
     pub waited: Duration,
+    /// Tells it apart from other requests; made when it is first needed.
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 /// Where a request goes, and for whom.
@@ -79,7 +82,20 @@
     record.returning = waited > Duration::ZERO;
     let limits = catalog.declared().limits;
     let body = read_body(body, &limits, end).await?;
-    Ok(Asked { call, head, body, route, service, team, priority, arrived, end, waited })
+    let fingerprint = OnceLock::new();
+    Ok(Asked {
+        call,
+        head,
+        body,
+        route,
+        service,
+        team,
+        priority,
+        arrived,
+        end,
+        waited,
+        fingerprint,
+    })
 }
 
 /// Finds the route, the team and the service of a request.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod patience;
 mod pick;
 mod rollout;
+mod suspect;
 mod tally;
 mod timeline;
 mod turn;
--- /dev/null
+++ b/tests/testsuite/gateway/suspect.rs
@@ -0,0 +1,237 @@
+//! Which requests are held back, and what gateways tell each other of them.
+
+use std::time::Duration;
+
+use cinderspoke_core::gateway::suspect::{
+    Admission, Crash, Fingerprint, Identity, News, Table, Told,
+};
+use cinderspoke_core::rendezvous::Key;
+
+use super::ms;
+
+/// A time after which a request that was held back has been tried, by all gateways that
+/// hold it back for the first time.
+const FIRST_HOLD_AND_SHARE: Duration = Duration::from_secs(61);
+
+fn identity() -> Identity<'static> {
+    Identity { method: "POST", host: "h", path: "/p", caller: "team", body: b"body" }
+}
+
+fn fatal() -> Fingerprint {
+    Fingerprint::of(&identity())
+}
+
+fn other() -> Fingerprint {
+    Fingerprint::of(&Identity { body: b"another", ..identity() })
+}
+
+/// A gateway with a clock that began at its own time.
+#[derive(Default)]
+struct Gateway {
+    table: Table,
+    name: &'static str,
+    began: u64,
+    drawn: u64,
+}
+
+impl Gateway {
+    fn new(name: &'static str, began: u64) -> Self {
+        Self { name, began, ..Self::default() }
+    }
+
+    fn now(&self, now: u64) -> Duration {
+        ms(now - self.began)
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.drawn += 1;
+        Key::of(self.name).with(Key::of_number(self.drawn)).as_u64()
+    }
+
+    /// An endpoint ended that had got a request at a time.
+    fn crash(&mut self, request: Fingerprint, endpoint: &str, sent: u64, broke: u64) -> News {
+        let id = self.draw();
+        let (sent, broke) = (self.now(sent), self.now(broke));
+        let crash = Crash { id, endpoint: endpoint.into(), sent, broke };
+        self.table.crashed(request, &crash, broke)
+    }
+
+    fn admit(&mut self, request: Fingerprint, now: u64) -> Admission {
+        let id = self.draw();
+        self.table.admit(request, Key::of(self.name), id, self.now(now))
+    }
+
+    fn passes(&mut self, request: Fingerprint, now: u64) -> bool {
+        self.admit(request, now) == Admission::Pass
+    }
+
+    fn tell(&self, now: u64) -> Vec<Told> {
+        self.table.tell(self.now(now))
+    }
+
+    /// Hears what another one told; true when it is news.
+    fn hear(&mut self, told: &[Told], now: u64) -> bool {
+        self.table.merge(told, self.now(now)).is_news
+    }
+
+    /// Suffers three ends, one after the other, the last at 1500.
+    fn suffer(&mut self, request: Fingerprint) {
+        self.crash(request, "e1", 100, 500);
+        self.crash(request, "e2", 505, 1000);
+        self.crash(request, "e3", 1005, 1500);
+    }
+}
+
+#[test]
+fn a_request_is_held_back_after_three_ends_and_others_are_not() {
+    let mut gateway = Gateway::new("g", 0);
+    assert_eq!(gateway.crash(fatal(), "e1", 100, 500), News::New);
+    assert_eq!(gateway.crash(fatal(), "e2", 505, 1000), News::New);
+    assert!(gateway.passes(fatal(), 1001), "one or two may be met by chance");
+    assert_eq!(gateway.crash(fatal(), "e3", 1005, 1500), News::Held);
+    let Admission::Held(left) = gateway.admit(fatal(), 1501) else { panic!("it is held back") };
+    assert!(left > ms(20_000));
+    assert!(gateway.passes(other(), 1501));
+}
+
+#[test]
+fn what_differs_in_anything_that_stays_the_same_is_another_request() {
+    let others = [
+        Identity { method: "GET", ..identity() },
+        Identity { host: "other", ..identity() },
+        Identity { path: "/p?q", ..identity() },
+        Identity { caller: "other", ..identity() },
+        Identity { body: b"other", ..identity() },
+        Identity { path: "/pt", caller: "eam", ..identity() },
+    ];
+    assert!(others.iter().all(|other| Fingerprint::of(other) != fatal()));
+    assert_eq!(Fingerprint::of(&identity()), fatal());
+}
+
+// Many callers send the same request, and a loss of power ends all endpoints at once.
+#[test]
+fn ends_at_the_same_moment_hold_nothing_back() {
+    let mut gateway = Gateway::new("g", 0);
+    for number in 0..8 {
+        gateway.crash(fatal(), &format!("e{number}"), 100 * number, 1000 + number);
+    }
+    assert!(gateway.passes(fatal(), 1100));
+}
+
+#[test]
+fn an_answer_clears_a_request_everywhere() {
+    let (mut one, mut two) = (Gateway::new("one", 0), Gateway::new("two", 0));
+    one.crash(fatal(), "e1", 100, 500);
+    one.crash(fatal(), "e2", 505, 1000);
+    two.hear(&one.tell(1010), 1010);
+    assert_eq!(two.table.answered(fatal(), ms(1100)), News::New);
+    assert!(one.hear(&two.tell(1110), 1110));
+    // Nor does whoever has not heard of the answer bring the ends back.
+    let mut three = Gateway::new("three", 0);
+    three.crash(fatal(), "e1", 100, 500);
+    three.crash(fatal(), "e2", 505, 1000);
+    one.hear(&three.tell(1200), 1200);
+    for gateway in [&mut one, &mut two] {
+        gateway.crash(fatal(), "e3", 1205, 1500);
+        gateway.crash(fatal(), "e4", 1505, 2000);
+        assert!(gateway.passes(fatal(), 2001), "only two since the answer");
+    }
+}
+
+#[test]
+fn ends_that_several_gateways_saw_add_up_and_each_counts_once() {
+    let mut gateways = [Gateway::new("a", 0), Gateway::new("b", 0), Gateway::new("c", 0)];
+    // Two gateways had attempts at the endpoint that ended first.
+    gateways[0].crash(fatal(), "e1", 100, 500);
+    gateways[1].crash(fatal(), "e1", 300, 504);
+    gateways[1].crash(fatal(), "e2", 510, 1000);
+    // News goes on and on, with 40 ms for each way.
+    let mut now = 1000;
+    for round in 0..60 {
+        now += 40;
+        let told = gateways[round % 3].tell(now - 40);
+        gateways[(round + 1) % 3].hear(&told, now);
+        let told = gateways[(round + 1) % 3].tell(now - 40);
+        gateways[(round + 2) % 3].hear(&told, now);
+    }
+    assert!(gateways.iter_mut().all(|gateway| gateway.passes(fatal(), now)), "two have ended");
+    gateways[2].crash(fatal(), "e3", now, now + 400);
+    let told = gateways[2].tell(now + 400);
+    for gateway in &mut gateways[..2] {
+        assert!(gateway.hear(&told, now + 410));
+        assert!(matches!(gateway.admit(fatal(), now + 420), Admission::Held(_)));
+        assert!(!gateway.hear(&told, now + 430), "told once more it is no news");
+    }
+}
+
+#[test]
+fn a_gateway_that_starts_later_holds_back_for_what_was_left() {
+    let mut old = Gateway::new("old", 0);
+    old.suffer(fatal());
+    let mut young = Gateway::new("young", 20_000);
+    young.hear(&old.tell(20_003), 20_003);
+    let Admission::Held(left) = young.admit(fatal(), 20_004) else { panic!("it is held back") };
+    assert!(left > ms(11_000) && left < ms(42_000), "{left:?}");
+}
+
+#[test]
+fn one_gateway_tries_a_request_again_and_an_end_holds_it_back_for_longer() {
+    let names = ["a", "b", "c", "d", "e"];
+    let mut gateways = names.map(|name| Gateway::new(name, 0));
+    gateways[0].suffer(fatal());
+    let told = gateways[0].tell(1510);
+    gateways[1..].iter_mut().for_each(|gateway| _ = gateway.hear(&told, 1520));
+    let mut now = 1520;
+    let first = loop {
+        now += 10;
+        let admit = |gateway: &mut Gateway| gateway.admit(fatal(), now) == Admission::Trial;
+        if let Some(number) = gateways.iter_mut().position(admit) {
+            break number;
+        }
+    };
+    assert!(ms(now - 1500) < FIRST_HOLD_AND_SHARE);
+    let told = gateways[first].tell(now + 5);
+    for number in (0..names.len()).filter(|number| *number != first) {
+        assert!(gateways[number].hear(&told, now + 20));
+        let Admission::Held(left) = gateways[number].admit(fatal(), now + 30) else {
+            panic!("others wait")
+        };
+        assert!(left > ms(30_000) && left < FIRST_HOLD_AND_SHARE * 2, "{left:?}");
+    }
+}
+
+#[test]
+fn a_trial_that_is_answered_ends_the_hold() {
+    let mut gateway = Gateway::new("g", 0);
+    gateway.suffer(fatal());
+    let later = 1500 + FIRST_HOLD_AND_SHARE.as_millis() as u64;
+    assert_eq!(gateway.admit(fatal(), later), Admission::Trial);
+    assert!(matches!(gateway.admit(fatal(), later + 1), Admission::Held(_)));
+    gateway.table.answered(fatal(), ms(later + 100));
+    assert!(gateway.passes(fatal(), later + 101));
+}
+
+#[test]
+fn what_is_known_and_told_is_bounded_and_keeps_what_is_held_back() {
+    let mut gateway = Gateway::new("g", 0);
+    gateway.suffer(fatal());
+    for number in 0..2000_u64 {
+        let body = number.to_le_bytes();
+        let by_chance = Fingerprint::of(&Identity { body: &body, ..identity() });
+        gateway.crash(by_chance, "e9", 1600, 2000);
+    }
+    assert!(matches!(gateway.admit(fatal(), 2001), Admission::Held(_)));
+    assert!(gateway.tell(2001).len() < 100);
+    let mut another = Gateway::new("another", 0);
+    another.hear(&gateway.tell(2001), 2010);
+    assert!(matches!(another.admit(fatal(), 2011), Admission::Held(_)));
+}
+
+#[test]
+fn ends_long_ago_are_forgotten() {
+    let mut gateway = Gateway::new("g", 0);
+    gateway.crash(fatal(), "e1", 100, 500);
+    gateway.crash(other(), "e2", 3_600_000, 3_600_100);
+    assert!(!gateway.table.is_suspected(fatal()));
+    assert!(gateway.table.is_suspected(other()));
+}
