The store keeps which requests are held back

Cause: what gateways tell each other ends with the last of them, and a gateway that is cut off from all others hears of nothing while the store may still answer it.

Change: whoever holds a request back first writes an object of our own kind, named by the fingerprint; whoever clears it by an answer removes it.

--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -10,6 +10,8 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -98,6 +100,14 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// A moment by the process's clock, in milliseconds; before its start it is negative.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Moment(i64);
@@ -261,6 +271,8 @@
     New,
     /// Others have to be told, and the request is held back from now on.
     Held,
+    /// Others have to be told, and the request is held back no more.
+    Released,
 }
 
 /// What was learned from another gateway.
@@ -317,9 +329,29 @@
 
     /// Takes in that a request was answered, if it is a suspect.
     pub fn answered(&mut self, fingerprint: Fingerprint, now: Duration) -> News {
-        let suspect = self.suspects.get_mut(&fingerprint);
-        let cleared = suspect.is_some_and(|suspect| suspect.answer(Moment::at(now)));
-        if cleared { News::New } else { News::Known }
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return News::Known };
+        let was_held = suspect.is_held();
+        match suspect.answer(Moment::at(now)) {
+            true if was_held => News::Released,
+            true => News::New,
+            false => News::Known,
+        }
+    }
+
+    /// Takes in that a request was held back by gateways that may have ended since; true
+    /// when that was not known.
+    pub fn found_held(&mut self, fingerprint: Fingerprint, now: Duration) -> bool {
+        let found = (0..ENDS as i64).map(|number| {
+            let key = Key::of_number(fingerprint.0).with(Key::of_number(number as u64)).as_u64();
+            // As if they had come one after the other, the last one now.
+            let broke = Moment(Moment::at(now).0 - (ENDS as i64 - 1 - number) * 2 * SAME_MS);
+            let sent = Moment(broke.0 - SAME_MS);
+            End { id: key, cause: Cause::Endpoint(key), sent, broke }
+        });
+        if self.suspects.get(&fingerprint).is_some_and(Suspect::is_held) {
+            return false;
+        }
+        found.fold(false, |any, end| any | (self.end(fingerprint, end) != News::Known))
     }
 
     /// Whether a request may be sent by the gateway of a key. `id` is drawn anew each time.
--- /dev/null
+++ b/crates/ports/src/gateway/holds.rs
@@ -0,0 +1,19 @@
+//! Which requests are held back, as the platform's store keeps it for gateways that start.
+
+use async_trait::async_trait;
+use cinderspoke_core::gateway::suspect::Fingerprint;
+
+use crate::Error;
+
+/// The requests that are held back, in the platform's store.
+#[async_trait]
+pub trait Holds: Send + Sync {
+    /// Those that are held back, the ones that were last written at the end.
+    async fn held(&self) -> Result<Vec<Fingerprint>, Error>;
+
+    /// Says that a request is held back.
+    async fn hold(&self, request: Fingerprint) -> Result<(), Error>;
+
+    /// Says that a request is held back no more.
+    async fn release(&self, request: Fingerprint) -> Result<(), Error>;
+}
--- a/crates/ports/src/gateway/mod.rs
+++ b/crates/ports/src/gateway/mod.rs
@@ -4,15 +4,17 @@
 //! stays there.
 //!
 //! - Gateways follow a [`Registry`] and speak with callers and endpoints in a
-//!   [`Dialect`].
+//!   [`Dialect`]; what they hold back outlasts them in [`Holds`].
 //! - Agents have an [`Engine`] load what an [`Origin`] gives.
 
 mod dialect;
 mod engine;
+mod holds;
 mod origin;
 mod registry;
 
 pub use self::dialect::{AnswerHead, Dialect, Misfit, Sending};
 pub use self::engine::{Engine, EngineReport, Ordered, Switch};
+pub use self::holds::Holds;
 pub use self::origin::{Listing, Origin};
 pub use self::registry::{Registry, Seen};
--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -12,6 +12,7 @@
 use cinderspoke_core::rendezvous::Key;
 
 use super::context::Context;
+use super::holds::Due;
 use super::knowledge::Knowledge;
 use super::target::Target;
 use super::understand::Asked;
@@ -105,13 +106,25 @@
     any: AtomicBool,
     // Ranks this gateway among all.
     key: Key,
+    due: Arc<Due>,
 }
 
 impl Suspects {
     /// Nothing is known yet to the gateway of a name.
     #[must_use]
     pub fn new(gateway: &str) -> Self {
-        Self { table: Mutex::default(), any: AtomicBool::new(false), key: Key::of(gateway) }
+        Self {
+            table: Mutex::default(),
+            any: AtomicBool::new(false),
+            key: Key::of(gateway),
+            due: Arc::default(),
+        }
+    }
+
+    /// What the store is to be told of them.
+    #[must_use]
+    pub fn due(&self) -> Arc<Due> {
+        Arc::clone(&self.due)
     }
 
     /// Acts on the table; nothing else does meanwhile.
@@ -183,6 +196,12 @@
     /// Takes in that an endpoint ended before it answered a request.
     fn crashed(&self, fingerprint: Fingerprint, crash: &Crash) -> News {
         let news = self.suspects().crashed(fingerprint, crash, self.clock().now());
+        match news {
+            News::Held => self.suspects().due.tell(fingerprint, true),
+            // Others may know more, and be out of reach.
+            News::New => self.suspects().due.look(),
+            News::Released | News::Known => {}
+        }
         if news != News::Known {
             self.tell_others();
         }
@@ -191,7 +210,11 @@
 
     /// Takes in that a request was answered.
     fn was_answered(&self, fingerprint: Fingerprint) {
-        if self.suspects().answered(fingerprint, self.clock().now()) != News::Known {
+        let news = self.suspects().answered(fingerprint, self.clock().now());
+        if news == News::Released {
+            self.suspects().due.tell(fingerprint, false);
+        }
+        if news != News::Known {
             tracing::info!(%fingerprint, "a suspected request was answered");
             self.tell_others();
         }
@@ -210,6 +233,20 @@
         }
     }
 
+    /// Takes in which requests the store says are held back.
+    pub fn found_held(&self, requests: &[Fingerprint]) {
+        let now = self.clock().now();
+        let news =
+            |request: &&Fingerprint| self.suspects().act(|table| table.found_held(**request, now));
+        let found: Vec<_> = requests.iter().filter(news).collect();
+        for fingerprint in &found {
+            tracing::info!(%fingerprint, "a request is held back, as the store tells");
+        }
+        if !found.is_empty() {
+            self.tell_others();
+        }
+    }
+
     /// Takes in what another gateway knows of suspected requests.
     pub fn told_suspects(&self, told: &[Told]) {
         let merged = self.suspects().merge(told, self.clock().now());
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -13,6 +13,7 @@
 //!   [`pool`], each a [`socket`], [`answer`] reads what comes back, and what no
 //!   endpoint answers ends in a [`refusal`].
 //! - [`crash`] finds out whether an endpoint ended under a request.
+//!   [`holds`] keeps in the store which requests are held back for it.
 //! - [`stream`] is an answer in events; [`passing`] passes it on and has another
 //!   endpoint go on with it.
 //! - [`context`] is what all requests share, [`target`] what is kept of each
@@ -27,6 +28,7 @@
 pub mod follow;
 pub mod forward;
 pub mod head;
+pub mod holds;
 pub mod knowledge;
 pub mod message;
 pub mod outstanding;
@@ -49,7 +51,7 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
-use cinderspoke_ports::gateway::{Dialect, Registry};
+use cinderspoke_ports::gateway::{Dialect, Holds, Registry};
 use cinderspoke_schema::settings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -63,6 +65,7 @@
 use crate::util::http::Client;
 use crate::util::listen;
 use crate::util::settings::inner_address;
+use crate::util::stop::until;
 
 /// How long after it says that it is not ready a gateway still gets new
 /// connections: the balancer asks each second and believes the second answer.
@@ -81,6 +84,8 @@
 pub struct Parts {
     /// The platform's store.
     pub registry: Arc<dyn Registry>,
+    /// What the store keeps of requests that are held back.
+    pub holds: Arc<dyn Holds>,
     /// How requests are spelled.
     pub dialect: Arc<dyn Dialect>,
     /// How other processes of the system are reached.
@@ -124,6 +129,8 @@
         tokio::spawn(serve::router(inner, app, stop.clone()));
         relay.spawn(stop.clone());
         follow::spawn(&knowledge, &parts.registry, settings, stop.clone());
+        let holds = holds::keep(Arc::clone(&knowledge), parts.holds);
+        tokio::spawn(until(stop.clone(), holds));
         tracing::info!(instance = %*settings.instance, callers = %listen.callers, "gateway started");
         Ok(Self { context, stop })
     }
--- a/tests/testsuite/gateway/suspect.rs
+++ b/tests/testsuite/gateway/suspect.rs
@@ -235,3 +235,17 @@
     assert!(!gateway.table.is_suspected(fatal()));
     assert!(gateway.table.is_suspected(other()));
 }
+
+#[test]
+fn what_the_store_says_is_held_back_is_held_until_it_is_answered() {
+    let (mut one, mut two) = (Gateway::new("one", 10_000), Gateway::new("two", 10_300));
+    assert!(one.table.found_held(fatal(), one.now(10_500)));
+    assert!(!one.table.found_held(fatal(), one.now(10_600)), "found again it is no news");
+    assert!(two.table.found_held(fatal(), two.now(10_700)));
+    assert!(!two.hear(&one.tell(10_800), 10_810), "both found the same");
+    assert!(matches!(one.admit(fatal(), 10_900), Admission::Held(_)));
+    assert!(one.passes(other(), 10_900));
+    assert_eq!(one.table.answered(fatal(), one.now(11_000)), News::Released);
+    assert!(two.hear(&one.tell(11_010), 11_020));
+    assert!(two.passes(fatal(), 11_030));
+}
