Entries of other writers name no endpoint; an endpoint that starts again is another run

An entry of a service that nothing leads to displaces nobody; reports of agents go by service and address. Entries and reports tell when an endpoint started: another start is another run, in the list, in what a gateway keeps of it, and where an agent waits for its engine to load.

Ruled out: ordering two runs by their start, which comes from a clock that may step.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -38,6 +38,11 @@
     Leaving,
 }
 
+/// When an endpoint started, in milliseconds of Unix time by its instance's clock, which
+/// may step: two differ, and say nothing of which one came first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start(pub u64);
+
 /// An endpoint as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
@@ -55,6 +60,9 @@
     pub models: Vec<(Model, Version)>,
     /// Whether it held a model's layers, in whole or in part, when it wrote this.
     pub reports_models: bool,
+    /// When it started, where the platform tells it. One that starts again may have the
+    /// name that it had, and knows nothing of before.
+    pub start: Option<Start>,
 }
 
 impl Entry {
@@ -63,6 +71,12 @@
     pub fn is_ready(&self) -> bool {
         self.state == State::Ready
     }
+
+    /// Whether it is the same run of the endpoint that another entry of its name was of.
+    #[must_use]
+    pub fn is_same_run(&self, other: &Self) -> bool {
+        self.address == other.address && self.start == other.start
+    }
 }
 
 /// The list at a revision.
@@ -78,6 +92,8 @@
     pub left: Duration,
     /// Those of them that are kept for less, and how much longer.
     pub renewing: BTreeMap<Endpoint, Duration>,
+    /// Those whose entry there is but names no endpoint to use: none of them is kept.
+    pub unusable: BTreeSet<Endpoint>,
 }
 
 /// A change of one entry.
@@ -87,6 +103,9 @@
     Put(Endpoint, Entry),
     /// There is no such entry any more.
     Removed(Endpoint),
+    /// The entry names no endpoint to use: someone else wrote it, or what they wrote
+    /// cannot be read.
+    Unusable(Endpoint),
 }
 
 /// Keeps the list of endpoints across outages of the platform.
@@ -102,8 +121,11 @@
     renewing: BTreeMap<Endpoint, Duration>,
     // Those that were written anew since the platform's return: if they go, they left.
     back: BTreeSet<Endpoint>,
-    // Those whose address another endpoint has now. Their entries last a while yet.
-    displaced: BTreeSet<Endpoint>,
+    // Those whose address another endpoint has now, as they were. Their entries last a
+    // while yet.
+    displaced: BTreeMap<Endpoint, Entry>,
+    // The services that there are; none before any is known.
+    services: Option<BTreeSet<Service>>,
 }
 
 impl Keeper {
@@ -135,6 +157,11 @@
         self.due.is_some()
     }
 
+    /// Takes in which services there are.
+    pub fn declared(&mut self, services: BTreeSet<Service>) {
+        self.services = Some(services);
+    }
+
     /// Takes in when the platform answered again after it had been away.
     pub fn returned(&mut self, at: Duration) {
         if self.settling != Some(at + SETTLE) {
@@ -165,9 +192,14 @@
             .filter(|name| !listed.entries.contains_key(*name))
             .cloned()
             .collect();
-        self.displaced.retain(|name| listed.entries.contains_key(name));
+        self.displaced.retain(|name, _| listed.entries.contains_key(name));
         let known: BTreeSet<_> = self.directory.entries.keys().cloned().collect();
-        let mut changed = self.apply(revision, gone.into_iter().map(Change::Removed), now);
+        let gone = gone.into_iter().map(|name| match listed.unusable.contains(&name) {
+            true => Change::Unusable(name),
+            false => Change::Removed(name),
+        });
+        let mut changed = self.apply(revision, gone, now);
+        self.directory.unusable = listed.unusable;
         for (name, entry) in listed.entries {
             changed |= self.put(name, entry, |other| known.contains(other));
         }
@@ -224,7 +256,14 @@
     fn apply_one(&mut self, change: Change, settling: Option<Duration>, now: Duration) -> bool {
         match change {
             Change::Put(name, entry) => self.put(name, entry, |_| true),
-            Change::Removed(name) => self.remove(name, settling, now),
+            Change::Removed(name) => {
+                self.directory.unusable.remove(&name);
+                self.remove(name, settling, now)
+            }
+            Change::Unusable(name) => {
+                self.directory.unusable.insert(name.clone());
+                self.remove(name, None, now)
+            }
         }
     }
 
@@ -234,10 +273,11 @@
         if self.is_displaced(&name, &entry) {
             return false;
         }
+        self.directory.unusable.remove(&name);
         if self.directory.missing.remove(&name) {
             self.back.insert(name.clone());
         }
-        let displaced = self.displace(&name, entry.address, older);
+        let displaced = self.displace(&name, &entry, older);
         let old = self.directory.entries.insert(name, entry.clone());
         displaced || old.as_ref() != Some(&entry)
     }
@@ -245,31 +285,38 @@
     /// Whether an entry is of an endpoint whose address another one has now.
     fn is_displaced(&self, name: &Endpoint, entry: &Entry) -> bool {
         let taken = || self.directory.entries.values().any(|known| known.address == entry.address);
-        self.displaced.contains(name) && taken()
+        self.displaced.get(name).is_some_and(|before| before.is_same_run(entry)) && taken()
     }
 
     /// Removes those that had an address before its endpoint; true when any did.
     fn displace(
         &mut self,
         name: &Endpoint,
-        address: SocketAddr,
+        entry: &Entry,
         older: impl Fn(&Endpoint) -> bool,
     ) -> bool {
         let Directory { entries, missing, .. } = &mut self.directory;
-        // An endpoint that was there already displaces nobody by being there still.
-        if entries.get(name).is_some_and(|known| known.address == address) {
+        // An endpoint that was there already displaces nobody by being there still, nor
+        // does one of a service that nothing leads to: anyone may have written that.
+        let was_there = entries.get(name).is_some_and(|known| known.is_same_run(entry));
+        let is_known = self.services.as_ref().is_none_or(|known| known.contains(&entry.service));
+        if was_there || !is_known {
             return false;
         }
         let had = |(other, known): &(&Endpoint, &Entry)| {
-            *other != name && known.address == address && older(other)
+            *other != name && known.address == entry.address && older(other)
         };
-        let gone: BTreeSet<_> =
-            entries.iter().filter(had).map(|(other, _)| other.clone()).collect();
-        entries.retain(|other, _| !gone.contains(other));
-        missing.retain(|other| !gone.contains(other));
+        let gone: BTreeMap<_, _> = entries
+            .iter()
+            .filter(had)
+            .map(|(other, known)| (other.clone(), known.clone()))
+            .collect();
+        entries.retain(|other, _| !gone.contains_key(other));
+        missing.retain(|other| !gone.contains_key(other));
         self.displaced.remove(name);
-        self.displaced.extend(gone.iter().cloned());
-        !gone.is_empty()
+        let any = !gone.is_empty();
+        self.displaced.extend(gone);
+        any
     }
 
     /// Removes an entry; while entries settle after an outage, one that was ready
--- a/crates/core/src/gateway/name.rs
+++ b/crates/core/src/gateway/name.rs
@@ -60,7 +60,7 @@
 }
 
 name!(
-    /// One run of an endpoint: a restart has another.
+    /// An endpoint. One that starts again may have the name that it had.
     Endpoint
 );
 name!(
--- a/crates/ports/src/gateway/engine.rs
+++ b/crates/ports/src/gateway/engine.rs
@@ -2,6 +2,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use cinderspoke_core::gateway::directory::Start;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Model;
 use cinderspoke_core::gateway::rollout::Version;
@@ -19,6 +20,8 @@
     pub busy: bool,
     /// How many orders it has begun since its start.
     pub orders: u64,
+    /// When it started, where the platform tells it.
+    pub start: Option<Start>,
 }
 
 /// How an engine goes over to other weights while requests run.
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -8,7 +8,7 @@
 use cinderspoke_core::gateway::catalog::Catalog;
 use cinderspoke_core::gateway::directory::{Directory, Entry, Keeper};
 use cinderspoke_core::gateway::fact::Fact;
-use cinderspoke_core::gateway::name::Endpoint;
+use cinderspoke_core::gateway::name::{Endpoint, Service};
 use cinderspoke_core::gateway::outage::Outage;
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::timeline::Timeline;
@@ -39,8 +39,9 @@
     pub directory_hash: u64,
     /// Endpoints by name.
     pub targets: HashMap<Endpoint, Arc<Target>>,
-    /// Endpoints by address.
-    pub by_address: HashMap<SocketAddr, Arc<Target>>,
+    /// Endpoints by service and address: anyone may write an entry with an address that
+    /// an endpoint of another service has.
+    pub by_address: HashMap<(Service, SocketAddr), Arc<Target>>,
     /// Other gateways and when each was last heard of by itself, or else first named.
     pub gateways: BTreeMap<SocketAddr, Duration>,
 }
@@ -58,8 +59,7 @@
         let Self { keeper, targets, by_address, .. } = self;
         let entries = &keeper.directory().entries;
         targets.retain(|name, target| {
-            let kept =
-                entries.get(name).is_some_and(|entry| entry.address == target.pool.address());
+            let kept = entries.get(name).is_some_and(|entry| target.is_of(entry));
             if !kept {
                 target.pool.clear();
             }
@@ -69,8 +69,11 @@
             let new = || Arc::new(Target::new(name.clone(), entry));
             targets.entry(name.clone()).or_insert_with(new);
         }
-        *by_address =
-            targets.values().map(|target| (target.pool.address(), Arc::clone(target))).collect();
+        let addressed = entries.iter().filter_map(|(name, entry)| {
+            let target = targets.get(name)?;
+            Some(((entry.service.clone(), entry.address), Arc::clone(target)))
+        });
+        *by_address = addressed.collect();
     }
 
     /// What is known now, in a few words that tell whether another process knows more.
@@ -95,8 +98,8 @@
         .entries
         .iter()
         .map(|(name, entry)| {
-            let Entry { service, address, zone, slots, state, .. } = entry;
-            format!("{name} {service} {address} {zone} {slots} {state:?};")
+            let Entry { service, address, zone, slots, state, start, .. } = entry;
+            format!("{name} {service} {address} {zone} {slots} {state:?} {start:?};")
         })
         .collect();
     Key::of(&text).as_u64()
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -173,6 +173,8 @@
         if version <= before && state.configuration.value.is_some() {
             return false;
         }
+        let services = fact.value.backends.iter().map(|backend| backend.service.clone());
+        state.keeper.declared(services.collect());
         let revision = fact.revision.max(state.configuration.revision);
         state.configuration = Fact::new(revision, Some(Arc::new(fact.value.into())));
         self.show(&mut state);
@@ -306,9 +308,15 @@
         changed
     }
 
-    /// Takes in what an agent says of the endpoint at an address.
-    pub fn reported(&self, address: SocketAddr, agent: SocketAddr, report: Report, told: Duration) {
-        let target = self.lock().by_address.get(&address).cloned();
+    /// Takes in what an agent says of the endpoint of a service at an address.
+    pub fn reported(
+        &self,
+        endpoint: (Service, SocketAddr),
+        agent: SocketAddr,
+        report: Report,
+        told: Duration,
+    ) {
+        let target = self.lock().by_address.get(&endpoint).cloned();
         if let Some(target) = target {
             let mut tracking = target.tracking();
             tracking.agent = Some(agent);
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -118,7 +118,8 @@
                     self.on_digest(from, known, gateways).await;
                 }
                 Datagram::Report { from, engine, service, report, plan, told, echo, ages } => {
-                    self.knowledge.reported(engine, from, report, told);
+                    let endpoint = (service.clone(), engine);
+                    self.knowledge.reported(endpoint, from, report, told);
                     self.knowledge.told_ages(&ages, "agent");
                     if echo {
                         let echo = Datagram::Echo { from: self.own, told };
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cinderspoke_core::gateway::directory::Entry;
+use cinderspoke_core::gateway::directory::{Entry, Start};
 use cinderspoke_core::gateway::health::{Health, Sign};
 use cinderspoke_core::gateway::load::Load;
 use cinderspoke_core::gateway::name::Endpoint;
@@ -34,6 +34,8 @@
     pub name: Endpoint,
     /// Connections to it.
     pub pool: Pool,
+    // When it started, where that is known.
+    start: Option<Start>,
     tracking: Mutex<Tracking>,
 }
 
@@ -41,7 +43,15 @@
     /// An endpoint of which nothing is known but its entry.
     #[must_use]
     pub fn new(name: Endpoint, entry: &Entry) -> Self {
-        Self { name, pool: Pool::new(entry.address), tracking: Mutex::default() }
+        let (pool, start) = (Pool::new(entry.address), entry.start);
+        Self { name, pool, start, tracking: Mutex::default() }
+    }
+
+    /// Whether an entry of its name is of this run of the endpoint: another one has none
+    /// of its connections, and what was known of it does not hold.
+    #[must_use]
+    pub fn is_of(&self, entry: &Entry) -> bool {
+        self.pool.address() == entry.address && self.start == entry.start
     }
 
     /// What changes with each request.
--- a/src/cinderspoke/stager/load.rs
+++ b/src/cinderspoke/stager/load.rs
@@ -5,6 +5,7 @@
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
 use cinderspoke_core::gateway::changeover::Changeover;
+use cinderspoke_core::gateway::directory::Start;
 use cinderspoke_core::manifest::Manifest;
 use cinderspoke_ports::gateway::{Engine, EngineReport, Ordered, Switch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -59,7 +60,7 @@
             Ordered::Taken => {}
             Ordered::Unfit => bail!("the order does not fit the engine's state"),
         }
-        let loaded = timeout(LOADING, self.loaded()).await;
+        let loaded = timeout(LOADING, self.loaded(report.start)).await;
         self.reporter.set_open(true).await;
         loaded.context("the engine did not load in time")??;
         tracing::info!(
@@ -114,8 +115,9 @@
         Ok(())
     }
 
-    /// Waits until the engine runs the version.
-    async fn loaded(&self) -> Result<()> {
+    /// Waits until the engine runs the version, unless it starts anew, which forgets the
+    /// order; `start` is when it had started.
+    async fn loaded(&self, start: Option<Start>) -> Result<()> {
         let mut reports = self.reporter.subscribe();
         loop {
             reports.changed().await?;
@@ -124,7 +126,8 @@
             if self.wanted.runs_in(&report) && !report.busy {
                 return Ok(());
             }
-            if !report.busy && report.models.is_empty() && report.orders == 0 {
+            let forgot = !report.busy && report.models.is_empty() && report.orders == 0;
+            if forgot || report.start != start {
                 bail!("the engine has started anew");
             }
         }
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -52,6 +52,7 @@
         state: State::Ready,
         models: Vec::new(),
         reports_models: false,
+        start: None,
     }
 }
 
--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use cinderspoke_core::gateway::directory::{Change, Directory, Entry, Keeper, SETTLE, State};
+use cinderspoke_core::gateway::directory::{
+    Change, Directory, Entry, Keeper, SETTLE, Start, State,
+};
 use cinderspoke_core::gateway::fact::Revision;
 
 use super::ms;
@@ -16,6 +18,7 @@
         state,
         models: Vec::new(),
         reports_models: true,
+        start: None,
     }
 }
 
@@ -244,3 +247,69 @@
     assert!(other.settle(ms(3050)));
     assert_eq!(listed(&other), [""; 0]);
 }
+
+/// An entry of a run of an endpoint.
+fn put_run(name: &str, address: &str, start: u64) -> Change {
+    let entry = Entry { start: Some(Start(start)), ..entry(address, State::Ready) };
+    Change::Put(name.into(), entry)
+}
+
+// An endpoint ends, another one has its address, ends as well, and the first starts again
+// under the name that it had, before the entry of the other has lapsed.
+#[test]
+fn an_endpoint_that_starts_again_under_its_name_has_its_address_back() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), [put_run("a", "10.0.0.1:1", 100)], ms(0));
+    keeper.apply(Revision(2), [put_run("b", "10.0.0.1:1", 200)], ms(100));
+    assert_eq!(listed(&keeper), ["b"]);
+    keeper.apply(Revision(3), [put_run("a", "10.0.0.1:1", 100)], ms(200));
+    assert_eq!(listed(&keeper), ["b"], "its last entry lasts a while");
+    keeper.apply(Revision(4), [put_run("a", "10.0.0.1:1", 300)], ms(300));
+    assert_eq!(listed(&keeper), ["a"]);
+    keeper.apply(Revision(5), [Change::Removed("b".into())], ms(400));
+    assert_eq!(listed(&keeper), ["a"]);
+}
+
+#[test]
+fn an_endpoint_that_starts_again_in_place_takes_its_address_from_who_had_it_since() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), [put_run("a", "10.0.0.1:1", 100)], ms(0));
+    let both = ["a", "b"].map(|name| (name.into(), entry("10.0.0.1:1", State::Ready)));
+    let both = Directory { entries: BTreeMap::from(both), ..Directory::default() };
+    keeper.replace(Revision(2), both, ms(100));
+    keeper.apply(Revision(3), [put_run("a", "10.0.0.1:1", 300)], ms(200));
+    assert_eq!(listed(&keeper), ["a"]);
+}
+
+#[test]
+fn what_names_no_endpoint_is_not_kept_like_what_lapsed() {
+    let mut keeper = Keeper::default();
+    let all = [put("a", "10.0.0.1:1", State::Ready), put("b", "10.0.0.2:1", State::Ready)];
+    keeper.apply(Revision(1), all, ms(0));
+    keeper.returned(ms(1000));
+    assert!(keeper.apply(Revision(2), [Change::Unusable("a".into())], ms(1010)));
+    assert_eq!(listed(&keeper), ["b"]);
+    let list = Directory { unusable: ["b".into()].into(), ..Directory::default() };
+    assert!(keeper.replace(Revision(3), list, ms(1020)));
+    assert_eq!(listed(&keeper), [""; 0]);
+    // Others hear of it as well, and do not take it for lapsed either.
+    let mut other = Keeper::default();
+    other.apply(Revision(1), [put("b", "10.0.0.2:1", State::Ready)], ms(0));
+    other.returned(ms(1000));
+    tell(&keeper, &mut other, 1030);
+    assert_eq!(listed(&other), [""; 0]);
+    keeper.apply(Revision(4), [put("b", "10.0.0.2:1", State::Ready)], ms(1040));
+    assert_eq!(listed(&keeper), ["b"], "until an endpoint writes it");
+}
+
+#[test]
+fn an_entry_of_no_known_service_displaces_nobody() {
+    let mut keeper = Keeper::default();
+    keeper.declared(["say".into()].into());
+    keeper.apply(Revision(1), [put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    let other = Entry { service: "unheard of".into(), ..entry("10.0.0.1:1", State::Ready) };
+    keeper.apply(Revision(2), [Change::Put("x".into(), other)], ms(100));
+    assert!(listed(&keeper).contains(&"a".to_owned()));
+    keeper.apply(Revision(3), [put("b", "10.0.0.1:1", State::Ready)], ms(200));
+    assert!(!listed(&keeper).contains(&"a".to_owned()), "one of a known service does");
+}
