Deadlines, ages and watches go by a clock that counts suspension

Cause (by reading): the steady clock stands still while a machine is suspended, so that ages of versions, the time that endpoints are told a caller waits, and the patience of watches were too long by that time afterwards.

Change: the process's clock adds what the boot-time clock is ahead of the steady one; the greatest difference that was read counts, so that it never goes back. Deadlines of requests are moments of that clock, and are looked at every 0.5 s at the latest. What a watch brings after a suspension may be as old as the last answer. Connections that rested through one are not used again.

Ruled out: a task that notices suspensions and wakes all who wait: what has expired is run in any order when the machine wakes, so that some decisions would come before it.

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -8,7 +8,6 @@
 use cinderspoke_core::gateway::health::Sign;
 use http::{Response, StatusCode, Version, header, response};
 use http_body_util::{BodyExt, Limited};
-use tokio::time::{Instant, timeout_at};
 
 use super::choose::Chosen;
 use super::context::Context;
@@ -17,6 +16,7 @@
 use super::stream::Live;
 use super::target::Target;
 use super::understand::Asked;
+use crate::util::clock::Deadline;
 
 /// How much longer than expected a stream's first event may take at least.
 const FIRST_SILENCE: Duration = Duration::from_millis(1300);
@@ -43,8 +43,8 @@
         Kind::Stream { resumable: true } => chosen.first * 2 + FIRST_SILENCE,
         _ => Duration::MAX,
     };
-    let until = begins_until(asked, chosen, patience);
-    let answer = match send(context, asked, chosen, None, until).await {
+    let until = begins_until(context, asked, chosen, patience);
+    let answer = match send(context, asked, chosen, None, &until).await {
         Ok(answer) => answer,
         Err(fate) => return Attempt::Failed(fate, None),
     };
@@ -62,7 +62,7 @@
         return lost(context, &chosen.target);
     }
     if success && asked.route.kind.streams() {
-        begin(context, answer, until, record).await
+        begin(context, answer, &until, record).await
     } else {
         read(context, asked, answer).await
     }
@@ -80,7 +80,12 @@
 }
 
 /// Waits for the first events of a stream.
-async fn begin(context: &Context, answer: Answer, until: Instant, record: &mut Record) -> Attempt {
+async fn begin(
+    context: &Context,
+    answer: Answer,
+    until: &Deadline,
+    record: &mut Record,
+) -> Attempt {
     let (head, mut live) = Live::new(answer);
     if let Err(stopped) = live.first(until).await {
         live.target().sign(Sign::Silence, context.clock.now());
@@ -95,7 +100,7 @@
 /// Reads an answer whole.
 async fn read(context: &Context, asked: &Asked, answer: Answer) -> Attempt {
     let Answer { head, body, connection, sent } = answer;
-    let read = timeout_at(asked.end, Limited::new(body, MOST_HELD).collect()).await;
+    let read = asked.end.bound(Limited::new(body, MOST_HELD).collect()).await;
     let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(_)) => {
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -13,7 +13,6 @@
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::rendezvous::Key;
 use http::Response;
-use tokio::time::Instant;
 
 use super::context::Context;
 use super::record::Record;
@@ -92,7 +91,7 @@
         let wish = Wish {
             weightless: engine.is_some() && !members.is_empty(),
             rivals: context.rivals(&asked.service, view.gateways),
-            ..self.wish(asked)
+            ..self.wish(context, asked)
         };
         match pick(&wish, &candidates) {
             Choice::Send { number, first } => {
@@ -113,12 +112,12 @@
     }
 
     /// What the request asks of an endpoint now.
-    fn wish(&self, asked: &Asked) -> Wish {
-        let waited = asked.waited + asked.arrived.elapsed();
+    fn wish(&self, context: &Context, asked: &Asked) -> Wish {
+        let waited = asked.waited + context.clock.now().saturating_sub(asked.arrived);
         Wish {
             aim: asked.route.target,
             target: asked.route.target.saturating_sub(waited),
-            deadline: asked.end.saturating_duration_since(Instant::now()),
+            deadline: asked.end.left(),
             sent: self.history.sends() > 0,
             weightless: false,
             rivals: 0.0,
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -224,10 +224,15 @@
     let mut late: VecDeque<Call<'_>> = VecDeque::new();
     loop {
         let wait = watch.wait(knowledge.view().gateways, rand::random());
+        let suspended = clock.suspended();
         let mut call = call(&*source, revision, wait);
         let limit = revision.map_or(Duration::ZERO, |_| wait) + MARGIN;
         match ask(&mut call, &mut late, &knowledge, &watch, limit).await {
             Asked::Answered(answer) => {
+                if clock.was_suspended_since(suspended) {
+                    // It may have lain here since long before.
+                    watch.give_up();
+                }
                 let before = revision;
                 revision = take_in(answer, &*source, &knowledge, &mut watch);
                 late.clear();
@@ -284,7 +289,7 @@
     tokio::select! {
         answer = call => answer.map_or_else(Asked::Failed, Asked::Answered),
         answer = any_answer(late) => Asked::Answered(answer),
-        () = sleep(limit) => Asked::Silent(limit),
+        () = knowledge.clock().sleep(limit) => Asked::Silent(limit),
         () = overtaken => Asked::Overtaken,
     }
 }
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -26,12 +26,12 @@
 
 /// Answers one request.
 pub async fn answer(context: &Arc<Context>, request: Request<Incoming>) -> Response<Body> {
-    let arrived = Instant::now();
+    let (arrived, arrived_at) = (Instant::now(), context.clock.now());
     let (head, body) = request.into_parts();
     let id = context.dialect.request(&head);
     let mut record = Record::new(id.clone(), arrived, context.begin());
     let asked = match context.dialect.read(&head) {
-        Ok(call) => understand(context, call, head, body, arrived, &mut record).await,
+        Ok(call) => understand(context, call, head, body, arrived_at, &mut record).await,
         Err(misfit) => {
             record.misfitting(&misfit);
             Err(Refusal::bad(StatusCode::BAD_REQUEST, "the request cannot be understood"))
@@ -99,7 +99,7 @@
         sends.record(fate);
         sends.failed(failure);
         let repeatable = asked.route.kind.repeatable();
-        let affordable = Instant::now() + LEAST_LEFT < asked.end && sends.unsent < MOST_UNSENT;
+        let affordable = asked.end.left() > LEAST_LEFT && sends.unsent < MOST_UNSENT;
         if sends.history.next(repeatable, asked.route.attempts, affordable) != Next::Retry {
             break (Why::NoEndpoint, COME_BACK);
         }
@@ -135,7 +135,7 @@
 fn unanswered(asked: &Asked, promise: Promise, why: Why, come_back: Duration) -> Refusal {
     match promise {
         Promise::NotRun => Refusal::not_run(why.as_str(), come_back),
-        Promise::Nothing if Instant::now() + LEAST_LEFT >= asked.end => {
+        Promise::Nothing if asked.end.left() <= LEAST_LEFT => {
             Refusal::bad(StatusCode::GATEWAY_TIMEOUT, "no answer came in time")
         }
         Promise::Nothing => {
--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -12,7 +12,6 @@
 use http::{Response, StatusCode, header, response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use tokio::time::Instant;
 
 use super::answer::{end_to_end, is_encoded};
 use super::choose::{Chosen, Sends};
@@ -23,6 +22,7 @@
 use super::send::{begins_until, refused, send};
 use super::stream::{Live, Part, Stopped};
 use super::understand::Asked;
+use crate::util::clock::Deadline;
 
 /// How long an endpoint may be silent in the middle of a stream before another
 /// one goes on with it: callers leave after two seconds.
@@ -85,7 +85,7 @@
             let Some(live) = &mut self.live else {
                 return Some(Err(self.break_off("no endpoint could go on")));
             };
-            match live.next(until).await {
+            match live.next(&until).await {
                 Ok(Part::Events(events)) => return Some(self.pass(events)),
                 Ok(Part::End) => {
                     if let Some(live) = self.live.take() {
@@ -95,7 +95,7 @@
                     self.record.answered(self.status);
                     return None;
                 }
-                Err(Stopped::Silent) if Instant::now() >= self.asked.end => {
+                Err(Stopped::Silent) if self.asked.end.is_over() => {
                     return Some(Err(self.break_off("no time is left")));
                 }
                 Err(stopped) => self.resume(stopped).await,
@@ -105,11 +105,11 @@
 
     /// Until when the endpoint may be silent: where no other one could go on,
     /// silence is no reason to end the stream.
-    fn patient_until(&self) -> Instant {
+    fn patient_until(&self) -> Deadline {
         let repeatable = self.asked.route.kind.repeatable();
         let next = self.sends.history.next(repeatable, self.asked.route.attempts, true);
         if self.last.is_some() && next == Next::Retry {
-            (Instant::now() + SILENCE).min(self.asked.end)
+            self.context.clock.after(SILENCE).min(self.asked.end)
         } else {
             self.asked.end
         }
@@ -146,7 +146,7 @@
         let Some(last) = self.last else { return };
         loop {
             let resumable = self.asked.route.kind.repeatable();
-            let time_left = Instant::now() < self.asked.end;
+            let time_left = !self.asked.end.is_over();
             let next = self.sends.history.next(resumable, self.asked.route.attempts, time_left);
             if next != Next::Retry || self.context.holds_back(&self.asked).is_some() {
                 return;
@@ -179,8 +179,8 @@
 
     /// Asks an endpoint to go on after an event.
     async fn go_on(&self, chosen: &Chosen, last: u64) -> Result<Box<Live>, Fate> {
-        let until = begins_until(&self.asked, chosen, SILENCE);
-        let answer = send(&self.context, &self.asked, chosen, Some(last), until).await?;
+        let until = begins_until(&self.context, &self.asked, chosen, SILENCE);
+        let answer = send(&self.context, &self.asked, chosen, Some(last), &until).await?;
         let said = self.context.dialect.answer(&answer.head);
         if said.request.as_ref() != Some(&self.asked.call.id) {
             return Err(Fate::Lost);
--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::socket::Socket;
+use crate::util::clock::{NOTICED, suspended};
 
 /// How long connecting may take: some round trips on a link that is not harmed.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -43,6 +44,8 @@
 struct Resting {
     connection: Connection,
     until: Instant,
+    // How long the machine had been suspended when it began to rest.
+    suspended: Duration,
 }
 
 /// The connections to an endpoint.
@@ -88,7 +91,12 @@
     fn rested(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut resting = self.lock();
-        resting.retain(|resting| now < resting.until && !resting.connection.is_closed());
+        // One that has rested through a suspension has done so for longer than it seems.
+        let suspended = suspended();
+        resting.retain(|resting| {
+            let slept = suspended.saturating_sub(resting.suspended) > NOTICED;
+            now < resting.until && !slept && !resting.connection.is_closed()
+        });
         let ready = resting.iter().rposition(|resting| resting.connection.is_ready())?;
         Some(resting.remove(ready).connection)
     }
@@ -98,7 +106,8 @@
         let rest = rest.map_or(REST, |rest| rest.mul_f64(REST_PART).min(REST));
         let mut resting = self.lock();
         if resting.len() < MOST_RESTING && !connection.is_closed() {
-            resting.push(Resting { connection, until: Instant::now() + rest });
+            let (until, suspended) = (Instant::now() + rest, suspended());
+            resting.push(Resting { connection, until, suspended });
         }
     }
 
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Request, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::timeout;
 
 use super::choose::Chosen;
 use super::context::Context;
@@ -18,6 +18,7 @@
 use super::pool::Connection;
 use super::target::Target;
 use super::understand::Asked;
+use crate::util::clock::Deadline;
 
 /// The largest answer that is held until it is whole.
 pub const MOST_HELD: usize = 8 << 20;
@@ -94,7 +95,7 @@
     asked: &Asked,
     chosen: &Chosen,
     after: Option<u64>,
-    until: Instant,
+    until: &Deadline,
 ) -> Result<Answer, Fate> {
     let target = &chosen.target;
     // Not before: what was chosen may still be refused for want of budget.
@@ -109,7 +110,7 @@
     };
     let sent = Sent::new(context, asked, chosen);
     let request = request(context, asked, chosen, after);
-    match timeout_at(until, connection.try_send_request(request)).await {
+    match until.bound(connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
             Ok(Answer { head, body, connection, sent })
@@ -143,7 +144,7 @@
     let sending = Sending {
         endpoint: &chosen.target.name,
         version: chosen.version,
-        left: asked.end.saturating_duration_since(Instant::now()),
+        left: asked.end.left(),
         team: asked.team.as_ref(),
         priority: asked.priority,
         after: after.or(asked.call.after),
@@ -153,11 +154,16 @@
 }
 
 /// Until when a request has to have begun, so that it is not tried elsewhere.
-pub fn begins_until(asked: &Asked, chosen: &Chosen, patience: Duration) -> Instant {
+pub fn begins_until(
+    context: &Context,
+    asked: &Asked,
+    chosen: &Chosen,
+    patience: Duration,
+) -> Deadline {
     // What has not begun by then may not begin on the old version any more.
     let version_ends = chosen.version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN);
     let patience = patience.min(version_ends);
-    Instant::now().checked_add(patience).map_or(asked.end, |until| until.min(asked.end))
+    context.clock.after(patience).min(asked.end)
 }
 
 /// Takes in that an endpoint has refused a request without running it.
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -8,11 +8,11 @@
 use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
 
 use super::pool::Connection;
 use super::send::{Answer, Sent, keep_alive};
 use super::target::Target;
+use crate::util::clock::Deadline;
 
 /// A stream that an endpoint is writing.
 pub struct Live {
@@ -88,7 +88,7 @@
     /// # Errors
     ///
     /// When neither comes in time.
-    pub async fn first(&mut self, until: Instant) -> Result<(), Stopped> {
+    pub async fn first(&mut self, until: &Deadline) -> Result<(), Stopped> {
         match self.next(until).await? {
             Part::Events(events) => self.ready = Some(events),
             Part::End => self.ended = true,
@@ -101,7 +101,7 @@
     /// # Errors
     ///
     /// When neither comes in time, or the stream breaks off.
-    pub async fn next(&mut self, until: Instant) -> Result<Part, Stopped> {
+    pub async fn next(&mut self, until: &Deadline) -> Result<Part, Stopped> {
         if let Some(events) = self.ready.take() {
             return Ok(Part::Events(events));
         }
@@ -109,7 +109,7 @@
             return Ok(Part::End);
         }
         loop {
-            let frame = timeout_at(until, self.body.frame()).await.map_err(|_| Stopped::Silent)?;
+            let frame = until.bound(self.body.frame()).await.map_err(|_| Stopped::Silent)?;
             let Some(frame) = frame else {
                 return if self.splitter.is_torn() {
                     Err(Stopped::BrokeOff)
--- a/src/cinderspoke/gateway/understand.rs
+++ b/src/cinderspoke/gateway/understand.rs
@@ -12,11 +12,11 @@
 use http::{StatusCode, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
 
 use super::context::Context;
 use super::record::Record;
 use super::refusal::{COME_BACK, ELSEWHERE, Refusal};
+use crate::util::clock::Deadline;
 
 /// A request read whole, and what it asks.
 pub struct Asked {
@@ -34,10 +34,10 @@
     pub team: Option<Team>,
     /// How urgent it is.
     pub priority: u8,
-    /// When it arrived.
-    pub arrived: Instant,
+    /// When it arrived, by the gateway's clock.
+    pub arrived: Duration,
     /// When its caller needs no answer any more.
-    pub end: Instant,
+    pub end: Deadline,
     /// How long its caller had waited before this attempt.
     pub waited: Duration,
     /// Tells it apart from other requests; made when it is first needed.
@@ -62,7 +62,7 @@
     call: Call,
     head: request::Parts,
     body: Incoming,
-    arrived: Instant,
+    arrived: Duration,
     record: &mut Record,
 ) -> Result<Asked, Refusal> {
     if context.is_closing() {
@@ -77,11 +77,12 @@
     record.version = catalog.declared().version;
     record.route = route.name.clone();
     let deadline = call.deadline.unwrap_or(route.timeout);
-    let end = arrived + deadline.min(route.timeout);
+    let since = context.clock.now().saturating_sub(arrived);
+    let end = context.clock.after(deadline.min(route.timeout).saturating_sub(since));
     let waited = context.waited_before(&route, deadline);
     record.returning = waited > Duration::ZERO;
     let limits = catalog.declared().limits;
-    let body = read_body(body, &limits, end).await?;
+    let body = read_body(body, &limits, &end).await?;
     let fingerprint = OnceLock::new();
     Ok(Asked {
         call,
@@ -119,9 +120,9 @@
 }
 
 /// Reads a body that is neither too large nor too late.
-async fn read_body(body: Incoming, limits: &Limits, end: Instant) -> Result<Bytes, Refusal> {
+async fn read_body(body: Incoming, limits: &Limits, end: &Deadline) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
-    let read = timeout_at(end, Limited::new(body, limit).collect()).await;
+    let read = end.bound(Limited::new(body, limit).collect()).await;
     let Ok(read) = read else {
         return Err(Refusal::bad(StatusCode::REQUEST_TIMEOUT, "the request did not come in time"));
     };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod addresses;
 mod apply;
+mod clock;
 mod commands;
 mod decisions;
 mod examples;
--- a/tests/testsuite/watches.rs
+++ b/tests/testsuite/watches.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::future::pending;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -113,8 +113,13 @@
 
 /// A gateway that follows a store whose watches of versions go so.
 fn following(calls: &[Call]) -> (Arc<Knowledge>, Arc<Versions>) {
+    following_by(Clock::start(), calls)
+}
+
+/// Such a gateway, with a clock of its own.
+fn following_by(clock: Clock, calls: &[Call]) -> (Arc<Knowledge>, Arc<Versions>) {
     let settings = settings();
-    let knowledge = Knowledge::new(&settings, Terms::new(&settings), Clock::start());
+    let knowledge = Knowledge::new(&settings, Terms::new(&settings), clock);
     let (knowledge, calls) = (Arc::new(knowledge), calls.iter().copied().collect());
     let (watches, forgotten) = (AtomicU32::new(0), AtomicU32::new(0));
     let store = Arc::new(Versions { calls: Mutex::new(calls), watches, forgotten });
@@ -195,3 +200,28 @@
     assert!(unheard >= Duration::from_millis(500), "{unheard:?}");
     assert!(lost + Duration::from_millis(20) >= unheard, "{lost:?} of {unheard:?}");
 }
+
+// The answer that a watch waits for comes while the machine is suspended, and lies there
+// until it wakes.
+#[tokio::test(start_paused = true)]
+async fn a_version_that_came_while_the_machine_was_suspended_may_be_as_old_as_that() {
+    static SUSPENDED: AtomicU64 = AtomicU64::new(0);
+    let clock = Clock::start_suspended_by(&SUSPENDED);
+    let (knowledge, _store) = following_by(clock, &[Call::News(Duration::from_millis(100))]);
+    sleep(Duration::from_millis(50)).await;
+    SUSPENDED.store(700, Ordering::SeqCst);
+    let lost = lost(&knowledge).await;
+    assert!(lost >= Duration::from_millis(700), "{lost:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_is_given_up_in_its_time_though_the_machine_was_suspended() {
+    static SUSPENDED: AtomicU64 = AtomicU64::new(0);
+    let clock = Clock::start_suspended_by(&SUSPENDED);
+    let (_knowledge, store) = following_by(clock, &[Call::Silent]);
+    sleep(Duration::from_millis(50)).await;
+    SUSPENDED.store(60_000, Ordering::SeqCst);
+    // What a timer is late by at most that began before.
+    sleep(Duration::from_millis(520)).await;
+    assert_eq!(watches(&store), 2);
+}
