Gateways tell each other of the store's last answers, not of the last one alone

Cause: a gateway that was cut off from the store and from all others hears of their answers only after the cut, and by then the last one is of after it, which tells nothing: entries that went 0.5 s after the cut were kept as lapsed with the store. Besides, a watch that was given up after another one had been answered again began a new outage, and gateways that told each other what they keep took the later of their times (2.9 s after the return in one log).

Change: up to 24 answers, 0.2 s apart, are remembered and told; any in the midst of an outage ends it. An outage begins when something should have been answered and was not, instead of when that was given up, and what is given up after the return begins none. Each entry that is kept has a time of its own, the earlier one where gateways differ, and a task gives it up then. An entry that lapsed is kept for 2.2 s instead of 2.5: the return is noticed up to 0.8 s late.

Ruled out: that a gateway whose watch did not fail tells for the whole time: a watch that waits may have slept through an outage.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -17,8 +17,9 @@
 /// How long after the platform's return an entry that lapsed may still be missing.
 ///
 /// Endpoints renew their entries about every second; a lapsed one is back
-/// within two seconds, and the rest is for the way here.
-pub const SETTLE: Duration = Duration::from_millis(2500);
+/// within two seconds, and the rest is for the way here. No more, since the return is
+/// noticed up to 0.8 s late, and 3 s after it an endpoint that left may get nothing.
+pub const SETTLE: Duration = Duration::from_millis(2200);
 
 /// How long after the platform's return the first news still tell of what happened
 /// while it was away.
@@ -84,14 +85,10 @@
 pub struct Directory {
     /// The endpoints, by name.
     pub entries: BTreeMap<Endpoint, Entry>,
-    /// Those of them that lapsed around an outage: kept until they are back or
-    /// the time is up.
-    pub missing: BTreeSet<Endpoint>,
-    /// For how much longer those are kept; told along, since a time that began anew
-    /// with each gateway would let an endpoint that left live on from one to the next.
-    pub left: Duration,
-    /// Those of them that are kept for less, and how much longer.
-    pub renewing: BTreeMap<Endpoint, Duration>,
+    /// Those of them that lapsed around an outage, and how much longer each is kept if it
+    /// is not back. It is told along, since a time that began anew with each gateway would
+    /// let an endpoint that left live on from one to the next.
+    pub missing: BTreeMap<Endpoint, Duration>,
     /// Those whose entry there is but names no endpoint to use: none of them is kept.
     pub unusable: BTreeSet<Endpoint>,
 }
@@ -109,16 +106,16 @@
 }
 
 /// Keeps the list of endpoints across outages of the platform.
+// Invariant: `directory.missing` is empty, it is made for whoever is told; all that are
+// `missing` are in `directory.entries`.
 #[derive(Debug, Default)]
 pub struct Keeper {
     directory: Directory,
     revision: Revision,
     // Until when entries that go are taken for lapsed ones, and kept.
     settling: Option<Duration>,
-    // When those that are kept are given up.
-    due: Option<Duration>,
-    // Until when those are kept that went some time after the platform's return.
-    renewing: BTreeMap<Endpoint, Duration>,
+    // Those that are kept, and until when.
+    missing: BTreeMap<Endpoint, Duration>,
     // Those that were written anew since the platform's return: if they go, they left.
     back: BTreeSet<Endpoint>,
     // Those whose address another endpoint has now, as they were. Their entries last a
@@ -138,11 +135,10 @@
     /// The list as another gateway is told of it.
     #[must_use]
     pub fn tell(&self, now: Duration) -> Directory {
-        let left = self.due.map_or(Duration::ZERO, |due| due.saturating_sub(now));
-        let renewing = self.renewing.iter();
-        let renewing =
-            renewing.map(|(name, until)| (name.clone(), until.saturating_sub(now))).collect();
-        Directory { left, renewing, ..self.directory.clone() }
+        let missing = self.missing.iter();
+        let missing =
+            missing.map(|(name, until)| (name.clone(), until.saturating_sub(now))).collect();
+        Directory { missing, ..self.directory.clone() }
     }
 
     /// The revision of the list.
@@ -151,10 +147,10 @@
         self.revision
     }
 
-    /// Whether entries may be kept that the platform does not list.
+    /// When an entry that is kept is to be given up next; none if none is.
     #[must_use]
-    pub fn is_settling(&self) -> bool {
-        self.due.is_some()
+    pub fn due(&self) -> Option<Duration> {
+        self.missing.values().min().copied()
     }
 
     /// Takes in which services there are.
@@ -168,15 +164,14 @@
             self.back.clear();
         }
         self.settling = Some(at + SETTLE);
-        self.due = self.due.max(self.settling);
     }
 
     /// Takes in that the platform was away for this gateway only, so that no entry
     /// has lapsed by it; true when one is given up by that.
     pub fn was_cut_off(&mut self) -> bool {
         self.settling = None;
-        let missing = std::mem::take(&mut self.directory.missing);
-        self.give_up(missing)
+        let missing = std::mem::take(&mut self.missing);
+        self.give_up(missing.into_keys())
     }
 
     /// Takes in the whole list; true when anything changed.
@@ -199,22 +194,18 @@
             false => Change::Removed(name),
         });
         let mut changed = self.apply(revision, gone, now);
+        let kept = self.missing.clone();
         self.directory.unusable = listed.unusable;
         for (name, entry) in listed.entries {
             changed |= self.put(name, entry, |other| known.contains(other));
         }
-        if !listed.missing.is_empty() {
-            // Whoever tells of them gives them up without a newer list.
-            self.back.retain(|name| !listed.missing.contains(name));
-            for (name, left) in listed.renewing {
-                let until = now + left.min(RENEWAL);
-                self.renewing
-                    .entry(name)
-                    .and_modify(|known| *known = until.min(*known))
-                    .or_insert(until);
-            }
-            self.directory.missing.extend(listed.missing);
-            self.due = self.due.max(Some(now + listed.left.min(SETTLE)));
+        for (name, left) in listed.missing {
+            // That another gateway keeps it as well does not tell that it is back; whoever
+            // gives it up first does so without a newer list.
+            self.back.remove(&name);
+            let told = now + left.min(SETTLE);
+            let until = kept.get(&name).map_or(told, |own| told.min(*own));
+            self.missing.insert(name, until);
         }
         changed
     }
@@ -227,9 +218,10 @@
         }
         let entries = &self.directory.entries;
         let ready = |name: &Endpoint| entries.get(name).is_some_and(Entry::is_ready);
-        let (kept, left): (BTreeSet<_>, BTreeSet<_>) = listed.missing.into_iter().partition(ready);
+        let (kept, left): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            listed.missing.into_iter().partition(|(name, _)| ready(name));
         listed.missing = kept;
-        listed.entries.retain(|name, _| !left.contains(name));
+        listed.entries.retain(|name, _| !left.contains_key(name));
         listed
     }
 
@@ -274,7 +266,7 @@
             return false;
         }
         self.directory.unusable.remove(&name);
-        if self.directory.missing.remove(&name) {
+        if self.missing.remove(&name).is_some() {
             self.back.insert(name.clone());
         }
         let displaced = self.displace(&name, &entry, older);
@@ -295,7 +287,7 @@
         entry: &Entry,
         older: impl Fn(&Endpoint) -> bool,
     ) -> bool {
-        let Directory { entries, missing, .. } = &mut self.directory;
+        let entries = &mut self.directory.entries;
         // An endpoint that was there already displaces nobody by being there still, nor
         // does one of a service that nothing leads to: anyone may have written that.
         let was_there = entries.get(name).is_some_and(|known| known.is_same_run(entry));
@@ -312,7 +304,7 @@
             .map(|(other, known)| (other.clone(), known.clone()))
             .collect();
         entries.retain(|other, _| !gone.contains_key(other));
-        missing.retain(|other| !gone.contains_key(other));
+        self.missing.retain(|other, _| !gone.contains_key(other));
         self.displaced.remove(name);
         let any = !gone.is_empty();
         self.displaced.extend(gone);
@@ -324,38 +316,38 @@
     fn remove(&mut self, name: Endpoint, settling: Option<Duration>, now: Duration) -> bool {
         let settling = settling.filter(|_| !self.back.contains(&name));
         let ready = self.directory.entries.get(&name).is_some_and(Entry::is_ready);
-        if let Some(until) = settling.filter(|_| ready) {
-            if now + SETTLE > until + FIRST_NEWS {
-                self.renewing.insert(name.clone(), now + RENEWAL);
-            }
-            self.directory.missing.insert(name);
+        if let Some(settled) = settling.filter(|_| ready) {
+            let is_first_news = now + SETTLE <= settled + FIRST_NEWS;
+            let until = if is_first_news { settled } else { settled.min(now + RENEWAL) };
+            self.missing
+                .entry(name)
+                .and_modify(|known| *known = until.min(*known))
+                .or_insert(until);
             return false;
         }
         self.displaced.remove(&name);
-        self.directory.missing.remove(&name);
+        self.missing.remove(&name);
         self.directory.entries.remove(&name).is_some()
     }
 
     /// Gives up entries that are not back in time; true when any was.
     pub fn settle(&mut self, now: Duration) -> bool {
-        if self.due.is_some_and(|due| due <= now) {
-            (self.settling, self.due) = (None, None);
+        if self.settling.is_some_and(|until| until <= now) {
+            self.settling = None;
             self.back.clear();
-            self.renewing.clear();
-            let missing = std::mem::take(&mut self.directory.missing);
-            return self.give_up(missing);
         }
-        let is_late = |(_, until): &(&Endpoint, &Duration)| **until <= now;
-        let late: BTreeSet<_> =
-            self.renewing.iter().filter(is_late).map(|(name, _)| name.clone()).collect();
-        self.renewing.retain(|name, _| !late.contains(name));
-        // Those that are back are missing no more.
-        let late = late.into_iter().filter(|name| self.directory.missing.remove(name)).collect();
+        let late: Vec<_> = self
+            .missing
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        self.missing.retain(|_, until| *until > now);
         self.give_up(late)
     }
 
     /// Removes entries; true when any was there.
-    fn give_up(&mut self, missing: BTreeSet<Endpoint>) -> bool {
+    fn give_up(&mut self, missing: impl IntoIterator<Item = Endpoint>) -> bool {
         let entries = &mut self.directory.entries;
         missing.into_iter().fold(false, |any, name| any | entries.remove(&name).is_some())
     }
--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -4,6 +4,7 @@
 //! are kept for a while. Where it went on answering others, its word counts at once:
 //! an endpoint whose entry goes then has left, and may get nothing more.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// How far apart two moments have to be to be told apart: what one process had from
@@ -14,23 +15,35 @@
 /// longest pause, 1.2 s, the time limit of a call, 1.5 s, and the way here.
 const NOTICE: Duration = Duration::from_secs(3);
 
+/// How far apart answers are at least that are remembered: less than the margin, so that
+/// none in the midst of an outage is passed over.
+const APART: Duration = Duration::from_millis(200);
+
+/// How many answers are remembered. All gateways together are answered about four times a
+/// second; those of 5 s tell of the end of any outage, also to who hears of them after it.
+const REMEMBERED: usize = 24;
+
 /// What is known of this gateway's last outage of the platform.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 // Invariant: `returned` is none while the platform does not answer.
 pub struct Outage {
     lost: Option<Duration>,
     returned: Option<Duration>,
-    // The newest answer of the platform to anyone that is known of.
-    answered: Option<Duration>,
+    // The newest answers of the platform to anyone that are known of.
+    answers: BTreeSet<Duration>,
     // Whether it answered another gateway in the midst of the outage.
     own: bool,
 }
 
 impl Outage {
-    /// Takes in that the platform does not answer this gateway any more.
-    pub fn lose(&mut self, now: Duration) {
-        if self.lost.is_none() || self.returned.is_some() {
-            (self.lost, self.returned, self.own) = (Some(now), None, false);
+    /// Takes in that the platform has not answered this gateway since a time. Where it has
+    /// since then, what waited for its answer has only been given up later.
+    pub fn lose(&mut self, since: Duration) {
+        let is_over = self.returned.is_some_and(|returned| returned < since);
+        if self.lost.is_none() || is_over {
+            (self.lost, self.returned, self.own) = (Some(since), None, false);
+        } else if self.returned.is_none() {
+            self.lost = self.lost.min(Some(since));
         }
     }
 
@@ -46,7 +59,19 @@
     pub fn answered(&mut self, now: Duration) {
         let recent = self.returned.is_none_or(|returned| now < returned + NOTICE);
         if self.lost.is_none() || self.own || !recent {
-            self.answered = self.answered.max(Some(now));
+            self.remember(now);
+        }
+    }
+
+    /// Remembers an answer, unless it adds nothing to the others.
+    fn remember(&mut self, at: Duration) {
+        let near = at.saturating_sub(APART)..=at + APART;
+        if self.answers.range(near).next().is_some() {
+            return;
+        }
+        self.answers.insert(at);
+        if self.answers.len() > REMEMBERED {
+            self.answers.pop_first();
         }
     }
 
@@ -57,22 +82,31 @@
         self.returned
     }
 
-    /// Takes in that the platform answered some gateway so long ago; whether this
-    /// tells for the first time that only this gateway was cut off.
-    pub fn told(&mut self, age: Duration, now: Duration) -> bool {
-        let Some(at) = now.checked_sub(age) else { return false };
-        self.answered = self.answered.max(Some(at));
-        let after = self.lost.is_some_and(|lost| at > lost + MARGIN);
-        let before = self.returned.is_none_or(|returned| at + MARGIN < returned);
-        let news = after && before && !self.own;
+    /// Takes in how long ago the platform answered some gateway; whether this tells for
+    /// the first time that only this gateway was cut off.
+    ///
+    /// The last answer alone would not do: whoever is cut off from all hears of it only
+    /// after the outage, and by then it is of after the outage itself.
+    pub fn told(&mut self, ages: &[Duration], now: Duration) -> bool {
+        let told: Vec<_> = ages.iter().filter_map(|age| now.checked_sub(*age)).collect();
+        told.iter().for_each(|at| self.remember(*at));
+        let news = !self.own && told.iter().any(|at| self.is_in_midst(*at));
         self.own |= news;
         news
     }
 
-    /// How long ago the platform last answered anyone that is known of.
+    /// Whether a moment is in the midst of the outage.
+    fn is_in_midst(&self, at: Duration) -> bool {
+        let after = self.lost.is_some_and(|lost| at > lost + MARGIN);
+        let before = self.returned.is_none_or(|returned| at + MARGIN < returned);
+        after && before
+    }
+
+    /// How long ago the platform answered anyone, as far as it is known, the last answer
+    /// first.
     #[must_use]
-    pub fn last_answer(&self, now: Duration) -> Option<Duration> {
-        self.answered.map(|at| now.saturating_sub(at))
+    pub fn answers(&self, now: Duration) -> Vec<Duration> {
+        self.answers.iter().rev().map(|at| now.saturating_sub(*at)).collect()
     }
 
     /// Whether only this gateway was cut off.
--- a/crates/core/src/gateway/watch.rs
+++ b/crates/core/src/gateway/watch.rs
@@ -51,8 +51,10 @@
     heard: Duration,
     // When the platform last gave an answer that left nothing out.
     whole: Duration,
-    // How many calls in a row have failed.
+    // How many calls in a row have failed, and since when nothing was answered that
+    // should have been.
     failures: u32,
+    away: Duration,
     // Whether anything went amiss since the last whole answer.
     amiss: bool,
 }
@@ -61,7 +63,7 @@
     /// A watch that has heard nothing so far.
     #[must_use]
     pub fn new(now: Duration) -> Self {
-        Self { heard: now, whole: now, failures: 0, amiss: false }
+        Self { heard: now, whole: now, failures: 0, away: now, amiss: false }
     }
 
     /// How many calls in a row have failed.
@@ -83,12 +85,21 @@
         if self.amiss { LEAST_WAIT } else { wait(gateways, draw) }
     }
 
-    /// Takes in that a call has failed.
-    pub fn fail(&mut self) {
+    /// Takes in that a call has failed, which should have been answered at a time.
+    pub fn fail(&mut self, due: Duration) {
+        if self.failures == 0 {
+            self.away = due;
+        }
         self.failures += 1;
         self.amiss = true;
     }
 
+    /// Since when the platform has not answered what it should have, while calls fail.
+    #[must_use]
+    pub fn away_since(&self) -> Duration {
+        self.away
+    }
+
     /// Takes in that the call was given up for a new one.
     pub fn give_up(&mut self) {
         self.amiss = true;
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -84,7 +84,7 @@
             ages: self.timeline.ages(now),
             directory: self.keeper.revision(),
             directory_hash: self.directory_hash,
-            answered: self.outage.last_answer(now),
+            answers: self.outage.answers(now),
             ..Known::default()
         }
     }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -10,7 +10,6 @@
 
 use async_trait::async_trait;
 use cinderspoke_core::gateway::catalog::Declared;
-use cinderspoke_core::gateway::directory::{RENEWAL, SETTLE};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::watch::{AWAY, DOUBT, Freshness, LATE_CALLS, MARGIN, Watch};
@@ -165,11 +164,7 @@
 
     async fn watch(&self, after: Revision, wait: Duration) -> Result<Answer<'_>, Error> {
         let seen = self.0.registry.watch_endpoints(after, wait).await?;
-        let changed = |fact| {
-            self.0.knowledge.changed(fact, STORE);
-            // What went and may be back is given up when that has had its time.
-            settle_after(&self.0.knowledge, RENEWAL);
-        };
+        let changed = |fact| _ = self.0.knowledge.changed(fact, STORE);
         Ok(Box::new(move |_| take_news(seen, changed)))
     }
 
@@ -195,6 +190,7 @@
         let knowledge = Arc::clone(knowledge);
         tokio::spawn(stop::until(token.clone(), follow(source, knowledge)));
     }
+    tokio::spawn(stop::until(token.clone(), settle(Arc::clone(knowledge))));
     let own = inner_address(settings);
     let meet = meet(shared(), settings.instance.to_string(), own);
     tokio::spawn(stop::until(token, meet));
@@ -241,12 +237,12 @@
                 }
             }
             Asked::Failed(error) => {
-                watch.fail();
+                watch.fail(clock.now());
                 tell_failure(&*source, &knowledge, &watch, &error);
                 sleep(backoff(&error, watch.failures())).await;
             }
             Asked::Silent(limit) => {
-                watch.fail();
+                watch.fail(clock.now().saturating_sub(MARGIN));
                 let error = Error::Unavailable(format!("no answer within {limit:?}"));
                 tell_failure(&*source, &knowledge, &watch, &error);
                 if revision.is_some() && watch.failures() == 1 {
@@ -325,7 +321,6 @@
     }
     if failures >= AWAY {
         knowledge.platform_returned();
-        settle_later(knowledge);
     }
     knowledge.platform_answered();
     let revision = answer(watch.freshness(now));
@@ -344,26 +339,27 @@
         tracing::info!(kind, unheard_ms, %error, "store did not answer");
     }
     if watch.failures() == AWAY {
-        knowledge.platform_lost();
+        knowledge.platform_lost(watch.away_since());
         tracing::warn!(kind, %error, "store lost");
     }
 }
 
-/// Gives up entries that lapsed during an outage once they had time to be back.
-pub(super) fn settle_later(knowledge: &Arc<Knowledge>) {
-    settle_after(knowledge, SETTLE);
-}
-
-/// Gives up, after a time, entries that are kept and not back; does nothing if none is.
-pub(super) fn settle_after(knowledge: &Arc<Knowledge>, time: Duration) {
-    if !knowledge.keeps_entries() {
-        return;
-    }
-    let knowledge = Arc::clone(knowledge);
-    tokio::spawn(async move {
-        sleep(time).await;
+/// Gives up entries that are kept around an outage as each has had its time.
+async fn settle(knowledge: Arc<Knowledge>) {
+    let mut kept = knowledge.entries_kept();
+    loop {
+        match knowledge.next_settled() {
+            None => kept.changed().await,
+            Some(due) => {
+                let left = due.saturating_sub(knowledge.clock().now());
+                tokio::select! {
+                    () = kept.changed() => {}
+                    () = knowledge.clock().sleep(left) => {}
+                }
+            }
+        }
         knowledge.settle();
-    });
+    }
 }
 
 /// How long to stay away after so many failures in a row: longer where the store
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -42,6 +42,7 @@
     counted_until: AtomicU64,
     changes: Signal,
     doubts: Signal,
+    kept: Signal,
     untold: Arc<Untold>,
     suspects: Suspects,
     terms: ArcSwap<Terms>,
@@ -59,6 +60,7 @@
             counted_until: AtomicU64::new(u64::MAX),
             changes: Signal::default(),
             doubts: Signal::default(),
+            kept: Signal::default(),
             untold: Arc::default(),
             suspects: Suspects::new(&settings.instance),
             terms: ArcSwap::from_pointee(terms),
@@ -244,10 +246,9 @@
         self.keep(from, |keeper| keeper.apply(fact.revision, fact.value, now))
     }
 
-    /// Takes in that the platform does not answer.
-    pub fn platform_lost(&self) {
-        let now = self.clock.now();
-        self.lock().outage.lose(now);
+    /// Takes in that the platform has not answered since a time.
+    pub fn platform_lost(&self, since: Duration) {
+        self.lock().outage.lose(since);
     }
 
     /// Takes in that the platform has answered.
@@ -269,22 +270,28 @@
     }
 
     /// Takes in how long ago the platform answered some gateway.
-    ///
-    /// What another gateway keeps is due at its time, which no timer here counts:
-    /// others are heard about every half second, and what is due goes then.
-    pub fn told_answered(&self, age: Duration) {
-        self.settle();
+    pub fn told_answers(&self, ages: &[Duration]) {
         let now = self.clock.now();
-        if self.lock().outage.told(age, now) {
-            tracing::info!(age_ms = age.as_millis() as u64, "only this gateway was cut off");
-            self.keep("gateway", Keeper::was_cut_off);
+        let mut state = self.lock();
+        if !state.outage.told(ages, now) {
+            return;
         }
+        drop(state);
+        let last_ms = ages.first().map(|age| age.as_millis() as u64);
+        tracing::info!(last_ms, "only this gateway was cut off");
+        self.keep("gateway", Keeper::was_cut_off);
     }
 
-    /// Whether entries may be kept that the platform does not list.
+    /// When an entry that is kept is to be given up next; none if none is.
     #[must_use]
-    pub fn keeps_entries(&self) -> bool {
-        self.lock().keeper.is_settling()
+    pub fn next_settled(&self) -> Option<Duration> {
+        self.lock().keeper.due()
+    }
+
+    /// A way to wait until other entries are kept than before.
+    #[must_use]
+    pub fn entries_kept(&self) -> Receiver {
+        self.kept.subscribe()
     }
 
     /// Gives up entries that lapsed while the platform was away and are not back.
@@ -296,7 +303,11 @@
     /// Changes the list of endpoints; makes it known if it is another then.
     fn keep(&self, from: &str, change: impl FnOnce(&mut Keeper) -> bool) -> bool {
         let mut state = self.lock();
+        let due = state.keeper.due();
         let changed = change(&mut state.keeper);
+        if state.keeper.due() != due {
+            self.kept.raise();
+        }
         if changed {
             state.follow_directory();
             self.show(&mut state);
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -38,8 +38,9 @@
     pub directory: Revision,
     /// Tells lists of endpoints apart.
     pub directory_hash: u64,
-    /// How long ago the platform last answered any gateway, as far as is known.
-    pub answered: Option<Duration>,
+    /// How long ago the platform answered any gateway, as far as is known, the last
+    /// answers first.
+    pub answers: Vec<Duration>,
     /// Requests under which endpoints ended.
     pub suspects: Vec<Told>,
 }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -15,7 +15,6 @@
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
-use cinderspoke_core::gateway::directory::RENEWAL;
 use cinderspoke_core::gateway::fact::Revision;
 use cinderspoke_core::gateway::gossip;
 use cinderspoke_core::gateway::name::Service;
@@ -27,7 +26,6 @@
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
-use super::follow::{settle_after, settle_later};
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
 use super::outstanding;
@@ -143,9 +141,7 @@
         let own = self.knowledge.known();
         self.knowledge.told_ages(&known.ages, "gateway");
         self.knowledge.told_suspects(&known.suspects);
-        if let Some(age) = known.answered {
-            self.knowledge.told_answered(age);
-        }
+        self.knowledge.told_answers(&known.answers);
         let behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
             self.catch_up(&self.awaiting_configuration, OWN_WORD, from, &known);
@@ -197,12 +193,7 @@
             self.knowledge.configured(configuration, "gateway");
         }
         if let Some(directory) = facts.directory.filter(|list| list.revision > known.directory) {
-            let kept = !directory.value.missing.is_empty();
             self.knowledge.listed(directory, "gateway");
-            if kept {
-                settle_after(&self.knowledge, RENEWAL);
-                settle_later(&self.knowledge);
-            }
         }
         self.meet(facts.gateways);
         Ok(())
--- a/tests/testsuite/gateway/late.rs
+++ b/tests/testsuite/gateway/late.rs
@@ -53,7 +53,7 @@
 fn what_comes_long_after_a_watch_was_made_anew_is_new() {
     let mut watch = Watch::new(ms(0));
     watch.hear(ms(10_000));
-    watch.fail();
+    watch.fail(ms(1000));
     let answered = ms(15_000) + watch.wait(150, 1.0);
     assert!(answered < ms(16_000));
     watch.hear(answered);
--- a/tests/testsuite/gateway/watch.rs
+++ b/tests/testsuite/gateway/watch.rs
@@ -22,8 +22,9 @@
 fn what_comes_after_calls_that_failed_may_be_as_old_as_the_last_answer() {
     let mut watch = watching();
     for failures in 1..5 {
-        watch.fail();
+        watch.fail(ms(11_000 + u64::from(failures)));
         assert_eq!(watch.failures(), failures);
+        assert_eq!(watch.away_since(), ms(11_001), "the first one tells");
         assert_eq!(watch.freshness(ms(16_004)), Freshness::Within(ms(6004)));
     }
     watch.hear(ms(16_004));
@@ -40,7 +41,7 @@
 #[test]
 fn what_the_platform_forgot_may_be_as_old_as_the_last_whole_answer() {
     let mut watch = watching();
-    watch.fail();
+    watch.fail(ms(11_000));
     watch.miss(ms(12_000));
     assert_eq!((watch.failures(), watch.unheard(ms(12_010))), (0, ms(10)));
     assert_eq!(watch.freshness(ms(12_010)), Freshness::Within(ms(2010)));
@@ -51,7 +52,8 @@
 #[test]
 fn a_watch_that_went_amiss_waits_as_shortly_as_it_may() {
     let calm = |watch: &Watch| watch.wait(40, 0.9) > ms(20_000);
-    let amiss: [fn(&mut Watch); 3] = [Watch::fail, Watch::give_up, |watch| watch.miss(ms(11_000))];
+    let amiss: [fn(&mut Watch); 3] =
+        [|watch| watch.fail(ms(11_000)), Watch::give_up, |watch| watch.miss(ms(11_000))];
     for amiss in amiss {
         let mut watch = watching();
         assert!(calm(&watch));
