A request over a connection that had rested and is silent is sent once more over a new one

Cause: a connection that goes silent looks like an endpoint that is slow. Where both sides' systems still acknowledge, the limit on unacknowledged bytes shows nothing, and a repeatable request waited for its whole time.

Change: over a connection that had rested, a request that may be repeated waits for twice what is expected and 1.3 s more, half of the time that is left at most. It then counts as one that may have run, goes to another endpoint, and where there is none to the same one over a new connection, within its attempts and the budget.

Ruled out: asking the endpoint's health before each use (a call for each request), and keep- alive probes (the system answers those too).

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -12,6 +12,9 @@
     Refused,
     /// It was sent, and no answer says what became of it.
     Lost,
+    /// The same, over a connection that had rested and may have been silent since: the
+    /// endpoint may never have got it.
+    Stale,
     /// The same, and its connection broke off: the endpoint may have ended.
     BrokenOff,
     /// The endpoint ran it and answered with a failure.
@@ -60,7 +63,7 @@
         if fate != Fate::NotSent {
             self.sends += 1;
         }
-        if matches!(fate, Fate::Lost | Fate::BrokenOff | Fate::Failed) {
+        if matches!(fate, Fate::Lost | Fate::Stale | Fate::BrokenOff | Fate::Failed) {
             self.runs += 1;
         }
     }
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -45,14 +45,21 @@
     pub tried: Vec<Endpoint>,
     /// How many sends never left this process.
     pub unsent: u32,
+    // Those of them to which a connection was silent; a new one may work.
+    stale: Vec<Endpoint>,
     // An endpoint's own failure, to be passed on when nothing better comes.
     failure: Option<Response<Bytes>>,
 }
 
 impl Sends {
-    /// Takes in what became of a send.
+    /// Takes in what became of the last send.
     pub fn record(&mut self, fate: Fate) {
         self.history.record(fate);
+        let last = self.tried.last();
+        self.stale.retain(|name| Some(name) != last);
+        if fate == Fate::Stale {
+            self.stale.extend(last.cloned());
+        }
         if fate == Fate::NotSent {
             self.unsent += 1;
         }
@@ -87,6 +94,11 @@
             // Better one that failed lately than none.
             options = survey.options(members, Avoided::Included);
         }
+        if options.is_empty() && !self.stale.is_empty() {
+            let tried = self.tried.iter().filter(|name| !self.stale.contains(*name));
+            let survey = Survey { tried: &tried.cloned().collect::<Vec<_>>(), ..survey };
+            options = survey.options(members, Avoided::Included);
+        }
         let candidates: Vec<_> = options.iter().map(|option| option.candidate).collect();
         let wish = Wish {
             weightless: engine.is_some() && !members.is_empty(),
--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -48,6 +48,15 @@
     suspended: Duration,
 }
 
+/// A connection for one request.
+#[derive(Debug)]
+pub struct Taken {
+    /// The connection.
+    pub connection: Connection,
+    /// Whether it has carried a request before: it may have gone silent since.
+    pub rested: bool,
+}
+
 /// The connections to an endpoint.
 #[derive(Debug)]
 pub struct Pool {
@@ -79,12 +88,13 @@
     /// # Errors
     ///
     /// When the endpoint cannot be reached; nothing was sent then.
-    pub async fn take(&self) -> Result<Connection> {
+    pub async fn take(&self) -> Result<Taken> {
         if let Some(connection) = self.rested() {
-            return Ok(connection);
+            return Ok(Taken { connection, rested: true });
         }
         let connected = timeout(CONNECT, connect(self.address)).await;
-        connected.context("connecting took too long")?
+        let connection = connected.context("connecting took too long")??;
+        Ok(Taken { connection, rested: false })
     }
 
     /// The newest of the connections that can carry a request.
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -123,6 +123,7 @@
             Fate::NotSent => "not-sent",
             Fate::Refused => "refused",
             Fate::Lost => "lost",
+            Fate::Stale => "stale",
             Fate::BrokenOff => "broken-off",
             Fate::Failed => "failed",
         };
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -15,7 +15,7 @@
 use super::choose::Chosen;
 use super::context::Context;
 use super::outstanding::Untold;
-use super::pool::Connection;
+use super::pool::{Connection, Taken};
 use super::target::Target;
 use super::understand::Asked;
 use crate::util::clock::Deadline;
@@ -27,6 +27,10 @@
 /// the margin that is kept when it is sent.
 const BEGIN_MARGIN: Duration = Duration::from_millis(400);
 
+/// How much longer than twice what is expected an answer over a connection that had
+/// rested may take at least: as long as the first event of a stream.
+const STALE: Duration = Duration::from_millis(1300);
+
 /// How long the rest of a refusal may take to come.
 const REFUSAL: Duration = Duration::from_millis(100);
 
@@ -100,8 +104,8 @@
     let target = &chosen.target;
     // Not before: what was chosen may still be refused for want of budget.
     target.tracking().health.try_out(context.clock.now());
-    let mut connection = match target.pool.take().await {
-        Ok(connection) => connection,
+    let Taken { mut connection, rested } = match target.pool.take().await {
+        Ok(taken) => taken,
         Err(error) => {
             tracing::debug!(endpoint = %target.name, error = format!("{error:#}"), "connecting");
             target.sign(Sign::Silence, context.clock.now());
@@ -110,6 +114,8 @@
     };
     let sent = Sent::new(context, asked, chosen);
     let request = request(context, asked, chosen, after);
+    let stale = stale_after(asked, chosen).filter(|_| rested);
+    let until = stale.map_or(*until, |stale| context.clock.after(stale).min(*until));
     match until.bound(connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
@@ -124,11 +130,21 @@
         }
         Err(_) => {
             target.sign(Sign::Stall, context.clock.now());
-            Err(Fate::Lost)
+            Err(if stale.is_some() { Fate::Stale } else { Fate::Lost })
         }
     }
 }
 
+/// After how long without an answer a connection that had rested is taken to have gone
+/// silent, where the request may be sent once more.
+///
+/// Nothing tells a silent connection from a slow endpoint. Half of the time that is left is
+/// kept for a new one; without it, such a request waits for all of it in vain.
+fn stale_after(asked: &Asked, chosen: &Chosen) -> Option<Duration> {
+    let patience = (chosen.first * 2 + STALE).min(asked.end.left() / 2);
+    asked.route.kind.repeatable().then_some(patience)
+}
+
 /// The request as the endpoint gets it.
 fn request(
     context: &Context,
--- a/tests/testsuite/gateway/attempt.rs
+++ b/tests/testsuite/gateway/attempt.rs
@@ -2,11 +2,12 @@
 
 use cinderspoke_core::gateway::attempt::{Fate, History, Next, Promise};
 
-const FATES: [Fate; 5] = [Fate::NotSent, Fate::Refused, Fate::Lost, Fate::BrokenOff, Fate::Failed];
+const FATES: [Fate; 6] =
+    [Fate::NotSent, Fate::Refused, Fate::Lost, Fate::Stale, Fate::BrokenOff, Fate::Failed];
 
 /// Whether a request may have run that had this fate.
 fn ran(fate: &Fate) -> bool {
-    matches!(fate, Fate::Lost | Fate::BrokenOff | Fate::Failed)
+    matches!(fate, Fate::Lost | Fate::Stale | Fate::BrokenOff | Fate::Failed)
 }
 
 /// All histories of at most `length` sends, each with the fates that led to it.
