What gateways tell of the store's answers takes two bytes each

Cause: a digest carries up to 24 of these ages, 6 bytes each as durations; with 149 gateways that tell each piece of news to 11 others, that is 1.6 kB more for each gateway and piece.

Change: whole milliseconds, 2 bytes each up to 16 s. Counted from the encoding, not measured. Tests of outages hold.

--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 /// How far apart two moments have to be to be told apart: what one process had from
 /// the platform takes a while to be known to another.
 const MARGIN: Duration = Duration::from_millis(500);
@@ -23,6 +25,23 @@
 /// second; those of 5 s tell of the end of any outage, also to who hears of them after it.
 const REMEMBERED: usize = 24;
 
+/// How long ago something was, in whole milliseconds: two bytes in a message where a
+/// duration takes six, and each message has two dozen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ago(u32);
+
+impl From<Duration> for Ago {
+    fn from(age: Duration) -> Self {
+        Self(u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+    }
+}
+
+impl From<Ago> for Duration {
+    fn from(ago: Ago) -> Self {
+        Self::from_millis(ago.0.into())
+    }
+}
+
 /// What is known of this gateway's last outage of the platform.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 // Invariant: `returned` is none while the platform does not answer.
@@ -87,8 +106,9 @@
     ///
     /// The last answer alone would not do: whoever is cut off from all hears of it only
     /// after the outage, and by then it is of after the outage itself.
-    pub fn told(&mut self, ages: &[Duration], now: Duration) -> bool {
-        let told: Vec<_> = ages.iter().filter_map(|age| now.checked_sub(*age)).collect();
+    pub fn told(&mut self, answers: &[Ago], now: Duration) -> bool {
+        let told: Vec<_> =
+            answers.iter().filter_map(|ago| now.checked_sub(Duration::from(*ago))).collect();
         told.iter().for_each(|at| self.remember(*at));
         let news = !self.own && told.iter().any(|at| self.is_in_midst(*at));
         self.own |= news;
@@ -105,8 +125,8 @@
     /// How long ago the platform answered anyone, as far as it is known, the last answer
     /// first.
     #[must_use]
-    pub fn answers(&self, now: Duration) -> Vec<Duration> {
-        self.answers.iter().rev().map(|at| now.saturating_sub(*at)).collect()
+    pub fn answers(&self, now: Duration) -> Vec<Ago> {
+        self.answers.iter().rev().map(|at| now.saturating_sub(*at).into()).collect()
     }
 
     /// Whether only this gateway was cut off.
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -13,6 +13,7 @@
 use cinderspoke_core::gateway::gossip::patience;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
+use cinderspoke_core::gateway::outage::Ago;
 use cinderspoke_core::gateway::rollout::{Rollout, Version};
 use cinderspoke_core::gateway::timeline::{Age, Ages};
 use cinderspoke_core::gateway::watch::Freshness;
@@ -270,14 +271,14 @@
     }
 
     /// Takes in how long ago the platform answered some gateway.
-    pub fn told_answers(&self, ages: &[Duration]) {
+    pub fn told_answers(&self, answers: &[Ago]) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if !state.outage.told(ages, now) {
+        if !state.outage.told(answers, now) {
             return;
         }
         drop(state);
-        let last_ms = ages.first().map(|age| age.as_millis() as u64);
+        let last_ms = answers.first().map(|ago| Duration::from(*ago).as_millis() as u64);
         tracing::info!(last_ms, "only this gateway was cut off");
         self.keep("gateway", Keeper::was_cut_off);
     }
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -12,6 +12,7 @@
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Service;
+use cinderspoke_core::gateway::outage::Ago;
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::suspect::Told;
 use cinderspoke_core::gateway::tally::Outstanding;
@@ -40,7 +41,7 @@
     pub directory_hash: u64,
     /// How long ago the platform answered any gateway, as far as is known, the last
     /// answers first.
-    pub answers: Vec<Duration>,
+    pub answers: Vec<Ago>,
     /// Requests under which endpoints ended.
     pub suspects: Vec<Told>,
 }
