Entries that lapsed are kept by when the store was last known to be away

Failures of any kind of fact tell when the store was still away.

Change: at most 2.85 s from the last failure, and tries 0.5 s apart at most instead of 0.9, so that what lapsed still has 2 s to be back. Other gateways are told the time that is left.

Ruled out: 1.8 s from the noticed return: entries come back within 2 s of the true one, which may be that very moment.

Figures: two tests; the test of what is back 1.9 s after the first news holds unchanged.

--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -17,10 +17,13 @@
 /// How long after the platform's return an entry that lapsed may still be missing.
 ///
 /// Endpoints renew their entries about every second; a lapsed one is back
-/// within two seconds, and the rest is for the way here. No more, since the return is
-/// noticed up to 0.8 s late, and 3 s after it an endpoint that left may get nothing.
+/// within two seconds, and the rest is for the way here.
 pub const SETTLE: Duration = Duration::from_millis(2200);
 
+/// The same from when the platform was last known to be away: its return is noticed up to
+/// 1.2 s late, and an endpoint that left may get nothing later than 3 s after it.
+pub const SETTLE_AT_MOST: Duration = Duration::from_millis(2850);
+
 /// How long after the platform's return the first news still tell of what happened
 /// while it was away.
 const FIRST_NEWS: Duration = Duration::from_millis(300);
@@ -105,6 +108,22 @@
     Unusable(Endpoint),
 }
 
+/// The time after an outage of the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Settling {
+    returned: Duration,
+    // Until when entries that lapsed meanwhile are kept.
+    until: Duration,
+}
+
+impl Settling {
+    /// Until when an entry is kept that goes now.
+    fn kept_until(self, now: Duration) -> Duration {
+        let is_first_news = now <= self.returned + FIRST_NEWS;
+        if is_first_news { self.until } else { self.until.min(now + RENEWAL) }
+    }
+}
+
 /// Keeps the list of endpoints across outages of the platform.
 // Invariant: `directory.missing` is empty, it is made for whoever is told; all that are
 // `missing` are in `directory.entries`.
@@ -112,8 +131,8 @@
 pub struct Keeper {
     directory: Directory,
     revision: Revision,
-    // Until when entries that go are taken for lapsed ones, and kept.
-    settling: Option<Duration>,
+    // After an outage, while entries that go are taken for lapsed ones, and kept.
+    settling: Option<Settling>,
     // Those that are kept, and until when.
     missing: BTreeMap<Endpoint, Duration>,
     // Those that were written anew since the platform's return: if they go, they left.
@@ -158,12 +177,14 @@
         self.services = Some(services);
     }
 
-    /// Takes in when the platform answered again after it had been away.
-    pub fn returned(&mut self, at: Duration) {
-        if self.settling != Some(at + SETTLE) {
+    /// Takes in when the platform answered again, and when it was last known to be away.
+    pub fn returned(&mut self, at: Duration, away: Duration) {
+        let until = (at + SETTLE).min(away + SETTLE_AT_MOST);
+        let settling = Some(Settling { returned: at, until });
+        if self.settling != settling {
             self.back.clear();
         }
-        self.settling = Some(at + SETTLE);
+        self.settling = settling;
     }
 
     /// Takes in that the platform was away for this gateway only, so that no entry
@@ -236,7 +257,7 @@
             return false;
         }
         self.revision = revision;
-        let settling = self.settling.filter(|until| now < *until);
+        let settling = self.settling.filter(|settling| now < settling.until);
         let mut changed = false;
         for change in changes {
             changed |= self.apply_one(change, settling, now);
@@ -245,7 +266,7 @@
     }
 
     /// Takes in one change; true when the list is another then.
-    fn apply_one(&mut self, change: Change, settling: Option<Duration>, now: Duration) -> bool {
+    fn apply_one(&mut self, change: Change, settling: Option<Settling>, now: Duration) -> bool {
         match change {
             Change::Put(name, entry) => self.put(name, entry, |_| true),
             Change::Removed(name) => {
@@ -313,12 +334,11 @@
 
     /// Removes an entry; while entries settle after an outage, one that was ready
     /// and may have lapsed is only noted as missing.
-    fn remove(&mut self, name: Endpoint, settling: Option<Duration>, now: Duration) -> bool {
+    fn remove(&mut self, name: Endpoint, settling: Option<Settling>, now: Duration) -> bool {
         let settling = settling.filter(|_| !self.back.contains(&name));
         let ready = self.directory.entries.get(&name).is_some_and(Entry::is_ready);
-        if let Some(settled) = settling.filter(|_| ready) {
-            let is_first_news = now + SETTLE <= settled + FIRST_NEWS;
-            let until = if is_first_news { settled } else { settled.min(now + RENEWAL) };
+        if let Some(settling) = settling.filter(|_| ready) {
+            let until = settling.kept_until(now);
             self.missing
                 .entry(name)
                 .and_modify(|known| *known = until.min(*known))
@@ -332,7 +352,7 @@
 
     /// Gives up entries that are not back in time; true when any was.
     pub fn settle(&mut self, now: Duration) -> bool {
-        if self.settling.is_some_and(|until| until <= now) {
+        if self.settling.is_some_and(|settling| settling.until <= now) {
             self.settling = None;
             self.back.clear();
         }
--- a/crates/core/src/gateway/outage.rs
+++ b/crates/core/src/gateway/outage.rs
@@ -48,6 +48,9 @@
 pub struct Outage {
     lost: Option<Duration>,
     returned: Option<Duration>,
+    // When a call last should have been answered and was not, and the same before the return.
+    failed: Option<Duration>,
+    away: Option<Duration>,
     // The newest answers of the platform to anyone that are known of.
     answers: BTreeSet<Duration>,
     // Whether it answered another gateway in the midst of the outage.
@@ -66,13 +69,25 @@
         }
     }
 
+    /// Takes in that a call should have been answered at a time, and was not.
+    pub fn failed(&mut self, due: Duration) {
+        self.failed = self.failed.max(Some(due));
+    }
+
     /// Takes in that the platform answers this gateway again.
     pub fn end(&mut self, now: Duration) {
         if self.lost.is_some() && self.returned.is_none() {
             self.returned = Some(now);
+            self.away = self.failed.map(|failed| failed.min(now));
         }
     }
 
+    /// When the platform was last known to be away before the return.
+    #[must_use]
+    pub fn away(&self) -> Option<Duration> {
+        self.away
+    }
+
     /// Takes in that the platform answered this gateway. Who lost it as well and is
     /// answered sooner than others does not tell them: it was not away for them only.
     pub fn answered(&mut self, now: Duration) {
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -29,8 +29,9 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(120);
 
 /// How long to stay away after a failure, at most: news must not come late once
-/// the platform is back.
-const LAST_BACKOFF: Duration = Duration::from_millis(900);
+/// the platform is back, and entries that lapsed have 2 s from its return to be back of the
+/// 2.85 s for which they are kept from the last failure on.
+const LAST_BACKOFF: Duration = Duration::from_millis(500);
 
 /// How often the time to stay away is doubled at most.
 const MOST_DOUBLINGS: u32 = 4;
@@ -237,12 +238,16 @@
                 }
             }
             Asked::Failed(error) => {
-                watch.fail(clock.now());
+                let due = clock.now();
+                watch.fail(due);
+                knowledge.platform_failed(due);
                 tell_failure(&*source, &knowledge, &watch, &error);
                 sleep(backoff(&error, watch.failures())).await;
             }
             Asked::Silent(limit) => {
-                watch.fail(clock.now().saturating_sub(MARGIN));
+                let due = clock.now().saturating_sub(MARGIN);
+                watch.fail(due);
+                knowledge.platform_failed(due);
                 let error = Error::Unavailable(format!("no answer within {limit:?}"));
                 tell_failure(&*source, &knowledge, &watch, &error);
                 if revision.is_some() && watch.failures() == 1 {
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -247,6 +247,11 @@
         self.keep(from, |keeper| keeper.apply(fact.revision, fact.value, now))
     }
 
+    /// Takes in that the platform should have answered a call at a time, and has not.
+    pub fn platform_failed(&self, due: Duration) {
+        self.lock().outage.failed(due);
+    }
+
     /// Takes in that the platform has not answered since a time.
     pub fn platform_lost(&self, since: Duration) {
         self.lock().outage.lose(since);
@@ -266,7 +271,8 @@
         state.outage.end(now);
         // Each kind of fact is read again at its own time; entries return from the first on.
         if let Some(at) = state.outage.returned().filter(|_| !state.outage.is_own()) {
-            state.keeper.returned(at);
+            let away = state.outage.away().unwrap_or(at);
+            state.keeper.returned(at, away);
         }
     }
 
--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -39,7 +39,7 @@
         put("c", "10.0.0.3:1", State::Leaving),
     ];
     keeper.apply(Revision(1), all, ms(0));
-    keeper.returned(ms(1000));
+    keeper.returned(ms(1000), ms(1000));
     keeper.replace(Revision(2), Directory::default(), ms(1100));
     assert_eq!(listed(&keeper), ["a", "b"], "whoever was about to leave is gone");
     keeper.apply(Revision(3), vec![put("a", "10.0.0.1:1", State::Ready)], ms(2000));
@@ -89,7 +89,7 @@
     for keeper in [&mut one, &mut other] {
         keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
     }
-    one.returned(ms(1000));
+    one.returned(ms(1000), ms(1000));
     one.apply(Revision(3), vec![Change::Removed("a".into())], ms(1000));
     tell(&one, &mut other, 1100);
     assert_eq!(listed(&other), ["a"], "it may be back");
@@ -108,7 +108,7 @@
         keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
     }
     other.apply(Revision(2), vec![Change::Removed("a".into())], ms(900));
-    one.returned(ms(1000));
+    one.returned(ms(1000), ms(1000));
     one.apply(Revision(3), vec![Change::Removed("a".into())], ms(1000));
     tell(&one, &mut other, 1100);
     assert!(listed(&other).is_empty(), "its own word of the removal stands");
@@ -121,7 +121,7 @@
         keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
     }
     other.apply(Revision(2), vec![put("a", "10.0.0.1:1", State::Leaving)], ms(900));
-    one.returned(ms(1000));
+    one.returned(ms(1000), ms(1000));
     one.apply(Revision(3), vec![Change::Removed("a".into())], ms(1000));
     tell(&one, &mut other, 1100);
     assert!(listed(&other).is_empty(), "it has left");
@@ -131,7 +131,7 @@
 fn a_gateway_that_knows_nothing_yet_takes_what_another_keeps() {
     let (mut one, mut other) = (Keeper::default(), Keeper::default());
     one.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
-    one.returned(ms(1000));
+    one.returned(ms(1000), ms(1000));
     one.apply(Revision(3), vec![Change::Removed("a".into())], ms(1000));
     tell(&one, &mut other, 1100);
     assert_eq!(listed(&other), ["a"], "it may be back");
@@ -142,7 +142,7 @@
 fn an_entry_that_came_back_after_an_outage_and_goes_is_gone_at_once() {
     let mut keeper = Keeper::default();
     keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
-    keeper.returned(ms(1000));
+    keeper.returned(ms(1000), ms(1000));
     keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1000));
     keeper.apply(Revision(3), vec![put("a", "10.0.0.1:1", State::Ready)], ms(1500));
     assert!(keeper.apply(Revision(4), vec![Change::Removed("a".into())], ms(1600)));
@@ -191,7 +191,7 @@
     let (mut one, mut other) = (Keeper::default(), Keeper::default());
     for keeper in [&mut one, &mut other] {
         keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
-        keeper.returned(ms(1000));
+        keeper.returned(ms(1000), ms(1000));
         keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1000));
     }
     tell(&one, &mut other, 1100);
@@ -212,7 +212,7 @@
         put("c", "10.0.0.3:1", State::Ready),
     ];
     keeper.apply(Revision(1), all, ms(0));
-    keeper.returned(ms(1000));
+    keeper.returned(ms(1000), ms(1000));
     keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1010));
     keeper.apply(Revision(3), vec![Change::Removed("b".into())], ms(1500));
     assert!(!keeper.settle(ms(2900)));
@@ -226,7 +226,7 @@
 fn an_entry_that_lapsed_some_time_after_the_return_and_is_back_stays() {
     let mut keeper = Keeper::default();
     keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
-    keeper.returned(ms(1000));
+    keeper.returned(ms(1000), ms(1000));
     keeper.apply(Revision(2), vec![Change::Removed("a".into())], ms(1500));
     keeper.apply(Revision(3), vec![put("a", "10.0.0.1:1", State::Ready)], ms(2600));
     assert!(!keeper.settle(ms(3100)));
@@ -239,7 +239,7 @@
     let (mut one, mut other) = (Keeper::default(), Keeper::default());
     for keeper in [&mut one, &mut other] {
         keeper.apply(Revision(1), vec![put("a", "10.0.0.1:1", State::Ready)], ms(0));
-        keeper.returned(ms(1000));
+        keeper.returned(ms(1000), ms(1000));
     }
     one.apply(Revision(2), vec![Change::Removed("a".into())], ms(1500));
     other.replace(one.revision(), one.tell(ms(1600)), ms(1600));
@@ -286,7 +286,7 @@
     let mut keeper = Keeper::default();
     let all = [put("a", "10.0.0.1:1", State::Ready), put("b", "10.0.0.2:1", State::Ready)];
     keeper.apply(Revision(1), all, ms(0));
-    keeper.returned(ms(1000));
+    keeper.returned(ms(1000), ms(1000));
     assert!(keeper.apply(Revision(2), [Change::Unusable("a".into())], ms(1010)));
     assert_eq!(listed(&keeper), ["b"]);
     let list = Directory { unusable: ["b".into()].into(), ..Directory::default() };
@@ -295,7 +295,7 @@
     // Others hear of it as well, and do not take it for lapsed either.
     let mut other = Keeper::default();
     other.apply(Revision(1), [put("b", "10.0.0.2:1", State::Ready)], ms(0));
-    other.returned(ms(1000));
+    other.returned(ms(1000), ms(1000));
     tell(&keeper, &mut other, 1030);
     assert_eq!(listed(&other), [""; 0]);
     keeper.apply(Revision(4), [put("b", "10.0.0.2:1", State::Ready)], ms(1040));
@@ -313,3 +313,15 @@
     keeper.apply(Revision(3), [put("b", "10.0.0.1:1", State::Ready)], ms(200));
     assert!(!listed(&keeper).contains(&"a".to_owned()), "one of a known service does");
 }
+
+// The return is noticed up to 1.2 s late; an endpoint that left may get nothing 3 s after it.
+#[test]
+fn what_lapsed_is_kept_by_when_the_platform_was_last_known_to_be_away() {
+    let mut keeper = Keeper::default();
+    keeper.apply(Revision(1), [put("a", "10.0.0.1:1", State::Ready)], ms(0));
+    keeper.returned(ms(2200), ms(1000));
+    keeper.apply(Revision(2), [Change::Removed("a".into())], ms(2210));
+    assert!(!keeper.settle(ms(3700)));
+    assert!(keeper.settle(ms(3900)), "and not until 2.2 s after the return, at 4400");
+    assert_eq!(listed(&keeper), [""; 0]);
+}
--- a/tests/testsuite/gateway/outage.rs
+++ b/tests/testsuite/gateway/outage.rs
@@ -108,3 +108,18 @@
     assert_eq!(outage.returned(), None);
     assert!(!outage.is_own());
 }
+
+#[test]
+fn it_tells_when_the_platform_was_last_known_to_be_away_before_the_return() {
+    let mut outage = Outage::default();
+    outage.failed(ms(3000));
+    outage.lose(ms(2000));
+    outage.failed(ms(4000));
+    outage.failed(ms(3500));
+    assert_eq!(outage.away(), None);
+    outage.end(ms(5000));
+    assert_eq!(outage.away(), Some(ms(4000)));
+    outage.failed(ms(5500));
+    outage.end(ms(6000));
+    assert_eq!(outage.away(), Some(ms(4000)), "what fails later is of another one");
+}
