Who was at an end has the store keep what is held back, and the line of a request names it

Cause (by reading): the gateway that saw the last of three ends may know of none of the others yet, and learns with the rest that the request is held back; then nobody wrote it to the store.

Change: whoever was at one of the ends writes it when it learns of the hold. A refused request's line has the fingerprint.

--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -91,6 +91,8 @@
     cause: Cause,
     sent: Moment,
     broke: Moment,
+    // Whether this gateway saw it.
+    own: bool,
 }
 
 impl End {
@@ -227,6 +229,9 @@
     pub is_news: bool,
     /// The requests that are held back from now on.
     pub held: Vec<Fingerprint>,
+    /// Those of them at whose ends this gateway was: it has them kept, since whoever saw
+    /// the last end may not know of the others.
+    pub witnessed: Vec<Fingerprint>,
 }
 
 /// Whether a request may be sent.
@@ -267,6 +272,7 @@
             cause: Cause::Endpoint(Key::of(crash.endpoint.as_str()).as_u64()),
             sent: Moment::at(crash.sent),
             broke: Moment::at(crash.broke),
+            own: true,
         };
         self.forget(now);
         self.end(fingerprint, end)
@@ -292,7 +298,7 @@
             // As if they had come one after the other, the last one now.
             let broke = Moment(Moment::at(now).0 - (ENDS as i64 - 1 - number) * 2 * SAME_MS);
             let sent = Moment(broke.0 - SAME_MS);
-            End { id: key, cause: Cause::Endpoint(key), sent, broke }
+            End { id: key, cause: Cause::Endpoint(key), sent, broke, own: false }
         });
         if self.suspects.get(&fingerprint).is_some_and(Suspect::is_held) {
             return false;
@@ -323,7 +329,7 @@
             return Admission::Held(hold - passed);
         }
         let (sent, broke) = (Moment::at(now), Moment::at(now));
-        suspect.end(End { id, cause: Cause::Trial, sent, broke });
+        suspect.end(End { id, cause: Cause::Trial, sent, broke, own: true });
         Admission::Trial
     }
 
@@ -354,10 +360,14 @@
             for end in &told.ends {
                 let ToldEnd { id, cause, sent, broke } = *end;
                 let (sent, broke) = (Moment::ago(sent, now), Moment::ago(broke, now));
-                let news = self.end(told.fingerprint, End { id, cause, sent, broke });
+                let news = self.end(told.fingerprint, End { id, cause, sent, broke, own: false });
                 merged.is_news |= news != News::Known;
                 if news == News::Held {
                     merged.held.push(told.fingerprint);
+                    let suspect = self.suspects.get(&told.fingerprint);
+                    if suspect.is_some_and(|suspect| suspect.ends.iter().any(|end| end.own)) {
+                        merged.witnessed.push(told.fingerprint);
+                    }
                 }
             }
         }
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -67,6 +67,7 @@
     let mut sends = Sends::default();
     let (why, come_back) = loop {
         if let Some(left) = context.holds_back(&asked) {
+            record.held_back(asked.fingerprint());
             break (Why::EndsEndpoints, left);
         }
         let chosen = match sends.choose(context, &asked, &mut record) {
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::attempt::Fate;
+use cinderspoke_core::gateway::fingerprint::Fingerprint;
 use cinderspoke_core::gateway::name::{Endpoint, Request};
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_ports::gateway::Misfit;
@@ -58,6 +59,8 @@
     candidates: usize,
     sends: u32,
     resumes: u32,
+    // What it is known by, where it was held back.
+    held_back: Option<Fingerprint>,
     first: Option<Duration>,
     status: Option<StatusCode>,
     why: &'static str,
@@ -82,6 +85,7 @@
             candidates: 0,
             sends: 0,
             resumes: 0,
+            held_back: None,
             first: None,
             status: None,
             why: "",
@@ -104,6 +108,11 @@
         self.sends += 1;
     }
 
+    /// Takes in that it may not be sent, as endpoints end under it.
+    pub fn held_back(&mut self, fingerprint: Fingerprint) {
+        self.held_back = Some(fingerprint);
+    }
+
     /// Takes in that no endpoint was chosen.
     pub fn found_none(&mut self, members: usize, candidates: usize, best: Option<Duration>) {
         self.candidates = candidates;
@@ -194,6 +203,7 @@
             total_ms = self.arrived.elapsed().as_millis() as u64,
             sends = self.sends,
             resumes = self.resumes,
+            fingerprint = self.held_back.map(|fingerprint| fingerprint.to_string()),
             "request"
         );
     }
--- a/src/cinderspoke/gateway/suspects.rs
+++ b/src/cinderspoke/gateway/suspects.rs
@@ -168,6 +168,9 @@
         for fingerprint in &merged.held {
             tracing::info!(%fingerprint, "a request is held back, as other gateways tell");
         }
+        for fingerprint in &merged.witnessed {
+            self.suspects().due.tell(*fingerprint, true);
+        }
         if merged.is_news {
             self.tell_others();
         }
--- a/tests/testsuite/gateway/suspect.rs
+++ b/tests/testsuite/gateway/suspect.rs
@@ -248,3 +248,20 @@
     assert!(two.hear(&one.tell(11_010), 11_020));
     assert!(two.passes(fatal(), 11_030));
 }
+
+// Whoever saw the last end may not know of those before, and who knows of all may only have
+// been told of it: one of those at the ends has the store keep it.
+#[test]
+fn whoever_was_at_an_end_has_what_is_held_back_kept() {
+    let (mut one, mut two, mut three) =
+        (Gateway::new("one", 0), Gateway::new("two", 0), Gateway::new("three", 0));
+    one.crash(fatal(), "e1", 100, 500);
+    one.crash(fatal(), "e2", 505, 1000);
+    assert_eq!(two.crash(fatal(), "e3", 1005, 1500), News::New, "it knows of one end");
+    let told = [one.tell(1510), two.tell(1510)].concat();
+    for (gateway, witnessed) in [(&mut one, true), (&mut two, true), (&mut three, false)] {
+        let merged = gateway.table.merge(&told, ms(1520));
+        assert_eq!(merged.held, [fatal()]);
+        assert_eq!(!merged.witnessed.is_empty(), witnessed);
+    }
+}
