Only a success clears a request under which endpoints ended

Cause (by reading): a faulty endpoint fails part of whatever it is asked, without beginning it. Such a failure cleared a request that ends endpoints, and three more had to end each time.

Change: only a success that came whole clears it.

--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -81,7 +81,9 @@
         let sent = context.clock.now();
         let (fate, failure) = match attempt(context, &asked, &chosen, &mut record).await {
             Attempt::Whole(response) => {
-                context.was_answered(&asked);
+                if response.status().is_success() {
+                    context.was_served(&asked);
+                }
                 record.answered(response.status());
                 return response.map(whole);
             }
@@ -91,9 +93,6 @@
             Attempt::Failed(fate, failure) => (fate, failure),
         };
         record.failed_send(&chosen.target.name, fate);
-        if fate == Fate::Failed {
-            context.was_answered(&asked);
-        }
         if fate == Fate::BrokenOff {
             crash::look_into(context, &asked, &chosen.target, sent).await;
         }
--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -91,7 +91,7 @@
                     if let Some(live) = self.live.take() {
                         live.finish();
                     }
-                    self.context.was_answered(&self.asked);
+                    self.context.was_served(&self.asked);
                     self.record.answered(self.status);
                     return None;
                 }
--- a/src/cinderspoke/gateway/suspects.rs
+++ b/src/cinderspoke/gateway/suspects.rs
@@ -99,10 +99,11 @@
         self.knowledge.admit(asked.fingerprint())
     }
 
-    /// Takes in that an endpoint answered a request: it does not end those that begin it.
-    pub fn was_answered(&self, asked: &Asked) {
+    /// Takes in that an endpoint served a request: it does not end those that begin it. A
+    /// failure would not show that, since some endpoints fail whatever they are asked.
+    pub fn was_served(&self, asked: &Asked) {
         if self.knowledge.suspects().any() {
-            self.knowledge.was_answered(asked.fingerprint());
+            self.knowledge.was_served(asked.fingerprint());
         }
     }
 }
@@ -123,14 +124,14 @@
         news
     }
 
-    /// Takes in that a request was answered.
-    fn was_answered(&self, fingerprint: Fingerprint) {
+    /// Takes in that a request was served.
+    fn was_served(&self, fingerprint: Fingerprint) {
         let news = self.suspects().answered(fingerprint, self.clock().now());
         if news == News::Released {
             self.suspects().due.tell(fingerprint, false);
         }
         if news != News::Known {
-            tracing::info!(%fingerprint, "a suspected request was answered");
+            tracing::info!(%fingerprint, "a suspected request was served");
             self.tell_others();
         }
     }
