Logs tell what endpoints say in their answers: that they leave, and how long they want to rest

Ruled out: nothing yet. No decision is another one than before: what the head of an answer says is read and logged ('an endpoint says that it leaves' once for each endpoint and gateway, 'rest_ms' where one refuses a request).

Conclusion: the tests that come next can tell what was heard from what was heeded.

--- a/crates/ports/src/gateway/dialect.rs
+++ b/crates/ports/src/gateway/dialect.rs
@@ -47,6 +47,10 @@
     pub signed: bool,
     /// The version of the weights.
     pub version: Option<Version>,
+    /// Whether the endpoint says that it is about to leave.
+    pub leaves: bool,
+    /// For how long the endpoint wants no more requests from whoever sent this one.
+    pub rest: Option<Duration>,
 }
 
 /// How requests and answers are spelled on the wire.
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -48,17 +48,16 @@
         Ok(answer) => answer,
         Err(fate) => return Attempt::Failed(fate, None),
     };
-    let said = context.dialect.answer(&answer.head);
-    if said.request.as_ref() != Some(&asked.call.id) {
+    if answer.said.request.as_ref() != Some(&asked.call.id) {
         // The answer of another request, or none of an endpoint: nothing is known of ours.
         return lost(context, &chosen.target);
     }
-    if said.not_run {
+    if answer.said.not_run {
         refused(context, asked, answer).await;
         return Attempt::Failed(Fate::Refused, None);
     }
     let success = answer.head.status.is_success();
-    if is_encoded(&answer.head) || (success && !said.signed) {
+    if is_encoded(&answer.head) || (success && !answer.said.signed) {
         return lost(context, &chosen.target);
     }
     if success && asked.route.kind.streams() {
@@ -99,7 +98,7 @@
 
 /// Reads an answer whole.
 async fn read(context: &Context, asked: &Asked, answer: Answer) -> Attempt {
-    let Answer { head, body, connection, sent } = answer;
+    let Answer { head, body, connection, sent, .. } = answer;
     let read = asked.end.bound(Limited::new(body, MOST_HELD).collect()).await;
     let body = match read {
         Ok(Ok(body)) => body,
--- a/src/cinderspoke/gateway/passing.rs
+++ b/src/cinderspoke/gateway/passing.rs
@@ -181,11 +181,10 @@
     async fn go_on(&self, chosen: &Chosen, last: u64) -> Result<Box<Live>, Fate> {
         let until = begins_until(&self.context, &self.asked, chosen, SILENCE);
         let answer = send(&self.context, &self.asked, chosen, Some(last), &until).await?;
-        let said = self.context.dialect.answer(&answer.head);
-        if said.request.as_ref() != Some(&self.asked.call.id) {
+        if answer.said.request.as_ref() != Some(&self.asked.call.id) {
             return Err(Fate::Lost);
         }
-        if said.not_run {
+        if answer.said.not_run {
             refused(&self.context, &self.asked, answer).await;
             return Err(Fate::Refused);
         }
@@ -193,7 +192,7 @@
             // What follows would not be the rest of what the caller has.
             return Err(Fate::Lost);
         }
-        if !answer.head.status.is_success() || !said.signed {
+        if !answer.head.status.is_success() || !answer.said.signed {
             return Err(Fate::Failed);
         }
         let (_, live) = Live::new(answer);
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use cinderspoke_core::gateway::attempt::Fate;
 use cinderspoke_core::gateway::health::Sign;
-use cinderspoke_ports::gateway::Sending;
+use cinderspoke_ports::gateway::{AnswerHead, Sending};
 use http::{HeaderMap, Request, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -80,6 +80,8 @@
 pub struct Answer {
     /// Its head.
     pub head: response::Parts,
+    /// What its head says.
+    pub said: AnswerHead,
     /// Its body, of which nothing was read yet.
     pub body: Incoming,
     /// The connection that it comes over.
@@ -119,7 +121,11 @@
     match until.bound(connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
-            Ok(Answer { head, body, connection, sent })
+            let said = context.dialect.answer(&head);
+            if said.leaves && target.says_that_it_leaves() {
+                tracing::info!(id = %asked.call.id, endpoint = %target.name, "an endpoint says that it leaves");
+            }
+            Ok(Answer { head, said, body, connection, sent })
         }
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
@@ -184,13 +190,14 @@
 
 /// Takes in that an endpoint has refused a request without running it.
 pub async fn refused(context: &Context, asked: &Asked, answer: Answer) {
-    let Answer { head, body, connection, sent } = answer;
+    let Answer { head, said, body, connection, sent } = answer;
     let target = &sent.target;
     target.rest(context.clock.now());
     tracing::info!(
         id = %asked.call.id,
         endpoint = %target.name,
         status = head.status.as_u16(),
+        rest_ms = said.rest.map(|rest| rest.as_millis() as u64),
         "an endpoint refused a request"
     );
     if let Ok(Ok(_)) = timeout(REFUSAL, Limited::new(body, MOST_HELD).collect()).await {
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -60,7 +60,7 @@
     /// The stream of an answer of which only the head was read, and that head.
     #[must_use]
     pub fn new(answer: Answer) -> (response::Parts, Self) {
-        let Answer { head, body, connection, sent } = answer;
+        let Answer { head, body, connection, sent, .. } = answer;
         let keep = keep_alive(&head.headers);
         let (splitter, ready, ended) = (Splitter::default(), None, false);
         (head, Self { sent, body, connection, keep, splitter, ready, ended })
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -25,6 +25,8 @@
     pub health: Health,
     /// Until when it is left alone after it refused a request.
     pub rests_until: Duration,
+    /// Whether it has said in an answer that it is about to leave.
+    pub leaves: bool,
 }
 
 /// An endpoint with its connections, kept from one view to the next.
@@ -69,6 +71,11 @@
         self.tracking().rests_until = now + REST;
     }
 
+    /// Takes in that an answer says that it is about to leave; true when that is news.
+    pub fn says_that_it_leaves(&self) -> bool {
+        !std::mem::replace(&mut self.tracking().leaves, true)
+    }
+
     /// Takes in how a request ended.
     pub fn sign(&self, sign: Sign, now: Duration) {
         if self.tracking().health.record(sign, now) {
