--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -33,6 +33,10 @@
         .long("fatal")
         .action(ArgAction::SetTrue)
         .help("Have a request come again and again that ends each endpoint that begins it");
+    let notices = Arg::new("notices")
+        .long("notices")
+        .action(ArgAction::SetTrue)
+        .help("Have endpoints ask for rest, and say that they leave before the store knows it");
     let programs = Arg::new("programs")
         .long("programs")
         .value_name("DIR")
@@ -46,7 +50,7 @@
         .help("Where settings and logs are kept; else they are removed at the end");
     Command::new("soak")
         .about("Run the real programs on loopback while links, processes and the store fail")
-        .args([seed(), seconds, gateways, engines, fatal, programs, out])
+        .args([seed(), seconds, gateways, engines, fatal, notices, programs, out])
         .after_help(
             "The same seed plays the same faults. Fails when a promise is broken that no \
              fault accounts for.\n\n\
@@ -65,6 +69,7 @@
         gateways: number("gateways") as usize,
         engines: number("engines") as usize,
         fatal: matches.get_flag("fatal"),
+        notices: matches.get_flag("notices"),
         programs: path("programs").unwrap_or_default(),
         out: path("out").unwrap_or_else(|| temporary.path().to_owned()),
     };
--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cinderspoke_stand_ins::request::{READY, answered, is_signed, question, without_versions};
+use cinderspoke_stand_ins::request::{
+    READY, answered, is_of_leaving, question, signed_by, without_versions,
+};
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind};
 use cinderspoke_test_support::oracle::judge::{LATE, MARGIN};
 use http::header::HOST as HOST_HEADER;
@@ -149,7 +151,12 @@
         Ok::<_, hyper::Error>((head.status.as_u16(), head.headers, collect(body).await))
     };
     let end = match timeout(patience, exchange).await {
-        Ok(Ok((status, headers, Some(body)))) => checked(&id, &path, status, &headers, &body),
+        Ok(Ok((status, headers, Some(body)))) => {
+            if let Some(endpoint) = signed_by(&headers).filter(|_| is_of_leaving(&headers)) {
+                shared.oracle.says_that_it_leaves(endpoint, gateway);
+            }
+            checked(&id, &path, status, &headers, &body)
+        }
         Ok(Ok((_, _, None))) => End::Cut,
         Ok(Err(error)) if error.is_canceled() => {
             shared.oracle.withdrawn(&id);
@@ -176,7 +183,7 @@
 
 /// What is wrong with an answer that came whole.
 fn checked(id: &str, path: &str, status: u16, headers: &HeaderMap, body: &Bytes) -> End {
-    let (signed, answered) = (is_signed(headers), answered(headers));
+    let (signed, answered) = (signed_by(headers).is_some(), answered(headers));
     let expected = if is_stream(path) { events(id) } else { answer(id) };
     let got = String::from_utf8_lossy(body);
     let wrong = if status == 200 && !signed {
--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::Result;
@@ -42,15 +42,40 @@
     pub(crate) service: &'static str,
     pub(crate) link: Arc<Proxy>,
     pub(crate) engine: Option<Arc<Engine>>,
+    pub(crate) notice: Arc<Notice>,
     ended: Arc<AtomicBool>,
 }
 
+/// What an endpoint says in its answers besides them.
+#[derive(Debug, Default)]
+pub(crate) struct Notice {
+    leaves: AtomicBool,
+    rest: Mutex<Option<Duration>>,
+}
+
+impl Notice {
+    /// Says from now on that it leaves.
+    pub(crate) fn leave(&self) {
+        self.leaves.store(true, Ordering::SeqCst);
+    }
+
+    /// Turns requests away from now on, and asks for so long a rest; takes them with none.
+    pub(crate) fn set_rest(&self, rest: Option<Duration>) {
+        *self.rest.lock().unwrap_or_else(PoisonError::into_inner) = rest;
+    }
+
+    fn rest(&self) -> Option<Duration> {
+        *self.rest.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 #[derive(Clone)]
 struct Shared {
     name: String,
     oracle: Oracle,
     engine: Option<Arc<Engine>>,
     working: Arc<AtomicUsize>,
+    notice: Arc<Notice>,
     ended: Arc<AtomicBool>,
     link: Arc<Proxy>,
 }
@@ -89,7 +114,7 @@
         engine: Option<Arc<Engine>>,
         oracle: &Oracle,
     ) -> Result<Self> {
-        let ended = Arc::new(AtomicBool::new(false));
+        let (notice, ended) = (Arc::<Notice>::default(), Arc::new(AtomicBool::new(false)));
         let inner = address::free()?;
         let link = Arc::new(Proxy::spawn(address::free()?, inner).await?);
         let shared = Shared {
@@ -97,6 +122,7 @@
             oracle: oracle.clone(),
             engine: engine.clone(),
             working: Arc::default(),
+            notice: Arc::clone(&notice),
             ended: Arc::clone(&ended),
             link: Arc::clone(&link),
         };
@@ -106,7 +132,7 @@
         }
         let listener = TcpListener::bind(inner).await?;
         tokio::spawn(async move { axum::serve(listener, app).await });
-        Ok(Self { name, service, link, engine, ended })
+        Ok(Self { name, service, link, engine, notice, ended })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -200,6 +226,15 @@
 }
 
 async fn serve(State(shared): State<Shared>, request: Request<Body>) -> Response<Body> {
+    let notice = Arc::clone(&shared.notice);
+    let mut answer = work(shared, request).await;
+    if notice.leaves.load(Ordering::SeqCst) {
+        request::leave(answer.headers_mut());
+    }
+    answer
+}
+
+async fn work(shared: Shared, request: Request<Body>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let arrival = Arrival::read(&head.headers);
     if head.uri.path() == request::HEALTH {
@@ -217,7 +252,8 @@
     let working = shared.working.fetch_add(1, Ordering::SeqCst);
     let closed = shared.engine.as_ref().is_some_and(|engine| !engine.begin());
     let full = working >= SLOTS || closed;
-    let ran = !(other || older || full);
+    let rest = shared.notice.rest().filter(|_| !other);
+    let ran = !(other || older || full || rest.is_some());
     let run = Run {
         endpoint: shared.name.clone(),
         came: shared.oracle.now(),
@@ -228,14 +264,21 @@
         wrong: differs(&arrival, &body),
     };
     let work = shared.oracle.came(&id, run);
+    if let Some(rest) = rest {
+        shared.oracle.rests(&shared.name, &id, rest);
+    }
     let engine = shared.engine.clone().filter(|_| !closed);
     let ended = Arc::clone(&shared.ended);
     let cuts = engine.as_ref().map(|engine| engine.cuts());
     let mut place = Place { working: Arc::clone(&shared.working), ended, engine, cuts, work };
     let answered = request::answer(&id, version);
     if !ran {
-        let status = if other || older { 421 } else { 503 };
-        return with(request::not_run(answered), status, Body::empty());
+        let refusal = request::not_run(answered);
+        let (status, refusal) = match rest {
+            Some(rest) => (503, request::rest(refusal, rest)),
+            None => (if other || older { 421 } else { 503 }, refusal),
+        };
+        return with(refusal, status, Body::empty());
     }
     let path = head.uri.path();
     let pace = Pace::of(path);
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -63,6 +63,8 @@
     pub(crate) engines: usize,
     // Whether a request comes again and again that ends endpoints.
     pub(crate) fatal: bool,
+    // Whether endpoints ask for rest, and say that they leave before the store knows it.
+    pub(crate) notices: bool,
     pub(crate) programs: PathBuf,
     pub(crate) out: PathBuf,
 }
@@ -116,7 +118,11 @@
 
 async fn soak(options: &Options, programs: &Path, out: &Path, console: Console) -> Result<Summary> {
     let mut random = ChaCha8Rng::seed_from_u64(options.seed);
-    let steps = plan::plan(&mut random, options.length);
+    let mut steps = plan::plan(&mut random, options.length);
+    if options.notices {
+        random.set_stream(CALLERS + 2);
+        steps.extend(plan::notices(&mut random, options.length));
+    }
     let mut world = World::spawn(programs, out, options.gateways, options.engines).await?;
     let start = world.oracle.now();
     let mut others = JoinSet::new();
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -8,6 +8,7 @@
 use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind, Whom};
 use cinderspoke_test_support::oracle::fatal;
 use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
+use cinderspoke_test_support::oracle::notice::{Arrival, Notices};
 use tokio::time::Instant;
 
 /// How long an attempt that is over is kept: what comes of it later is seen until then.
@@ -19,6 +20,7 @@
     facts: Facts,
     // Arrivals of the request that ends endpoints.
     fatal: Vec<fatal::Arrival>,
+    notices: Notices,
     breaches: Vec<Breach>,
     requests: u64,
     succeeded: u64,
@@ -107,9 +109,15 @@
     pub(crate) fn came(&self, id: &str, run: Run) -> Work {
         let mut number = 0;
         let mut state = self.lock();
+        let state = &mut *state;
         match state.attempts.get_mut(id) {
             Some(attempt) => {
                 number = attempt.runs.len();
+                let (endpoint, came) = (run.endpoint.as_str(), run.came);
+                let arrival =
+                    Arrival { endpoint, gateway: attempt.gateway, sent: attempt.sent, came };
+                let disturbances = &state.facts.disturbances;
+                state.breaches.extend(state.notices.judge(arrival, &self.bounds, disturbances));
                 attempt.runs.push(run);
             }
             None => {
@@ -122,6 +130,21 @@
         Work { oracle: self.clone(), id: id.to_owned(), number }
     }
 
+    /// An endpoint turns the gateway of an attempt away, and asks it for rest.
+    pub(crate) fn rests(&self, endpoint: &str, id: &str, rest: Duration) {
+        let now = self.now();
+        let state = &mut *self.lock();
+        if let Some(attempt) = state.attempts.get(id) {
+            state.notices.rests(endpoint, attempt.gateway, now, rest);
+        }
+    }
+
+    /// A gateway has passed on an answer that says that its endpoint leaves.
+    pub(crate) fn says_that_it_leaves(&self, endpoint: &str, gateway: usize) {
+        let now = self.now();
+        self.lock().notices.leaves(endpoint, gateway, now);
+    }
+
     /// The request that ends endpoints reaches one.
     pub(crate) fn fatal(&self, arrival: fatal::Arrival) {
         self.lock().fatal.push(arrival);
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -26,6 +26,8 @@
     Drain,
     /// An endpoint's entry goes, and it ends later.
     Entry,
+    /// An endpoint says in its answers that it leaves, and the store takes it later.
+    Notice,
     /// New weights are named.
     Version,
     /// A route comes, and an older one goes.
@@ -57,6 +59,8 @@
     Freeze(Duration),
     /// A program is told to read its settings again.
     Reload,
+    /// An endpoint turns requests away for a time, and asks for so long a rest.
+    Rest(Duration, Duration),
     News(News),
 }
 
@@ -90,6 +94,29 @@
 /// Milliseconds that a fault lasts.
 const LASTS: Range<u64> = 300..4000;
 
+/// Milliseconds between two things that endpoints say in their answers.
+const NOTICES: Range<u64> = 1000..5000;
+
+/// Milliseconds of a rest that an endpoint asks for.
+const REST: Range<u64> = 800..5000;
+
+/// Lays out what endpoints say in their answers during a soak.
+pub(crate) fn notices(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = FIRST;
+    while at < length {
+        let lasts = Duration::from_millis(random.random_range(LASTS));
+        let rest = Duration::from_millis(random.random_range(REST));
+        let fault = match random.random_bool(0.5) {
+            true => Fault::Rest(lasts, rest),
+            false => Fault::News(News::Notice),
+        };
+        steps.push(Step { at, fault, seed: random.random() });
+        at += Duration::from_millis(random.random_range(NOTICES));
+    }
+    steps
+}
+
 /// Lays out the faults of a soak.
 pub(crate) fn plan(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
     let mut steps = Vec::new();
--- a/crates/bench/src/soak/player.rs
+++ b/crates/bench/src/soak/player.rs
@@ -16,7 +16,7 @@
 
 use super::caller;
 use super::configuration::{BOUNDS, GRACE};
-use super::endpoint::Endpoint;
+use super::endpoint::{Endpoint, Notice};
 use super::engine::MODEL;
 use super::plan::{Fault, Links, News, Step};
 use super::program::Signal;
@@ -25,6 +25,9 @@
 /// Seconds that an endpoint which leaves goes on to serve beyond what it owes.
 const LONGER_S: std::ops::Range<f64> = 0.5..12.0;
 
+/// Seconds from an answer that says that an endpoint leaves until the store takes that.
+const UNTOLD_S: std::ops::Range<f64> = 0.5..12.0;
+
 /// How long a program that ended stays away.
 const AWAY: Duration = Duration::from_millis(300);
 
@@ -39,6 +42,10 @@
     Strike(Fault, u64),
     /// The endpoint that left ends.
     End(Box<Endpoint>),
+    /// The store takes that the endpoint leaves.
+    Tell(Box<Endpoint>),
+    /// An endpoint takes requests again.
+    Rested(Arc<Notice>),
     /// A link is well again.
     Mend(Arc<Proxy>, usize),
     /// The store is well again.
@@ -108,6 +115,8 @@
         match due {
             Due::Strike(..) => {}
             Due::End(endpoint) => endpoint.end(),
+            Due::Tell(endpoint) => self.tell_of(world, endpoint),
+            Due::Rested(notice) => notice.set_rest(None),
             Due::Mend(link, number) => {
                 link.delay(Duration::ZERO);
                 link.cut(None);
@@ -179,6 +188,14 @@
             Fault::Term | Fault::Kill | Fault::Freeze(_) | Fault::Reload => {
                 return self.strike_program(world, fault).await;
             }
+            Fault::Rest(length, rest) => {
+                let number = self.random.random_range(0..world.endpoints.len());
+                let endpoint = &world.endpoints[number];
+                let (name, notice) = (endpoint.name.clone(), Arc::clone(&endpoint.notice));
+                notice.set_rest(Some(rest));
+                self.later(world, length, Due::Rested(notice));
+                return Ok(Some(name));
+            }
             Fault::News(news) => return self.tell(world, news).await.map(Some),
         }
         Ok(Some(all))
@@ -254,7 +271,7 @@
     /// Has the store take news; gives the name of what is new or leaves.
     async fn tell(&mut self, world: &mut World, news: News) -> Result<String> {
         let name = match news {
-            News::Drain | News::Entry => self.leave(world, news).await?,
+            News::Drain | News::Entry | News::Notice => self.leave(world, news).await?,
             News::Version => {
                 world.named += 1;
                 world.store.put(spec::VERSIONS, MODEL, spec::named(MODEL, world.named));
@@ -296,14 +313,35 @@
         let endpoint = world.endpoints.remove(plain.unwrap_or(0));
         let name = endpoint.name.clone();
         match news {
-            News::Drain => world.store.put(spec::ENDPOINTS, &name, endpoint.entry(true)),
-            _ => world.store.remove(spec::ENDPOINTS, &name),
+            News::Entry => {
+                world.store.remove(spec::ENDPOINTS, &name);
+                self.end_later(world, Box::new(endpoint));
+            }
+            News::Notice => {
+                endpoint.notice.leave();
+                let untold = Duration::from_secs_f64(self.random.random_range(UNTOLD_S));
+                self.later(world, untold, Due::Tell(Box::new(endpoint)));
+            }
+            _ => {
+                endpoint.notice.leave();
+                self.tell_of(world, Box::new(endpoint));
+            }
         }
-        world.oracle.leaves(&name);
-        let longer = Duration::from_secs_f64(self.random.random_range(LONGER_S));
-        self.later(world, BOUNDS.drain + longer, Due::End(Box::new(endpoint)));
         Ok(name)
     }
+
+    /// Has the store take that an endpoint leaves.
+    fn tell_of(&mut self, world: &mut World, endpoint: Box<Endpoint>) {
+        world.store.put(spec::ENDPOINTS, &endpoint.name, endpoint.entry(true));
+        self.end_later(world, endpoint);
+    }
+
+    /// Has an endpoint end of which the store knows that it leaves.
+    fn end_later(&mut self, world: &mut World, endpoint: Box<Endpoint>) {
+        world.oracle.leaves(&endpoint.name);
+        let longer = Duration::from_secs_f64(self.random.random_range(LONGER_S));
+        self.later(world, BOUNDS.drain + longer, Due::End(endpoint));
+    }
 }
 
 impl World {
--- a/crates/test-support/src/oracle/judge.rs
+++ b/crates/test-support/src/oracle/judge.rs
@@ -46,6 +46,10 @@
     Whole,
     /// A request under which endpoints end is held back.
     HeldBack,
+    /// An endpoint whose answer says that it leaves gets nothing later than allowed.
+    Noticed,
+    /// An endpoint that asks a gateway for rest gets it.
+    Rest,
 }
 
 /// A promise that was not kept.
