Tests of what endpoints say: lists, other gateways, agents, runs, streams, rests across entries

What they ask: that no list, entry or start of another gateway undoes a word of leaving; that an agent's word counts for the run that is listed only; that another run of the same name begins anew; that streams begun before end whole; that a rest outlasts its entry, holds for resumed streams, and is told to callers, bounded by what they can wait.

Also: a second look at what an endpoint said just before a request is written is taken back: connecting takes 0.4 s at most, within what may be on its way, so that no test can show it.

--- a/crates/bench/tests/testsuite/judge.rs
+++ b/crates/bench/tests/testsuite/judge.rs
@@ -5,7 +5,8 @@
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind, Run};
 use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind as Fault, Whom};
 use cinderspoke_test_support::oracle::fatal::{self, Arrival};
-use cinderspoke_test_support::oracle::judge::{Bounds, Facts, Promise, Span, judge};
+use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
+use cinderspoke_test_support::oracle::notice::{self, Notices};
 
 const BOUNDS: Bounds = Bounds {
     contact: Duration::from_secs(3),
@@ -272,3 +273,40 @@
     let sent = [(1, 0), (2, 1), (3, 0), (10, 0), (11, 0), (12, 0), (16, 1)];
     assert!(!held_back(&sent, &facts));
 }
+
+/// Requests that reach an endpoint over one gateway, sent at these seconds after it told
+/// the gateway that it leaves and that it wants 3 s of rest; gives what is broken.
+fn after_notice(sent: &[f64], disturbances: &[Disturbance]) -> Vec<(Promise, bool)> {
+    let mut notices = Notices::default();
+    notices.leaves("e1", 0, at(10.0));
+    notices.rests("e1", 0, at(10.0), at(3.0));
+    let arrival = |sent: &f64| notice::Arrival {
+        endpoint: "e1",
+        gateway: 0,
+        sent: at(10.0 + sent),
+        came: at(10.002 + sent),
+    };
+    let broken = |breach: Breach| (breach.promise, breach.excused);
+    let judged = sent.iter().map(|sent| notices.judge(arrival(sent), &BOUNDS, disturbances));
+    judged.flatten().map(broken).collect()
+}
+
+#[test]
+fn an_endpoint_that_leaves_or_rests_may_get_what_is_on_its_way() {
+    assert!(after_notice(&[0.0, 0.1, 0.2, 0.4, 0.6, 1.9], &[]).is_empty());
+    assert_eq!(after_notice(&[0.6, 0.7, 1.9], &[]), [(Promise::Rest, false)]);
+    assert_eq!(after_notice(&[0.6, 0.7, 0.8, 0.9], &[]).len(), 1, "each rest is told once");
+    assert!(after_notice(&[2.2], &[]).is_empty());
+    assert_eq!(after_notice(&[2.4], &[]), [(Promise::Noticed, false)]);
+    assert_eq!(after_notice(&[3.1, 3.2, 3.3], &[]).len(), 3, "the rest is over, and it leaves");
+}
+
+#[test]
+fn a_gateway_that_started_again_may_have_forgotten_what_endpoints_said() {
+    let killed = struck(Fault::Kill, Whom::Gateway(0), 11.0, Some(11.5));
+    assert_eq!(after_notice(&[5.0], &[killed]), [(Promise::Noticed, true)]);
+    let other = struck(Fault::Kill, Whom::Gateway(1), 11.0, Some(11.5));
+    assert_eq!(after_notice(&[5.0], &[other]), [(Promise::Noticed, false)]);
+    let store = struck(Fault::Store, Whom::All, 9.0, Some(20.0));
+    assert_eq!(after_notice(&[5.0], &[store]), [(Promise::Noticed, false)]);
+}
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -114,10 +114,6 @@
             return Err(Fate::NotSent);
         }
     };
-    // It may have said since it was chosen that it wants none: a connection takes 0.4 s.
-    if !target.takes_requests(context.clock.now()) {
-        return Err(Fate::NotSent);
-    }
     let sent = Sent::new(context, asked, chosen);
     let request = request(context, asked, chosen, after);
     let stale = stale_after(asked, chosen).filter(|_| rested);
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod link;
 mod listing;
 mod load;
+mod notice;
 mod outage;
 mod overload;
 mod patience;
--- /dev/null
+++ b/tests/testsuite/gateway/notice.rs
@@ -0,0 +1,104 @@
+//! What endpoints say of themselves, as one gateway keeps it and tells others.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cinderspoke_core::gateway::directory::{Entry, Start, State};
+use cinderspoke_core::gateway::notice::{Run, Table, Told};
+
+use super::ms;
+
+/// Longer than it is kept of runs that no list names.
+const LONG: Duration = Duration::from_secs(601);
+
+fn entry(port: u16, start: Option<Start>) -> Entry {
+    Entry {
+        service: "s".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], port)),
+        zone: "z".into(),
+        slots: 4,
+        state: State::Ready,
+        models: Vec::new(),
+        reports_models: false,
+        start,
+    }
+}
+
+fn run(name: &str) -> Run {
+    Run::of(&name.into(), &entry(80, None))
+}
+
+#[test]
+fn a_run_is_told_by_name_address_and_start_and_by_nothing_else() {
+    let of = |name: &str, port, start: Option<u64>| {
+        Run::of(&name.into(), &entry(port, start.map(Start)))
+    };
+    let first = of("e", 80, Some(1));
+    for other in
+        [of("f", 80, Some(1)), of("e", 81, Some(1)), of("e", 80, Some(2)), of("e", 80, None)]
+    {
+        assert_ne!(first, other);
+    }
+    let changed = Entry { slots: 9, state: State::Leaving, ..entry(80, Some(Start(1))) };
+    assert_eq!(first, Run::of(&"e".into(), &changed));
+}
+
+#[test]
+fn what_one_gateway_hears_another_one_learns_once() {
+    let (mut one, mut other) = (Table::default(), Table::default());
+    assert!(one.leaves(run("e"), ms(1000)));
+    assert!(!one.leaves(run("e"), ms(2000)), "it is no news twice");
+    let told = one.tell([run("e"), run("f")], ms(3000));
+    assert_eq!(told.len(), 1);
+    assert_eq!(other.merge(&told, ms(50)), [run("e")]);
+    assert!(other.merge(&told, ms(60)).is_empty());
+    assert!(other.is_leaving(run("e")) && !other.is_leaving(run("f")));
+}
+
+#[test]
+fn nothing_is_told_of_what_the_list_says_itself() {
+    let mut table = Table::default();
+    table.leaves(run("e"), ms(0));
+    assert!(table.tell([run("f")], ms(1)).is_empty(), "e is not ready in the list");
+}
+
+#[test]
+fn it_is_forgotten_long_after_the_last_list_that_names_it_and_no_telling_renews_it() {
+    let mut table = Table::default();
+    table.leaves(run("e"), ms(0));
+    table.forget(|run_listed| run_listed == run("e"), LONG);
+    assert!(table.is_leaving(run("e")), "it is listed still");
+    let told: Vec<Told> = table.tell([run("e")], LONG);
+    table.forget(|_| false, ms(1000));
+    assert!(table.is_leaving(run("e")), "its entry may come back");
+    let mut other = Table::default();
+    other.merge(&told, LONG);
+    other.forget(|_| false, LONG);
+    assert!(!other.is_leaving(run("e")), "it counts from when it was said");
+}
+
+#[test]
+fn a_rest_is_made_longer_and_never_shorter() {
+    let mut table = Table::default();
+    table.rests(run("e"), ms(3000));
+    table.rests(run("e"), ms(2000));
+    assert_eq!(table.rests_until(run("e")), ms(3000));
+    table.rests(run("e"), ms(4000));
+    table.forget(|_| false, ms(3999));
+    assert_eq!(table.rests_until(run("e")), ms(4000));
+    table.forget(|_| true, ms(4000));
+    assert_eq!(table.rests_until(run("e")), ms(0));
+}
+
+#[test]
+fn more_than_can_be_kept_or_told_leaves_out_the_oldest() {
+    let mut table = Table::default();
+    let names: Vec<_> = (0..5000).map(|number| run(&number.to_string())).collect();
+    for (number, name) in (0..).zip(&names) {
+        table.leaves(*name, ms(number));
+    }
+    assert!(!table.is_leaving(names[0]) && table.is_leaving(names[4999]));
+    let told = table.tell(names.iter().copied(), ms(5000));
+    assert!(told.len() < 64, "{} are too many for a datagram", told.len());
+    assert_eq!(told[0].run, names[4999]);
+}
--- a/tests/testsuite/gateway/pick.rs
+++ b/tests/testsuite/gateway/pick.rs
@@ -139,3 +139,26 @@
         assert_eq!(choice, Choice::Send { number: 17, first: ms(50) });
     }
 }
+
+// Callers wait for at most a third of what they have, and another gateway may have room.
+#[yare::parameterized(
+    soon = { ms(5), ms(300), ms(600) },
+    in_a_while = { ms(1500), ms(1500), ms(1800) },
+    long_after = { Duration::from_secs(60), ms(2000), ms(2300) },
+)]
+fn who_finds_only_endpoints_that_rest_comes_back_when_the_first_has_rested(
+    left: Duration,
+    least: Duration,
+    most: Duration,
+) {
+    let mut times = BTreeSet::new();
+    for spread in 0..64 {
+        let wish = Wish { rest: Some(left), weightless: true, spread: spread * 16, ..wish(ms(0)) };
+        let Choice::Refuse { come_back, best: None } = pick(&wish, &[]) else {
+            panic!("there is none to send to")
+        };
+        assert!(come_back >= least && come_back <= most, "{come_back:?}");
+        times.insert(come_back);
+    }
+    assert!(times.len() > 32, "they would all come at once");
+}
