The time that a platform names with 429 is kept, where 1 s or 0.3 s was waited

Ruled out: taking 503 in the same way from the store: that counts as an outage, by which entries are kept; it has its own waits.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -9,7 +9,7 @@
 use axum::body::Body;
 use bytes::Bytes;
 use displaydoc::Display;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Limited};
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -36,7 +36,7 @@
     /// no answer came from {0} within {1:?}
     Timeout(SocketAddr, Duration),
     /// {0} answered {1}: {2}
-    Status(SocketAddr, StatusCode, String),
+    Status(SocketAddr, StatusCode, String, Option<Duration>),
     /// the answer of {0} cannot be read: {1}
     Body(SocketAddr, String),
 }
@@ -48,10 +48,33 @@
     #[must_use]
     pub fn status(&self) -> Option<StatusCode> {
         match self {
-            Self::Status(_, status, _) => Some(*status),
+            Self::Status(_, status, ..) => Some(*status),
             _ => None,
         }
     }
+
+    /// After how long whoever answered wants to be asked again, if it said so.
+    #[must_use]
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Status(.., retry_after) => *retry_after,
+            _ => None,
+        }
+    }
+}
+
+/// The longest time that is read as one to stay away: as good as for ever, and sums with it
+/// can be counted.
+const LONGEST: Duration = Duration::from_secs(86_400);
+
+/// After how long the sender of an answer wants to be asked again: seconds, fractions of
+/// them too. A time of day instead is not read, since clocks step.
+#[must_use]
+pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_time = seconds > 0.0;
+    is_time.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST).min(LONGEST))
 }
 
 /// What carries requests to other processes.
@@ -194,7 +217,8 @@
         if head.status.is_success() {
             return Ok(Response::from_parts(head, bytes));
         }
-        Err(Error::Status(address, head.status, String::from_utf8_lossy(&bytes).into_owned()))
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        Err(Error::Status(address, head.status, text, retry_after(&head.headers)))
     }
 }
 
--- a/src/cinderspoke/ops/client.rs
+++ b/src/cinderspoke/ops/client.rs
@@ -63,7 +63,7 @@
         let call = Call::new(Method::POST, self.address, "/v1/apply");
         let answer = self.client.fetch_json(call.json(request).timeout(APPLY_TIMEOUT)).await;
         answer.map_err(|error| match &error {
-            Error::Status(_, _, body) => match serde_json::from_str::<Problem>(body) {
+            Error::Status(_, _, body, _) => match serde_json::from_str::<Problem>(body) {
                 Ok(problem) => {
                     Refused::Problem { title: problem.title.clone(), problem: Box::new(problem) }
                 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod gateway;
 mod kills;
 mod late;
+mod limits;
 mod memory;
 mod once;
 mod operations;
