What another gateway tells is read for as long as it comes

Cause: a gateway's word had 1.2 s on the whole; a large configuration takes longer over a link that weights share, and was then asked for again from its beginning.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::{sleep, timeout};
 
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -181,8 +182,12 @@
     /// Sends a request and reads the whole answer, as `fetch` does, with its head.
     async fn fetch_whole(&self, call: Call) -> Result<Response<Bytes>, Error> {
         let (address, limit) = (call.address, call.timeout);
+        let (pause, progress) = (call.pause, call.progress.clone());
         let exchange = self.exchange(call);
-        tokio::time::timeout(limit, exchange).await.map_err(|_| Error::Timeout(address, limit))?
+        tokio::select! {
+            answer = timeout(limit, exchange) => answer.map_err(|_| Error::Timeout(address, limit))?,
+            () = stalled(&progress, pause) => Err(Error::Timeout(address, pause)),
+        }
     }
 
     /// Sends a request and reads the answer as JSON.
@@ -246,6 +251,15 @@
     }
 }
 
+/// Waits until nothing of an answer, or nothing more of it, has come for so long.
+async fn stalled(progress: &Progress, pause: Duration) {
+    let mut before = None;
+    while before != Some(progress.bytes()) {
+        before = Some(progress.bytes());
+        sleep(pause).await;
+    }
+}
+
 /// A request with a whole answer.
 #[derive(Debug)]
 pub struct Call {
@@ -256,6 +270,7 @@
     body: Body,
     limit: usize,
     timeout: Duration,
+    pause: Duration,
     progress: Progress,
 }
 
@@ -277,6 +292,7 @@
             body: Body::empty(),
             limit: DEFAULT_LIMIT,
             timeout: DEFAULT_TIMEOUT,
+            pause: Duration::MAX,
             progress: Progress::default(),
         }
     }
@@ -318,6 +334,13 @@
         self.header("content-type", "application/json").body(Body::from(bytes))
     }
 
+    /// Sets for how long nothing of the answer may come, or nothing more.
+    #[must_use]
+    pub fn pause(mut self, pause: Duration) -> Self {
+        self.pause = pause;
+        self
+    }
+
     /// Has the answer counted as it comes.
     #[must_use]
     pub fn progress(mut self, progress: &Progress) -> Self {
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -45,8 +45,12 @@
 /// How long after a round of telling news to all the next one may begin.
 const PUSH_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long another gateway may take to tell what it knows.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1200);
+/// How long another gateway may take to begin to tell what it knows, and pause in it: a
+/// configuration with thousands of routes takes seconds over a link that weights share.
+const FETCH_PAUSE: Duration = Duration::from_millis(1200);
+
+/// How long it may take on the whole: another one may have a link that is clear.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How many gateways a digest names at most.
 const NAMED_GATEWAYS: usize = 24;
@@ -187,8 +191,8 @@
             "/v1/facts?configuration={}&directory={}&directory_hash={}",
             known.configuration, known.directory.0, known.directory_hash,
         );
-        let answer =
-            self.client.fetch(Call::get(from, path).alone().timeout(FETCH_TIMEOUT)).await?;
+        let call = Call::get(from, path).alone().pause(FETCH_PAUSE).timeout(FETCH_TIMEOUT);
+        let answer = self.client.fetch(call).await?;
         let facts: Facts = postcard::from_bytes(&answer).context("reading facts")?;
         if let Some(configuration) = facts.configuration {
             self.knowledge.configured(configuration, "gateway");
