--- a/crates/core/src/gateway/pick.rs
+++ b/crates/core/src/gateway/pick.rs
@@ -42,7 +42,8 @@
 /// be answered with: those come in seconds, not sooner.
 const WEIGHTLESS: (Duration, Duration) = (Duration::from_millis(1200), Duration::from_millis(2000));
 
-/// Within how long after a rest the callers come back that were refused in it.
+/// Within how long after a rest the callers come back that were refused in it: all at once
+/// they would have the endpoint ask for the next one.
 const RESTED: Duration = Duration::from_millis(300);
 
 /// The least and the most time after which a refused caller is to come back: its aim is
--- a/src/cinderspoke/gateway/notices.rs
+++ b/src/cinderspoke/gateway/notices.rs
@@ -20,7 +20,8 @@
     /// 1.5 s to one that wants none for so long, of two endpoints each.
     pub fn heed(&self, asked: &Asked, target: &Arc<Target>, said: &AnswerHead) {
         if said.leaves && !target.leaves() {
-            tracing::info!(id = %asked.call.id, endpoint = %target.name, "an endpoint says that it leaves");
+            let (id, endpoint) = (&asked.call.id, &target.name);
+            tracing::info!(%id, %endpoint, "an endpoint says that it leaves");
             self.knowledge.leaves(target.run, "answer");
         }
         if let Some(rest) = said.rest {
