--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -9,7 +9,8 @@
 
 use super::ms;
 
-fn entry(address: &str, state: State) -> Entry {
+/// An endpoint of a service as it is listed.
+pub(super) fn entry(address: &str, state: State) -> Entry {
     Entry {
         service: "say".into(),
         address: address.parse().unwrap(),
--- a/tests/testsuite/gateway/notice.rs
+++ b/tests/testsuite/gateway/notice.rs
@@ -1,45 +1,39 @@
 //! What endpoints say of themselves, as one gateway keeps it and tells others.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use cinderspoke_core::gateway::directory::{Entry, Start, State};
 use cinderspoke_core::gateway::notice::{Run, Table, Told};
 
+use super::directory::entry;
 use super::ms;
 
 /// Longer than it is kept of runs that no list names.
 const LONG: Duration = Duration::from_secs(601);
 
-fn entry(port: u16, start: Option<Start>) -> Entry {
-    Entry {
-        service: "s".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], port)),
-        zone: "z".into(),
-        slots: 4,
-        state: State::Ready,
-        models: Vec::new(),
-        reports_models: false,
-        start,
-    }
+fn started(address: &str, start: Option<u64>) -> Entry {
+    Entry { start: start.map(Start), ..entry(address, State::Ready) }
 }
 
 fn run(name: &str) -> Run {
-    Run::of(&name.into(), &entry(80, None))
+    Run::of(&name.into(), &started("10.0.0.1:80", None))
 }
 
 #[test]
 fn a_run_is_told_by_name_address_and_start_and_by_nothing_else() {
-    let of = |name: &str, port, start: Option<u64>| {
-        Run::of(&name.into(), &entry(port, start.map(Start)))
-    };
-    let first = of("e", 80, Some(1));
-    for other in
-        [of("f", 80, Some(1)), of("e", 81, Some(1)), of("e", 80, Some(2)), of("e", 80, None)]
-    {
+    let of = |name: &str, address, start| Run::of(&name.into(), &started(address, start));
+    let (here, there) = ("10.0.0.1:80", "10.0.0.1:81");
+    let first = of("e", here, Some(1));
+    let others = [
+        of("f", here, Some(1)),
+        of("e", there, Some(1)),
+        of("e", here, Some(2)),
+        of("e", here, None),
+    ];
+    for other in others {
         assert_ne!(first, other);
     }
-    let changed = Entry { slots: 9, state: State::Leaving, ..entry(80, Some(Start(1))) };
+    let changed = Entry { slots: 9, state: State::Leaving, ..started(here, Some(1)) };
     assert_eq!(first, Run::of(&"e".into(), &changed));
 }
 
