Logs and metrics tell how far a configuration is behind, and what it cost to learn it

Added: `a newer configuration is known`, `configuration drawn` (source, bytes, took_ms), `an answer was given up midway`, `behind_ms` on `configuration in force`; a counter of bytes by source and a gauge of how long a newer one has been known. No decision is changed.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! - What is known: [`catalog`] holds the configuration in force, [`directory`]
 //!   the endpoints as the platform lists them, [`rollout`] the versions that
 //!   models are to have, and [`timeline`] for how long they have been named. Each
-//!   is a [`fact`] that only a newer one replaces. [`outage`] tells whether the
+//!   is a [`fact`] that only a newer one replaces; [`lag`] says how far the
+//!   configuration is behind. [`outage`] tells whether the
 //!   platform was away for all or for this gateway only.
 //! - Where a request goes: [`load`] estimates what endpoints are busy with
 //!   by what agents tell each gateway in its [`turn`], the [`tally`] of what all
@@ -33,6 +34,7 @@
 pub mod fingerprint;
 pub mod gossip;
 pub mod health;
+pub mod lag;
 pub mod link;
 pub mod listing;
 pub mod load;
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -17,7 +17,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// How long connecting may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -236,18 +236,32 @@
 /// How much of an answer has come: whoever waits for it can tell one that is on its way
 /// from none. Clones count the same answer.
 #[derive(Debug, Clone, Default)]
-pub struct Progress(Arc<AtomicU64>);
+pub struct Progress(Arc<Arrived>);
+
+#[derive(Debug, Default)]
+struct Arrived {
+    bytes: AtomicU64,
+    // When the first of them came.
+    began: OnceLock<Instant>,
+}
 
 impl Progress {
     /// How many bytes of it have come.
     #[must_use]
     pub fn bytes(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+        self.0.bytes.load(Ordering::Relaxed)
+    }
+
+    /// How long ago the first of it came; zero if nothing has.
+    #[must_use]
+    pub fn took(&self) -> Duration {
+        self.0.began.get().map_or(Duration::ZERO, Instant::elapsed)
     }
 
     /// Takes in that more of it has come.
     pub fn advance(&self, bytes: usize) {
-        self.0.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.0.began.get_or_init(Instant::now);
+        self.0.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 }
 
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -8,6 +8,7 @@
 use cinderspoke_core::gateway::catalog::Catalog;
 use cinderspoke_core::gateway::directory::{Directory, Entry, Keeper};
 use cinderspoke_core::gateway::fact::Fact;
+use cinderspoke_core::gateway::lag::Lag;
 use cinderspoke_core::gateway::name::{Endpoint, Service};
 use cinderspoke_core::gateway::notice::{self, Run};
 use cinderspoke_core::gateway::outage::Outage;
@@ -26,6 +27,8 @@
 pub struct Belief {
     /// The configuration; none before the first.
     pub configuration: Fact<Option<Arc<Catalog>>>,
+    /// How far it is behind what is known to be.
+    pub lag: Lag,
     /// The versions that models are to have.
     pub rollout: Rollout,
     /// For how long they have been named.
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::draw;
 use super::knowledge::Knowledge;
 use crate::util::clock::Clock;
 use crate::util::settings::inner_address;
@@ -115,8 +116,9 @@
 }
 
 impl Configuration {
-    fn learn(&self, fact: Fact<Option<Declared>>) {
+    fn learn(&self, fact: Fact<Option<Declared>>, progress: &Progress) {
         if let Some(declared) = fact.value {
+            draw::came(STORE, STORE, declared.version, progress);
             self.0.knowledge.configured(Fact::new(fact.revision, declared), STORE);
         }
     }
@@ -130,7 +132,8 @@
 
     async fn read(&self, progress: &Progress) -> Result<Answer<'_>, Error> {
         let read = self.0.registry.configuration(progress).await?;
-        Ok(Box::new(move |_| Some(take(read, |fact| self.learn(fact)))))
+        let progress = progress.clone();
+        Ok(Box::new(move |_| Some(take(read, |fact| self.learn(fact, &progress)))))
     }
 
     async fn watch(
@@ -140,7 +143,8 @@
         progress: &Progress,
     ) -> Result<Answer<'_>, Error> {
         let seen = self.0.registry.watch_configuration(after, wait, progress).await?;
-        Ok(Box::new(move |_| take_news(seen, |fact| self.learn(fact))))
+        let progress = progress.clone();
+        Ok(Box::new(move |_| take_news(seen, |fact| self.learn(fact, &progress))))
     }
 }
 
@@ -269,6 +273,7 @@
                 let due = clock.now();
                 watch.fail(due);
                 knowledge.platform_failed(due);
+                draw::given_up(source.name(), &progress);
                 tell_failure(&*source, &knowledge, &watch, &error);
                 sleep(backoff(&error, watch.failures())).await;
             }
@@ -285,7 +290,10 @@
                 late.push_back(call);
                 late.drain(..late.len().saturating_sub(LATE_CALLS));
             }
-            Asked::Overtaken => watch.give_up(),
+            Asked::Overtaken => {
+                draw::given_up(source.name(), &progress);
+                watch.give_up();
+            }
         }
     }
 }
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -179,15 +179,39 @@
         }
         let services = fact.value.backends.iter().map(|backend| backend.service.clone());
         state.keeper.declared(services.collect());
+        let now = self.clock.now();
+        state.lag.hear(version, now);
+        let behind_ms = state.lag.behind(before, now).as_millis() as u64;
         let revision = fact.revision.max(state.configuration.revision);
         state.configuration = Fact::new(revision, Some(Arc::new(fact.value.into())));
         self.show(&mut state);
         drop(state);
-        tracing::info!(version, before, from, "configuration in force");
+        tracing::info!(version, before, from, behind_ms, "configuration in force");
         self.changes.raise();
         true
     }
 
+    /// Takes in that a version of the configuration is there, as a gateway says.
+    pub fn heard_of_configuration(&self, version: u64, from: SocketAddr) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let in_force = state.version();
+        if !state.lag.hear(version, now) {
+            return;
+        }
+        drop(state);
+        if version > in_force {
+            tracing::info!(version, in_force, %from, "a newer configuration is known");
+        }
+    }
+
+    /// For how long a newer configuration than the one in force has been known to be.
+    #[must_use]
+    pub fn configuration_behind(&self) -> Duration {
+        let state = self.lock();
+        state.lag.behind(state.version(), self.clock.now())
+    }
+
     /// Takes in what the store says of named versions. What a process finds when
     /// it first reads the store may have been named long before it started; what
     /// the store did not say before was named just now, or at some time since the
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! - [`knowledge`] keeps the facts of its [`belief`] and shows them to requests
 //!   in a [`view`]; what it asks of decisions is in [`terms`].
 //! - [`follow`] learns facts from the platform; [`relay`] learns them from other
-//!   gateways, and tells those and [`agents`] of them in a [`message`]. What
+//!   gateways ([`draw`] counts what configurations cost), and tells those and [`agents`] of them in a [`message`]. What
 //!   agents have to know is a [`plan`]; of what is [`outstanding`] at their engines
 //!   they are told as it changes.
 //! - [`serve`] takes callers' requests, whose [`head`] has to come in time, and
@@ -25,6 +25,7 @@
 pub mod choose;
 pub mod context;
 pub mod crash;
+pub mod draw;
 pub mod follow;
 pub mod forward;
 pub mod head;
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -20,17 +20,20 @@
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_schema::settings;
 use http::StatusCode;
+use metrics::gauge;
 use serde::Deserialize;
 use tokio::net::UdpSocket;
 use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
+use super::draw;
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
 use super::outstanding;
 use super::plan::Planner;
-use crate::util::http::{Call, Client};
+use crate::util::http::{Call, Client, Progress};
+use crate::util::metrics::CONFIGURATION_BEHIND;
 use crate::util::settings::inner_address;
 use crate::util::stop;
 
@@ -142,6 +145,7 @@
         }
         self.knowledge.met(from, true);
         self.meet(others);
+        self.knowledge.heard_of_configuration(known.configuration, from);
         let own = self.knowledge.known();
         self.knowledge.told_ages(&known.ages, "gateway");
         self.knowledge.told_suspects(&known.suspects);
@@ -191,10 +195,12 @@
             "/v1/facts?configuration={}&directory={}&directory_hash={}",
             known.configuration, known.directory.0, known.directory_hash,
         );
+        let progress = Progress::default();
         let call = Call::get(from, path).alone().pause(FETCH_PAUSE).timeout(FETCH_TIMEOUT);
-        let answer = self.client.fetch(call).await?;
+        let answer = self.client.fetch(call.progress(&progress)).await?;
         let facts: Facts = postcard::from_bytes(&answer).context("reading facts")?;
         if let Some(configuration) = facts.configuration {
+            draw::came("gateway", &from.to_string(), configuration.value.version, &progress);
             self.knowledge.configured(configuration, "gateway");
         }
         if let Some(directory) = facts.directory.filter(|list| list.revision > known.directory) {
@@ -263,6 +269,8 @@
                 0 => self.knowledge.terms().seeds.clone(),
                 count => vec![others[rand::random_range(0..count)]],
             };
+            let behind = self.knowledge.configuration_behind();
+            gauge!(CONFIGURATION_BEHIND).set(behind.as_secs_f64());
             let digest = self.digest();
             for target in targets {
                 send(&self.socket, target, &digest).await;
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -23,6 +23,12 @@
 /// The generation of the configuration in force.
 pub const GENERATION: &str = "cinderspoke_generation";
 
+/// Bytes drawn to learn configurations, by source.
+pub const CONFIGURATION_DRAWN: &str = "cinderspoke_configuration_drawn_bytes_total";
+
+/// For how long a newer configuration than the one in force has been known to be, in seconds.
+pub const CONFIGURATION_BEHIND: &str = "cinderspoke_configuration_behind_seconds";
+
 /// Collects the process's metrics; the handle gives the text that scrapes read.
 ///
 /// # Errors
