A configuration goes over each link once or twice, and what differs between gateways

Callers saw: requests handled by configurations that had been replaced over 3 s before, and 404 for routes that were there, at all gateways of regions in which the store is not. Cause: each gateway drew all of each configuration for itself over the one link between two regions: 18 x 290 kB for each version, one a second, over 3 MB/s; what did not come in time was drawn again beside itself, from the store and from gateways near or far. Class: what all need is drawn by each, over a link that all share; the cost grows with the square of the fleet. Change: by rank, two gateways of each region (four where there is one region) wait for the store's news, the next ones take over where those are silent or unanswered; the others have it from their own region, ask another one by turns where that has nothing, and read by themselves where they are left behind. Gateways tell what differs from the configuration that the asker holds, checked by a hash of the whole; whatever is overtaken on its way is given up; those that start have it from others before they read. Those who follow look by themselves every 3 s all together, in case all who read are deaf. Why it holds: the bytes over a link no longer depend on how many gateways a region has.

--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::difference::Hash;
 use super::name::{Model, Service, Team};
 
 /// Whether a request may run more than once, and what its answer is.
@@ -217,6 +218,7 @@
 // longest prefix first; `by_key` holds every key.
 pub struct Catalog {
     declared: Declared,
+    hash: Hash,
     by_host: HashMap<String, Vec<usize>>,
     by_key: HashMap<String, usize>,
 }
@@ -234,7 +236,8 @@
         for (number, tenancy) in declared.tenancies.iter().enumerate() {
             by_key.extend(tenancy.keys.iter().map(|key| (key.clone(), number)));
         }
-        Self { declared, by_host, by_key }
+        let hash = Hash::of(&declared);
+        Self { declared, hash, by_host, by_key }
     }
 }
 
@@ -245,6 +248,12 @@
         &self.declared
     }
 
+    /// Tells it apart from others.
+    #[must_use]
+    pub fn hash(&self) -> Hash {
+        self.hash
+    }
+
     /// The route of a host and path: the one with the longest prefix that fits.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -5,7 +5,8 @@
 //!   the endpoints as the platform lists them, [`rollout`] the versions that
 //!   models are to have, and [`timeline`] for how long they have been named. Each
 //!   is a [`fact`] that only a newer one replaces; [`lag`] says how far the
-//!   configuration is behind. [`outage`] tells whether the
+//!   configuration is behind, [`region`] who reads it and who asks whom for it, and
+//!   [`difference`] what of it is new. [`outage`] tells whether the
 //!   platform was away for all or for this gateway only.
 //! - Where a request goes: [`load`] estimates what endpoints are busy with
 //!   by what agents tell each gateway in its [`turn`], the [`tally`] of what all
@@ -28,6 +29,7 @@
 pub mod catalog;
 pub mod changeover;
 pub mod demand;
+pub mod difference;
 pub mod directory;
 pub mod event;
 pub mod fact;
@@ -43,6 +45,7 @@
 pub mod outage;
 pub mod patience;
 pub mod pick;
+pub mod region;
 pub mod rollout;
 pub mod suspect;
 pub mod tally;
--- a/crates/core/src/gateway/name.rs
+++ b/crates/core/src/gateway/name.rs
@@ -39,6 +39,13 @@
             }
         }
 
+        impl Default for $type {
+            /// The empty name, which nothing has.
+            fn default() -> Self {
+                "".into()
+            }
+        }
+
         impl Borrow<str> for $type {
             fn borrow(&self) -> &str {
                 &self.0
@@ -75,6 +82,10 @@
     /// An availability zone.
     Zone
 );
+name!(
+    /// A region of availability zones.
+    Region
+);
 name!(
     /// A team, as endpoints are told of it.
     Team
--- a/crates/core/src/gateway/watch.rs
+++ b/crates/core/src/gateway/watch.rs
@@ -13,6 +13,12 @@
 /// them: with three kinds of facts it is four calls a second, whatever their number.
 const ASK_EVERY: Duration = Duration::from_millis(750);
 
+/// How often all gateways that have news from others together look for them by themselves.
+///
+/// It is for the case that all who read are deaf at once. Each look at a moment at which
+/// there is news brings all of it over the link that the others were to spare.
+const LOOK_EVERY: Duration = Duration::from_secs(3);
+
 /// The least wait: a single gateway asks for each kind of fact twice a second at most.
 const LEAST_WAIT: Duration = Duration::from_millis(500);
 
@@ -85,6 +91,13 @@
         if self.amiss { LEAST_WAIT } else { wait(gateways, draw) }
     }
 
+    /// How long a gateway that has news from others lets pass until the next call, as
+    /// [`pause`] says, or a short time where something went amiss.
+    #[must_use]
+    pub fn pause(&self, gateways: usize, draw: f64) -> Duration {
+        if self.amiss { LEAST_WAIT } else { pause(gateways, draw) }
+    }
+
     /// Takes in that a call has failed, which should have been answered at a time.
     pub fn fail(&mut self, due: Duration) {
         if self.failures == 0 {
@@ -127,6 +140,14 @@
     }
 }
 
+/// How long a gateway that has news from others lets pass until it looks by itself, where so
+/// many do; `draw` is drawn evenly between 0 and 1.
+#[must_use]
+pub fn pause(gateways: usize, draw: f64) -> Duration {
+    let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+    (LOOK_EVERY.saturating_mul(gateways) * 2).mul_f64(draw.clamp(0.0, 1.0)).max(LEAST_WAIT)
+}
+
 /// How long a watch waits for news, where so many gateways share the asking; `draw` is
 /// drawn evenly between 0 and 1.
 ///
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -3,7 +3,7 @@
 use cinderspoke_types::digest::Digest;
 
 /// A name, hashed once so that ranking it costs little.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key(u64);
 
 impl Key {
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -1,17 +1,18 @@
 //! The facts behind a gateway's view.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cinderspoke_core::gateway::catalog::Catalog;
 use cinderspoke_core::gateway::directory::{Directory, Entry, Keeper};
-use cinderspoke_core::gateway::fact::Fact;
+use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::lag::Lag;
 use cinderspoke_core::gateway::name::{Endpoint, Service};
 use cinderspoke_core::gateway::notice::{self, Run};
 use cinderspoke_core::gateway::outage::Outage;
+use cinderspoke_core::gateway::region;
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::timeline::Timeline;
 use cinderspoke_core::rendezvous::Key;
@@ -19,6 +20,10 @@
 use super::message::Known;
 use super::target::Target;
 
+/// How many configurations that were replaced are kept: whoever is further behind is told
+/// the whole.
+const REPLACED: usize = 8;
+
 /// Facts as they came in, with what is needed to tell which are newer.
 // Invariants: `targets` holds the endpoints of the keeper's list at the
 // addresses that it names, `by_address` the same targets, and `directory_hash`
@@ -27,6 +32,10 @@
 pub struct Belief {
     /// The configuration; none before the first.
     pub configuration: Fact<Option<Arc<Catalog>>>,
+    /// Those that were in force before it, the oldest first: what differs is told by them.
+    pub replaced: VecDeque<Arc<Catalog>>,
+    /// What other gateways say of themselves.
+    pub region: region::Table,
     /// How far it is behind what is known to be.
     pub lag: Lag,
     /// The versions that models are to have.
@@ -59,6 +68,15 @@
         self.configuration.value.as_ref().map_or(0, |catalog| catalog.declared().version)
     }
 
+    /// Puts a configuration in force, at a revision of the store at which it is the newest.
+    pub fn put_in_force(&mut self, catalog: Arc<Catalog>, revision: Revision) {
+        let revision = revision.max(self.configuration.revision);
+        let now = Fact::new(revision, Some(catalog));
+        let before = std::mem::replace(&mut self.configuration, now);
+        self.replaced.extend(before.value);
+        self.replaced.drain(..self.replaced.len().saturating_sub(REPLACED));
+    }
+
     /// Keeps a target for each endpoint of the list.
     pub fn follow_directory(&mut self, now: Duration) {
         self.directory_hash = hash(self.keeper.directory());
@@ -96,6 +114,7 @@
     pub fn known(&self, now: Duration) -> Known {
         Known {
             configuration: self.version(),
+            configuration_revision: self.configuration.revision,
             ages: self.timeline.ages(now),
             directory: self.keeper.revision(),
             directory_hash: self.directory_hash,
--- /dev/null
+++ b/src/cinderspoke/gateway/facts.rs
@@ -0,0 +1,169 @@
+//! Asking another gateway for facts that it has and this one lacks, and telling them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use axum::extract::{Query, State};
+use bytes::Bytes;
+use cinderspoke_core::gateway::difference::{Hash, Misfit};
+use cinderspoke_core::gateway::fact::Revision;
+use cinderspoke_core::gateway::region::{Role, Step};
+use serde::Deserialize;
+use tokio::time::sleep;
+
+use super::draw;
+use super::message::{Facts, Known, pack};
+use super::relay::Relay;
+use crate::util::http::{Call, Progress};
+
+/// How long the store's own word on the list of endpoints is waited for before another
+/// gateway is asked: its news of endpoints gather a while.
+const OWN_LIST: Duration = Duration::from_millis(560);
+
+/// How long a gateway of another region may take to begin to tell what it knows, and pause
+/// in it: a configuration with thousands of routes takes seconds over a link that weights
+/// share.
+const FAR_PAUSE: Duration = Duration::from_millis(1200);
+
+/// The same of a gateway of the own region; after it, another one is asked.
+const NEAR_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long it may take on the whole: another one may have a link that is clear.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How long to wait at most until it is looked anew who has a configuration: a gateway of
+/// the own region may have it by then.
+const LOOK: Duration = Duration::from_millis(50);
+
+impl Relay {
+    /// Gets a newer configuration from another gateway, unless that is under way.
+    pub(super) fn draw_configuration(self: &Arc<Self>) {
+        if self.awaiting_configuration.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let relay = Arc::clone(self);
+        tokio::spawn(async move {
+            // What is told while this ends must not be waited for in vain.
+            while relay.knowledge.next_step(0.0) != Step::Rest {
+                relay.draw_from_others().await;
+            }
+            relay.awaiting_configuration.store(false, Ordering::SeqCst);
+        });
+    }
+
+    /// Asks one gateway after the other until none is known that has a newer configuration.
+    async fn draw_from_others(&self) {
+        loop {
+            let (gateway, pause) = match self.knowledge.next_step(rand::random()) {
+                Step::AskNear(gateway) => (gateway, NEAR_PAUSE),
+                Step::AskFar(gateway) => (gateway, FAR_PAUSE),
+                Step::Wait(time) => {
+                    sleep(time.min(LOOK)).await;
+                    continue;
+                }
+                Step::Rest => return,
+            };
+            self.knowledge.asked_gateway(gateway);
+            if self.knowledge.role() == Role::Reader {
+                // The store's own word should be here by now.
+                self.knowledge.doubt();
+            }
+            if let Err(error) = self.fetch(gateway, pause).await {
+                tracing::debug!(%gateway, error = format!("{error:#}"), "asking a gateway");
+            }
+        }
+    }
+
+    /// Asks a gateway for a newer list of endpoints, unless that comes by itself in time or
+    /// is waited for already.
+    pub(super) fn draw_list(self: &Arc<Self>, from: SocketAddr, known: &Known) {
+        if self.awaiting_list.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        let (relay, known) = (Arc::clone(self), known.clone());
+        tokio::spawn(async move {
+            sleep(OWN_LIST).await;
+            if knows_more(&known, &relay.knowledge.known()) {
+                relay.knowledge.doubt();
+                if let Err(error) = relay.fetch(from, FAR_PAUSE).await {
+                    tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
+                }
+            }
+            relay.awaiting_list.store(false, Ordering::SeqCst);
+        });
+    }
+
+    /// Asks a gateway for what it knows more; for the whole configuration where what differs
+    /// does not fit.
+    async fn fetch(&self, from: SocketAddr, pause: Duration) -> Result<()> {
+        let (_, held) = self.knowledge.configuration_held();
+        let facts = self.ask(from, pause, held).await?;
+        if let Err(misfit) = self.take_in(facts) {
+            tracing::warn!(%from, %misfit, "a configuration does not fit");
+            self.take_in(self.ask(from, pause, Hash::default()).await?)?;
+        }
+        Ok(())
+    }
+
+    /// Asks a gateway for what it knows more, with the hash of the configuration by which it
+    /// may tell the newer one.
+    async fn ask(&self, from: SocketAddr, pause: Duration, held: Hash) -> Result<Facts> {
+        let known = self.knowledge.known();
+        let path = format!(
+            "/v1/facts?configuration={}&configuration_hash={}&directory={}&directory_hash={}",
+            known.configuration, held.0, known.directory.0, known.directory_hash,
+        );
+        let progress = Progress::default();
+        let call = Call::get(from, path).alone().pause(pause).timeout(TIMEOUT);
+        let answer = self.client.fetch(call.progress(&progress)).await?;
+        let facts: Facts = postcard::from_bytes(&answer).context("reading facts")?;
+        if let Some(configuration) = &facts.configuration {
+            let version = configuration.value.version();
+            draw::came("gateway", &from.to_string(), version, &progress);
+        }
+        self.meet(facts.gateways.clone()).await;
+        Ok(facts)
+    }
+
+    /// Takes in what a gateway told.
+    fn take_in(&self, facts: Facts) -> Result<(), Misfit> {
+        let known = self.knowledge.known();
+        if let Some(directory) = facts.directory.filter(|list| list.revision > known.directory) {
+            self.knowledge.listed(directory, "gateway");
+        }
+        match facts.configuration {
+            Some(configuration) => self.knowledge.told_configuration(configuration),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Whether one knows something that the other does not.
+pub(super) fn knows_more(one: &Known, other: &Known) -> bool {
+    one.configuration > other.configuration
+        || (one.directory > other.directory && one.directory_hash != other.directory_hash)
+}
+
+/// What the asker of facts knows.
+#[derive(Debug, Deserialize)]
+pub(super) struct Asked {
+    configuration: u64,
+    configuration_hash: u64,
+    directory: u64,
+    directory_hash: u64,
+}
+
+/// Tells another gateway all that it may not know.
+pub(super) async fn tell(State(relay): State<Arc<Relay>>, Query(asked): Query<Asked>) -> Bytes {
+    let knowledge = &relay.knowledge;
+    let held = Hash(asked.configuration_hash);
+    let facts = Facts {
+        configuration: knowledge.configuration_after(asked.configuration, held),
+        directory: knowledge.directory_after(Revision(asked.directory), asked.directory_hash),
+        gateways: relay.others(),
+    };
+    pack(&facts).into()
+}
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -11,6 +11,7 @@
 use async_trait::async_trait;
 use cinderspoke_core::gateway::catalog::Declared;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::region::Role;
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::watch::{AWAY, DOUBT, Freshness, LATE_CALLS, MARGIN, Watch};
 use cinderspoke_ports::Error;
@@ -51,6 +52,19 @@
 /// on which packets are lost.
 const PAUSE: Duration = Duration::from_millis(600);
 
+/// How long a gateway that starts waits until another one says that it has a configuration:
+/// some round trips to a seed and to those that it names.
+const FIRST_WORD: Duration = Duration::from_millis(300);
+
+/// How long it waits for the configuration of which it was told: less than it may be away.
+const TOLD: Duration = Duration::from_millis(1500);
+
+/// How often it looks whether it has it.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// How often a gateway that follows others looks whether it still does.
+const LOOK_AT_ROLE: Duration = Duration::from_millis(150);
+
 /// What the store has answered, to be taken in; gives the revision from which to
 /// watch, none when all has to be read anew.
 ///
@@ -79,6 +93,36 @@
     fn gather(&self) -> Duration {
         Duration::ZERO
     }
+
+    /// Waits for what other gateways tell, before the first of it is read.
+    async fn start(&self) {}
+
+    /// The last revision at which what is known is the newest, by whoever told it.
+    fn known(&self) -> Option<Revision> {
+        None
+    }
+
+    /// Whether this gateway waits for its news, or has them from others.
+    fn role(&self) -> Role {
+        Role::Reader
+    }
+
+    /// Waits until a call that is made now is needless, since others told the news before it
+    /// brought them, or are to tell them from now on.
+    async fn needless(&self) {
+        pending().await
+    }
+
+    /// Whether others, who were to tell the news, have not.
+    fn is_left_behind(&self) -> bool {
+        false
+    }
+
+    /// Among how many gateways the asking for it is shared.
+    fn askers(&self) -> usize;
+
+    /// Takes in whether the store answers.
+    fn answered(&self, _: bool) {}
 }
 
 /// What all sources read from, and where they bring it.
@@ -116,11 +160,23 @@
 }
 
 impl Configuration {
+    /// Whether other gateways are known to have one, or may yet say so.
+    fn may_be_told(&self, waited: Duration) -> bool {
+        let knowledge = &self.0.knowledge;
+        let told = knowledge.configuration_behind() > Duration::ZERO;
+        let patience = match knowledge.role() {
+            Role::Reader if !told => FIRST_WORD,
+            _ => TOLD,
+        };
+        waited < patience
+    }
+
     fn learn(&self, fact: Fact<Option<Declared>>, progress: &Progress) {
         if let Some(declared) = fact.value {
             draw::came(STORE, STORE, declared.version, progress);
             self.0.knowledge.configured(Fact::new(fact.revision, declared), STORE);
         }
+        self.0.knowledge.configuration_confirmed(fact.revision);
     }
 }
 
@@ -146,6 +202,61 @@
         let progress = progress.clone();
         Ok(Box::new(move |_| take_news(seen, |fact| self.learn(fact, &progress))))
     }
+
+    /// A gateway that starts while others run has it from them: were all that start at once
+    /// to read it whole, they would fill the link to the store.
+    async fn start(&self) {
+        let knowledge = &self.0.knowledge;
+        if knowledge.terms().seeds.is_empty() {
+            return;
+        }
+        let began = knowledge.clock().now();
+        while knowledge.configuration_revision().is_none()
+            && self.may_be_told(knowledge.clock().now().saturating_sub(began))
+        {
+            sleep(LOOK).await;
+        }
+    }
+
+    fn known(&self) -> Option<Revision> {
+        self.0.knowledge.configuration_revision()
+    }
+
+    fn role(&self) -> Role {
+        self.0.knowledge.role()
+    }
+
+    fn askers(&self) -> usize {
+        match self.role() {
+            Role::Reader => self.0.knowledge.readers(),
+            Role::Follower => self.0.knowledge.view().gateways,
+        }
+    }
+
+    /// What still comes of an answer then would take room on the link from what is news.
+    async fn needless(&self) {
+        let knowledge = &self.0.knowledge;
+        let mut changes = knowledge.subscribe();
+        let (version, role) = (knowledge.configuration_held().0, knowledge.role());
+        loop {
+            tokio::select! {
+                () = changes.changed() => {}
+                () = sleep(LOOK_AT_ROLE) => {}
+            }
+            let hands_over = role == Role::Reader && knowledge.role() == Role::Follower;
+            if hands_over || knowledge.configuration_held().0 != version {
+                return;
+            }
+        }
+    }
+
+    fn is_left_behind(&self) -> bool {
+        self.0.knowledge.is_left_behind()
+    }
+
+    fn answered(&self, answered: bool) {
+        self.0.knowledge.configuration_answered(answered);
+    }
 }
 
 impl Versions {
@@ -174,6 +285,10 @@
         let seen = self.0.registry.watch_rollout(after, wait).await?;
         Ok(Box::new(move |freshness| take_news(seen, |fact| self.learn(fact, freshness))))
     }
+
+    fn askers(&self) -> usize {
+        self.0.knowledge.view().gateways
+    }
 }
 
 #[async_trait]
@@ -202,6 +317,10 @@
     fn gather(&self) -> Duration {
         GATHER
     }
+
+    fn askers(&self) -> usize {
+        self.0.knowledge.view().gateways
+    }
 }
 
 /// Starts the tasks that follow the store.
@@ -240,23 +359,41 @@
     Silent(Duration),
     /// The newest call was given up for another one.
     Overtaken,
+    /// The newest call was given up since nothing is expected of it any more.
+    Needless,
 }
 
 /// Reads a kind of fact and then watches it, whatever fails.
 async fn follow(source: Box<dyn Source>, knowledge: Arc<Knowledge>) {
     let clock = knowledge.clock();
     let mut revision = None;
+    // Whether the store has dropped its history, so that all has to be read.
+    let mut is_forgotten = false;
     let mut watch = Watch::new(clock.now());
     // Calls that are late, the oldest first.
     let mut late: VecDeque<Call<'_>> = VecDeque::new();
+    source.start().await;
     loop {
-        let wait = watch.wait(knowledge.view().gateways, rand::random());
+        let (askers, draw) = (source.askers(), rand::random());
+        let mut wait = watch.wait(askers, draw);
+        let is_known = revision.or(source.known()).is_some() && !is_forgotten;
+        if is_known && source.role() == Role::Follower {
+            pass(watch.pause(askers, draw), &*source, clock).await;
+            wait = Duration::ZERO;
+        }
+        if !is_forgotten {
+            revision = revision.max(source.known());
+        }
         let suspended = clock.suspended();
         let progress = Progress::default();
         let mut call = call(&*source, revision, wait, &progress);
         let limit = revision.map_or(Duration::ZERO, |_| wait) + MARGIN;
         let silence = Silence { clock, progress: &progress, limit };
-        match ask(&mut call, &mut late, &knowledge, &watch, silence).await {
+        let asked = tokio::select! {
+            asked = ask(&mut call, &mut late, &knowledge, &watch, silence) => asked,
+            () = source.needless(), if revision.is_some() => Asked::Needless,
+        };
+        match asked {
             Asked::Answered(answer) => {
                 if clock.was_suspended_since(suspended) {
                     // It may have lain here since long before.
@@ -264,6 +401,8 @@
                 }
                 let before = revision;
                 revision = take_in(answer, &*source, &knowledge, &mut watch);
+                is_forgotten = revision.is_none();
+                source.answered(true);
                 late.clear();
                 if revision != before {
                     sleep(source.gather()).await;
@@ -272,6 +411,7 @@
             Asked::Failed(error) => {
                 let due = clock.now();
                 watch.fail(due);
+                source.answered(false);
                 knowledge.platform_failed(due);
                 draw::given_up(source.name(), &progress);
                 tell_failure(&*source, &knowledge, &watch, &error);
@@ -280,6 +420,7 @@
             Asked::Silent(limit) => {
                 let due = clock.now().saturating_sub(MARGIN);
                 watch.fail(due);
+                source.answered(false);
                 knowledge.platform_failed(due);
                 let error = Error::Unavailable(format!("no answer within {limit:?}"));
                 tell_failure(&*source, &knowledge, &watch, &error);
@@ -294,6 +435,19 @@
                 draw::given_up(source.name(), &progress);
                 watch.give_up();
             }
+            Asked::Needless => draw::given_up(source.name(), &progress),
+        }
+    }
+}
+
+/// Lets the time pass after which a gateway that follows others looks by itself, or until
+/// they leave it behind, or it is to wait for the store's news.
+async fn pass(time: Duration, source: &dyn Source, clock: Clock) {
+    let until = clock.now() + time;
+    loop {
+        sleep(until.saturating_sub(clock.now()).min(LOOK_AT_ROLE)).await;
+        if clock.now() >= until || source.role() == Role::Reader || source.is_left_behind() {
+            return;
         }
     }
 }
@@ -467,7 +621,7 @@
         match met.await {
             Ok(gateways) => {
                 let others = gateways.into_iter().filter(|gateway| *gateway != own);
-                others.for_each(|gateway| shared.knowledge.met(gateway, false));
+                others.for_each(|gateway| _ = shared.knowledge.met(gateway, false));
                 return;
             }
             Err(error) => {
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use cinderspoke_core::gateway::catalog::Declared;
+use cinderspoke_core::gateway::catalog::{Catalog, Declared};
 use cinderspoke_core::gateway::directory::{Change, Directory, Keeper};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::gossip::patience;
@@ -15,6 +15,7 @@
 use cinderspoke_core::gateway::name::{Model, Service, Zone};
 use cinderspoke_core::gateway::notice::Run;
 use cinderspoke_core::gateway::outage::Ago;
+use cinderspoke_core::gateway::region;
 use cinderspoke_core::gateway::rollout::{Rollout, Version};
 use cinderspoke_core::gateway::timeline::{Age, Ages};
 use cinderspoke_core::gateway::watch::Freshness;
@@ -29,6 +30,7 @@
 use super::terms::Terms;
 use super::view::{Member, View};
 use crate::util::clock::Clock;
+use crate::util::settings::inner_address;
 use crate::util::signal::{Receiver, Signal};
 
 /// How often gateways are counted anew at most. Among many there is always one that is
@@ -56,8 +58,10 @@
     /// Nothing is known yet.
     #[must_use]
     pub fn new(settings: &settings::Node, terms: Terms, clock: Clock) -> Self {
+        let own = inner_address(settings);
+        let region = region::Table::new(own, settings.region.as_str().into());
         Self {
-            state: Mutex::default(),
+            state: Mutex::new(Belief { region, ..Belief::default() }),
             view: ArcSwap::default(),
             counted_until: AtomicU64::new(u64::MAX),
             changes: Signal::default(),
@@ -171,19 +175,28 @@
 
     /// Takes in a configuration; true when it is newer than the one in force.
     pub fn configured(&self, fact: Fact<Declared>, from: &str) -> bool {
+        let is_known = self.lock().configuration.value.is_some();
+        if is_known && fact.value.version <= self.lock().version() {
+            return false;
+        }
+        self.put_in_force(Fact::new(fact.revision, fact.value.into()), from)
+    }
+
+    /// Puts a configuration in force, if it is newer than the one that is.
+    pub(super) fn put_in_force(&self, fact: Fact<Catalog>, from: &str) -> bool {
+        let Fact { revision, value: catalog } = fact;
         let mut state = self.lock();
         let before = state.version();
-        let version = fact.value.version;
+        let version = catalog.declared().version;
         if version <= before && state.configuration.value.is_some() {
             return false;
         }
-        let services = fact.value.backends.iter().map(|backend| backend.service.clone());
+        let services = catalog.declared().backends.iter().map(|backend| backend.service.clone());
         state.keeper.declared(services.collect());
         let now = self.clock.now();
         state.lag.hear(version, now);
         let behind_ms = state.lag.behind(before, now).as_millis() as u64;
-        let revision = fact.revision.max(state.configuration.revision);
-        state.configuration = Fact::new(revision, Some(Arc::new(fact.value.into())));
+        state.put_in_force(Arc::new(catalog), revision);
         self.show(&mut state);
         drop(state);
         tracing::info!(version, before, from, behind_ms, "configuration in force");
@@ -191,27 +204,6 @@
         true
     }
 
-    /// Takes in that a version of the configuration is there, as a gateway says.
-    pub fn heard_of_configuration(&self, version: u64, from: SocketAddr) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let in_force = state.version();
-        if !state.lag.hear(version, now) {
-            return;
-        }
-        drop(state);
-        if version > in_force {
-            tracing::info!(version, in_force, %from, "a newer configuration is known");
-        }
-    }
-
-    /// For how long a newer configuration than the one in force has been known to be.
-    #[must_use]
-    pub fn configuration_behind(&self) -> Duration {
-        let state = self.lock();
-        state.lag.behind(state.version(), self.clock.now())
-    }
-
     /// Takes in what the store says of named versions. What a process finds when
     /// it first reads the store may have been named long before it started; what
     /// the store did not say before was named just now, or at some time since the
@@ -372,7 +364,8 @@
 
     /// Takes in that a gateway was heard of, by itself or by others. One that others
     /// name for the first time counts as heard of: if it lives, it spends its share.
-    pub fn met(&self, gateway: SocketAddr, itself: bool) {
+    /// True when it was not known at all.
+    pub fn met(&self, gateway: SocketAddr, itself: bool) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
         let known = state.gateways.contains_key(&gateway);
@@ -386,6 +379,7 @@
             tracing::info!(%gateway, itself, "gateway heard of");
             self.show(&mut state);
         }
+        !known
     }
 
     /// Other gateways, alive or not.
@@ -404,16 +398,8 @@
     #[must_use]
     pub fn known(&self) -> Known {
         let now = self.clock.now();
-        Known { suspects: self.suspects.tell(now), ..self.lock().known(now) }
-    }
-
-    /// The configuration, if it is newer than a version.
-    #[must_use]
-    pub fn configuration_after(&self, version: u64) -> Option<Fact<Declared>> {
-        let state = self.lock();
-        let catalog = state.configuration.value.as_ref()?;
-        let newer = catalog.declared().version > version;
-        newer.then(|| Fact::new(state.configuration.revision, catalog.declared().clone()))
+        let (suspects, standing) = (self.suspects.tell(now), self.standing());
+        Known { suspects, standing, ..self.lock().known(now) }
     }
 
     /// The list of endpoints.
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::catalog::{Declared, Origin};
+use cinderspoke_core::gateway::difference::Difference;
 use cinderspoke_core::gateway::directory::Directory;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Service;
 use cinderspoke_core::gateway::notice;
 use cinderspoke_core::gateway::outage::Ago;
+use cinderspoke_core::gateway::region::Standing;
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::suspect::Told;
 use cinderspoke_core::gateway::tally::Outstanding;
@@ -34,6 +36,10 @@
 pub struct Known {
     /// The version of the configuration in force.
     pub configuration: u64,
+    /// The last revision of the store at which that one is known to be the newest.
+    pub configuration_revision: Revision,
+    /// What the process is, if it is a gateway.
+    pub standing: Standing,
     /// The versions that were named, and for how long.
     pub ages: Ages,
     /// The revision of the list of endpoints.
@@ -106,11 +112,31 @@
     },
 }
 
+/// A configuration, as it is told to a gateway.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Configuration {
+    /// All of it.
+    Whole(Declared),
+    /// What differs from the one that the asker has.
+    Changed(Difference),
+}
+
+impl Configuration {
+    /// Its version.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        match self {
+            Self::Whole(declared) => declared.version,
+            Self::Changed(difference) => difference.version(),
+        }
+    }
+}
+
 /// All that a gateway can tell another.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Facts {
     /// The configuration, if it is newer than the asker's.
-    pub configuration: Option<Fact<Declared>>,
+    pub configuration: Option<Fact<Configuration>>,
     /// The endpoints, if the list is newer than the asker's and another one.
     pub directory: Option<Fact<Directory>>,
     /// Other gateways.
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! - [`knowledge`] keeps the facts of its [`belief`] and shows them to requests
 //!   in a [`view`]; what it asks of decisions is in [`terms`].
 //! - [`follow`] learns facts from the platform; [`relay`] learns them from other
-//!   gateways ([`draw`] counts what configurations cost), and tells those and [`agents`] of them in a [`message`]. What
+//!   gateways, of which it asks one for [`facts`] that it lacks (by [`region`]; [`draw`]
+//!   counts what configurations cost), and tells those and [`agents`] of them in a [`message`]. What
 //!   agents have to know is a [`plan`]; of what is [`outstanding`] at their engines
 //!   they are told as it changes.
 //! - [`serve`] takes callers' requests, whose [`head`] has to come in time, and
@@ -26,6 +27,7 @@
 pub mod context;
 pub mod crash;
 pub mod draw;
+pub mod facts;
 pub mod follow;
 pub mod forward;
 pub mod head;
@@ -39,6 +41,7 @@
 pub mod pool;
 pub mod record;
 pub mod refusal;
+pub mod region;
 pub mod relay;
 pub mod send;
 pub mod serve;
--- /dev/null
+++ b/src/cinderspoke/gateway/region.rs
@@ -0,0 +1,150 @@
+//! What a gateway believes of others with regard to configurations: who reads them from the
+//! store, who has which, and what it tells of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cinderspoke_core::gateway::catalog::Catalog;
+use cinderspoke_core::gateway::difference::{Difference, Hash, Misfit};
+use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::region::{Role, Standing, Step, Table};
+
+use super::knowledge::Knowledge;
+use super::message::{Configuration, Known};
+
+impl Knowledge {
+    /// Takes in what another gateway says of itself and of its configuration; true when it
+    /// was not heard of before.
+    pub fn heard(&self, from: SocketAddr, known: &Known) -> bool {
+        let (now, version) = (self.clock().now(), known.configuration);
+        let mut state = self.lock();
+        let is_new = state.region.hear(from, &known.standing, version, now);
+        let in_force = state.version();
+        if version == in_force {
+            // It still is the newest then: history that is too old is forgotten.
+            let revision = state.configuration.revision.max(known.configuration_revision);
+            state.configuration.revision = revision;
+        }
+        let is_news = state.lag.hear(version, now) && version > in_force;
+        drop(state);
+        if is_news {
+            tracing::info!(version, in_force, %from, "a newer configuration is known");
+        }
+        is_new
+    }
+
+    /// Takes in that the store has no newer configuration at a revision.
+    pub fn configuration_confirmed(&self, revision: Revision) {
+        let mut state = self.lock();
+        state.configuration.revision = state.configuration.revision.max(revision);
+    }
+
+    /// The last revision at which the configuration in force is known to be the newest; none
+    /// without one.
+    #[must_use]
+    pub fn configuration_revision(&self) -> Option<Revision> {
+        let state = self.lock();
+        state.configuration.value.as_ref().map(|_| state.configuration.revision)
+    }
+
+    /// For how long a newer configuration than the one in force has been known to be.
+    #[must_use]
+    pub fn configuration_behind(&self) -> Duration {
+        let state = self.lock();
+        state.lag.behind(state.version(), self.clock().now())
+    }
+
+    /// Whether a newer configuration is known, and those who were to tell it have not in time.
+    #[must_use]
+    pub fn is_left_behind(&self) -> bool {
+        let behind = self.configuration_behind();
+        behind > self.lock().region.patience(self.clock().now())
+    }
+
+    /// Takes in whether the store answers this gateway when it asks for the configuration.
+    pub fn configuration_answered(&self, answered: bool) {
+        self.lock().region.answered(answered);
+    }
+
+    /// Whether this gateway reads the configuration from the store as it changes.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        self.lock().region.role(self.terms().region_count(), self.clock().now())
+    }
+
+    /// How many gateways read it.
+    #[must_use]
+    pub fn readers(&self) -> usize {
+        Table::readers(self.terms().region_count()).min(self.view().gateways)
+    }
+
+    /// What this gateway says of itself.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        self.lock().region.standing(self.terms().region_count(), self.clock().now())
+    }
+
+    /// The other gateways of the region.
+    #[must_use]
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        self.lock().region.neighbours()
+    }
+
+    /// How the configuration is got, if another gateway has a newer one.
+    #[must_use]
+    pub fn next_step(&self, draw: f64) -> Step {
+        let (role, behind) = (self.role(), self.configuration_behind());
+        let state = self.lock();
+        state.region.step(state.version(), behind, role, self.clock().now(), draw)
+    }
+
+    /// Takes in that a gateway was asked for its configuration.
+    pub fn asked_gateway(&self, gateway: SocketAddr) {
+        self.lock().region.asked(gateway);
+    }
+
+    /// The version of the configuration in force, and what tells it apart from others.
+    #[must_use]
+    pub fn configuration_held(&self) -> (u64, Hash) {
+        let state = self.lock();
+        let hash = state.configuration.value.as_ref().map(|catalog| catalog.hash());
+        (state.version(), hash.unwrap_or_default())
+    }
+
+    /// The configuration, if it is newer than a version: what differs from the one with a
+    /// hash, or all of it where that one is not known any more.
+    #[must_use]
+    pub fn configuration_after(&self, version: u64, held: Hash) -> Option<Fact<Configuration>> {
+        let state = self.lock();
+        let catalog = state.configuration.value.clone()?;
+        if catalog.declared().version <= version {
+            return None;
+        }
+        let revision = state.configuration.revision;
+        let before = state.replaced.iter().find(|replaced| replaced.hash() == held).cloned();
+        drop(state);
+        let told = match before {
+            Some(before) => Configuration::Changed(Difference::between(&before, &catalog)),
+            None => Configuration::Whole(catalog.declared().clone()),
+        };
+        Some(Fact::new(revision, told))
+    }
+
+    /// Takes in a configuration that another gateway told.
+    ///
+    /// # Errors
+    ///
+    /// When it is told by one that is not in force here any more.
+    pub fn told_configuration(&self, fact: Fact<Configuration>) -> Result<(), Misfit> {
+        let Fact { revision, value } = fact;
+        let catalog = match value {
+            Configuration::Whole(declared) => Catalog::from(declared),
+            Configuration::Changed(difference) => {
+                let before = self.lock().configuration.value.clone().ok_or(Misfit::Base)?;
+                difference.apply(&before)?
+            }
+        };
+        self.put_in_force(Fact::new(revision, catalog), "gateway");
+        Ok(())
+    }
+}
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -2,58 +2,46 @@
 //!
 //! Gateways say in datagrams what they know, at once when there is news and
 //! from time to time to one of the others, so that a lost datagram is made
-//! good. Whoever knows less fetches it over HTTP. Agents report what their
+//! good. Whoever knows less fetches the [`facts`] over HTTP. Agents report what their
 //! engines are busy with, and are hinted at plans that they do not know.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
 use axum::Router;
 use axum::extract::{Query, State};
 use axum::routing::get;
 use bytes::Bytes;
-use cinderspoke_core::gateway::fact::Revision;
 use cinderspoke_core::gateway::gossip;
 use cinderspoke_core::gateway::name::Service;
+use cinderspoke_core::gateway::region::{self, Role};
 use cinderspoke_schema::settings;
 use http::StatusCode;
 use metrics::gauge;
 use serde::Deserialize;
 use tokio::net::UdpSocket;
-use tokio::time::{interval, sleep};
+use tokio::time::{Instant, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
-use super::draw;
+use super::facts::{self, knows_more};
 use super::knowledge::Knowledge;
-use super::message::{Datagram, Facts, Known, buffer, pack, receive, send};
+use super::message::{Datagram, Known, buffer, pack, receive, send};
 use super::outstanding;
 use super::plan::Planner;
-use crate::util::http::{Call, Client, Progress};
+use crate::util::http::Client;
 use crate::util::metrics::CONFIGURATION_BEHIND;
 use crate::util::settings::inner_address;
 use crate::util::stop;
 
-/// How long the store's own word is waited for before another gateway is asked
-/// for what it knows more.
-const OWN_WORD: Duration = Duration::from_millis(60);
-
-/// How much longer where only the list of endpoints is newer: the store's news of
-/// endpoints gather a while.
-const OWN_LIST: Duration = Duration::from_millis(500);
-
 /// How long after a round of telling news to all the next one may begin.
 const PUSH_PAUSE: Duration = Duration::from_millis(100);
 
-/// How long another gateway may take to begin to tell what it knows, and pause in it: a
-/// configuration with thousands of routes takes seconds over a link that weights share.
-const FETCH_PAUSE: Duration = Duration::from_millis(1200);
-
-/// How long it may take on the whole: another one may have a link that is clear.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+/// How often it is looked whether this gateway still is to read the configuration.
+const LOOK_AT_ROLE: Duration = Duration::from_millis(100);
 
 /// How many gateways a digest names at most.
 const NAMED_GATEWAYS: usize = 24;
@@ -61,14 +49,14 @@
 /// Tells other processes what this gateway knows, and learns from them.
 pub struct Relay {
     own: SocketAddr,
-    knowledge: Arc<Knowledge>,
-    client: Client,
+    pub(super) knowledge: Arc<Knowledge>,
+    pub(super) client: Client,
     socket: UdpSocket,
     agents: Agents,
     planner: Planner,
     // Whether a newer configuration, or a newer list, is waited for or fetched.
-    awaiting_configuration: Arc<AtomicBool>,
-    awaiting_list: Arc<AtomicBool>,
+    pub(super) awaiting_configuration: AtomicBool,
+    pub(super) awaiting_list: AtomicBool,
 }
 
 impl Relay {
@@ -90,15 +78,15 @@
             socket,
             agents,
             planner,
-            awaiting_configuration: Arc::default(),
-            awaiting_list: Arc::default(),
+            awaiting_configuration: AtomicBool::default(),
+            awaiting_list: AtomicBool::default(),
         }
     }
 
     /// What other processes may ask.
     pub fn app(self: &Arc<Self>) -> Router {
         Router::new()
-            .route("/v1/facts", get(facts))
+            .route("/v1/facts", get(facts::tell))
             .route("/v1/plan", get(plan))
             .with_state(Arc::clone(self))
     }
@@ -111,6 +99,7 @@
         spawn(Box::pin(Arc::clone(self).receive()));
         spawn(Box::pin(Arc::clone(self).push()));
         spawn(Box::pin(Arc::clone(self).gossip()));
+        spawn(Box::pin(Arc::clone(self).tell_region()));
         spawn(Box::pin(Arc::clone(self).tell_outstanding()));
     }
 
@@ -144,76 +133,31 @@
             return;
         }
         self.knowledge.met(from, true);
-        self.meet(others);
-        self.knowledge.heard_of_configuration(known.configuration, from);
+        let is_stranger = self.knowledge.heard(from, &known);
+        self.meet(others).await;
         let own = self.knowledge.known();
         self.knowledge.told_ages(&known.ages, "gateway");
         self.knowledge.told_suspects(&known.suspects);
         self.knowledge.told_leaving(&known.leaving);
         self.knowledge.told_answers(&known.answers);
-        let behind = knows_more(&own, &known);
+        let is_behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
-            self.catch_up(&self.awaiting_configuration, OWN_WORD, from, &known);
+            self.draw_configuration();
         } else if knows_more(&known, &own) {
-            self.catch_up(&self.awaiting_list, OWN_LIST, from, &known);
+            self.draw_list(from, &known);
         }
-        if behind {
+        if is_behind || is_stranger {
             send(&self.socket, from, &self.digest()).await;
         }
     }
 
-    /// Asks a gateway for what it knows more, unless that comes by itself in time
-    /// or is waited for already: a configuration never waits behind a list.
-    fn catch_up(
-        self: &Arc<Self>,
-        awaiting: &Arc<AtomicBool>,
-        wait: Duration,
-        from: SocketAddr,
-        known: &Known,
-    ) {
-        if awaiting.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        let (relay, awaiting, known) = (Arc::clone(self), Arc::clone(awaiting), known.clone());
-        tokio::spawn(async move {
-            sleep(wait).await;
-            if knows_more(&known, &relay.knowledge.known()) {
-                // The store's own word should be here by now.
-                relay.knowledge.doubt();
-                if let Err(error) = relay.fetch(from).await {
-                    tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
-                }
-            }
-            awaiting.store(false, Ordering::Relaxed);
-        });
-    }
-
-    /// Asks a gateway for what it knows more.
-    async fn fetch(&self, from: SocketAddr) -> Result<()> {
-        let known = self.knowledge.known();
-        let path = format!(
-            "/v1/facts?configuration={}&directory={}&directory_hash={}",
-            known.configuration, known.directory.0, known.directory_hash,
-        );
-        let progress = Progress::default();
-        let call = Call::get(from, path).alone().pause(FETCH_PAUSE).timeout(FETCH_TIMEOUT);
-        let answer = self.client.fetch(call.progress(&progress)).await?;
-        let facts: Facts = postcard::from_bytes(&answer).context("reading facts")?;
-        if let Some(configuration) = facts.configuration {
-            draw::came("gateway", &from.to_string(), configuration.value.version, &progress);
-            self.knowledge.configured(configuration, "gateway");
-        }
-        if let Some(directory) = facts.directory.filter(|list| list.revision > known.directory) {
-            self.knowledge.listed(directory, "gateway");
-        }
-        self.meet(facts.gateways);
-        Ok(())
-    }
-
-    /// Takes in gateways that another one names.
-    fn meet(&self, gateways: Vec<SocketAddr>) {
+    /// Takes in gateways that another one names, and greets those that are new, so that
+    /// each learns in which region the other is.
+    pub(super) async fn meet(&self, gateways: Vec<SocketAddr>) {
         for gateway in gateways.into_iter().filter(|gateway| *gateway != self.own) {
-            self.knowledge.met(gateway, false);
+            if self.knowledge.met(gateway, false) {
+                send(&self.socket, gateway, &self.digest()).await;
+            }
         }
     }
 
@@ -244,12 +188,15 @@
         }
     }
 
-    /// The gateways that this one tells of news, drawn anew each time.
-    fn told_of_news(&self) -> Vec<SocketAddr> {
-        let others = self.others();
-        let told = gossip::fanout(others.len());
-        let drawn = rand::seq::index::sample(&mut rand::rng(), others.len(), told);
-        drawn.iter().map(|number| others[number]).collect()
+    /// The gateways that this one tells of news, drawn anew each time: some of all, and
+    /// some of its own region, who have the configuration from each other.
+    fn told_of_news(&self) -> BTreeSet<SocketAddr> {
+        let drawn = |gateways: Vec<SocketAddr>| {
+            let told = gossip::fanout(gateways.len());
+            let drawn = rand::seq::index::sample(&mut rand::rng(), gateways.len(), told);
+            drawn.into_iter().map(move |number| gateways[number])
+        };
+        drawn(self.others()).chain(drawn(self.knowledge.neighbours())).collect()
     }
 
     /// Hints every agent that does not know its service's plan.
@@ -259,6 +206,25 @@
         }
     }
 
+    /// Tells the whole region what this gateway knows while it reads the configuration, and
+    /// when it begins or ceases to, so that another one takes over where it ends.
+    async fn tell_region(self: Arc<Self>) {
+        let mut role = Role::Follower;
+        let mut told = Instant::now();
+        loop {
+            sleep(LOOK_AT_ROLE).await;
+            let before = std::mem::replace(&mut role, self.knowledge.role());
+            if role == before && (role == Role::Follower || told.elapsed() < region::BEACON) {
+                continue;
+            }
+            told = Instant::now();
+            let digest = self.digest();
+            for neighbour in self.knowledge.neighbours() {
+                send(&self.socket, neighbour, &digest).await;
+            }
+        }
+    }
+
     /// Tells one gateway after the other, in a random order.
     async fn gossip(self: Arc<Self>) {
         let mut ticks = interval(gossip::PERIOD);
@@ -284,7 +250,7 @@
     }
 
     /// The gateways that are known besides this one.
-    fn others(&self) -> Vec<SocketAddr> {
+    pub(super) fn others(&self) -> Vec<SocketAddr> {
         let mut others = self.knowledge.gateways();
         others.retain(|other| *other != self.own);
         others
@@ -298,31 +264,6 @@
     }
 }
 
-/// Whether one knows something that the other does not.
-fn knows_more(one: &Known, other: &Known) -> bool {
-    one.configuration > other.configuration
-        || (one.directory > other.directory && one.directory_hash != other.directory_hash)
-}
-
-/// What the asker of facts knows.
-#[derive(Debug, Deserialize)]
-struct Asked {
-    configuration: u64,
-    directory: u64,
-    directory_hash: u64,
-}
-
-/// Tells another gateway all that it may not know.
-async fn facts(State(relay): State<Arc<Relay>>, Query(asked): Query<Asked>) -> Bytes {
-    let knowledge = &relay.knowledge;
-    let facts = Facts {
-        configuration: knowledge.configuration_after(asked.configuration),
-        directory: knowledge.directory_after(Revision(asked.directory), asked.directory_hash),
-        gateways: relay.others(),
-    };
-    pack(&facts).into()
-}
-
 /// The service whose plan is asked for.
 #[derive(Debug, Deserialize)]
 struct Wanted {
--- a/src/cinderspoke/gateway/terms.rs
+++ b/src/cinderspoke/gateway/terms.rs
@@ -1,6 +1,6 @@
 //! What the settings ask of a gateway.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -44,6 +44,12 @@
 }
 
 impl Terms {
+    /// How many regions there are.
+    #[must_use]
+    pub fn region_count(&self) -> usize {
+        self.regions.values().collect::<BTreeSet<_>>().len()
+    }
+
     /// The terms of some settings.
     #[must_use]
     pub fn new(settings: &settings::Node) -> Self {
--- a/tests/testsuite/shares.rs
+++ b/tests/testsuite/shares.rs
@@ -40,7 +40,7 @@
     for (own, knowledge) in gateways.iter().enumerate() {
         // What the store names at the start.
         let others = (0..count).filter(|other| *other != own);
-        others.for_each(|other| knowledge.met(address(other), false));
+        others.for_each(|other| _ = knowledge.met(address(other), false));
     }
     let slack = gateways[0].terms().budget.slack;
     for tick in 0..400 {
