--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -214,6 +214,13 @@
         loop {
             sleep(LOOK_AT_ROLE).await;
             let before = std::mem::replace(&mut role, self.knowledge.role());
+            if role != before {
+                let behind_ms = self.knowledge.configuration_behind().as_millis() as u64;
+                match role {
+                    Role::Reader => tracing::info!(behind_ms, "configuration is read here"),
+                    Role::Follower => tracing::info!(behind_ms, "configuration is had from others"),
+                }
+            }
             if role == before && (role == Role::Follower || told.elapsed() < region::BEACON) {
                 continue;
             }
