--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -3,11 +3,11 @@
 //!
 //! - [`knowledge`] keeps the facts of its [`belief`] and shows them to requests
 //!   in a [`view`]; what it asks of decisions is in [`terms`].
-//! - [`follow`] learns facts from the platform; [`relay`] learns them from other
-//!   gateways, of which it asks one for [`facts`] that it lacks (by [`region`]; [`draw`]
-//!   counts what configurations cost), and tells those and [`agents`] of them in a [`message`]. What
-//!   agents have to know is a [`plan`]; of what is [`outstanding`] at their engines
-//!   they are told as it changes.
+//! - [`follow`] learns facts from the platform, each kind from a [`source`]; [`relay`] tells
+//!   other gateways and [`agents`] of them in a [`message`], and asks a gateway for [`facts`]
+//!   that this one lacks: of configurations, [`region`] says whom, and [`draw`] counts what
+//!   they cost. What agents have to know is a [`plan`]; of what is [`outstanding`] at their
+//!   engines they are told as it changes.
 //! - [`serve`] takes callers' requests, whose [`head`] has to come in time, and
 //!   [`forward`] brings them to endpoints: it has [`understand`] read what is asked
 //!   and [`choose`] name an endpoint; [`send`] sends over the connections of a
@@ -46,6 +46,7 @@
 pub mod send;
 pub mod serve;
 pub mod socket;
+pub mod source;
 pub mod stream;
 pub mod suspects;
 pub mod target;
