Gateways that are gone are forgotten; news told while a draw ends begins another

Found by reading the change: the table of other gateways grew with each address that was ever heard of, while instances are replaced at other addresses (test: 1,999 of 1,999 were kept, 600 now); and a digest that came between the last look and the end of a draw began no other one until the next digest, up to 0.5 s later (no test: the moment is some microseconds).

--- a/crates/core/src/gateway/region.rs
+++ b/crates/core/src/gateway/region.rs
@@ -47,6 +47,10 @@
 /// turn: after it would have asked far away, and in time for what it reads to be in force.
 const ALONE: Duration = Duration::from_millis(1000);
 
+/// After how long without a word a gateway is forgotten: instances are replaced at other
+/// addresses. One of hundreds that is silent for as long is known again with its next word.
+const GONE: Duration = Duration::from_secs(600);
+
 /// What a gateway says of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
@@ -123,6 +127,7 @@
         version: u64,
         now: Duration,
     ) -> bool {
+        self.peers.retain(|_, peer| peer.heard + GONE >= now);
         let peer = Peer { standing: standing.clone(), rank: rank(from), heard: now, version };
         self.peers.insert(from, peer).is_none()
     }
--- a/src/cinderspoke/gateway/facts.rs
+++ b/src/cinderspoke/gateway/facts.rs
@@ -46,11 +46,15 @@
         }
         let relay = Arc::clone(self);
         tokio::spawn(async move {
-            // What is told while this ends must not be waited for in vain.
-            while relay.knowledge.next_step(0.0) != Step::Rest {
+            loop {
                 relay.draw_from_others().await;
+                relay.awaiting_configuration.store(false, Ordering::SeqCst);
+                // What was told just before that began no other draw.
+                let is_done = relay.knowledge.next_step(0.0) == Step::Rest;
+                if is_done || relay.awaiting_configuration.swap(true, Ordering::SeqCst) {
+                    return;
+                }
             }
-            relay.awaiting_configuration.store(false, Ordering::SeqCst);
         });
     }
 
--- a/tests/testsuite/gateway/region.rs
+++ b/tests/testsuite/gateway/region.rs
@@ -215,3 +215,14 @@
     assert_eq!(table.step(7, ms(0), Role::Follower, ms(0), 0.5), Step::AskNear(address(1)));
     assert_eq!(table.step(8, ms(0), Role::Follower, ms(0), 0.5), Step::Rest);
 }
+
+// Instances are replaced at other addresses as long as the others run.
+#[test]
+fn gateways_that_are_gone_are_forgotten() {
+    let mut table = Table::new(address(0), "near".into());
+    for number in 1..2000 {
+        table.hear(address(number), &near(), 1, ms(1000 * u64::from(number)));
+    }
+    assert!(table.neighbours().len() < 700, "{} are kept", table.neighbours().len());
+    assert!(table.neighbours().contains(&address(1999)));
+}
