Whether an answer has stalled is decided in one place

Cause: waiting until nothing more of an answer comes was written in the HTTP client and in the store's watches, which differed only in the clock by which 0.6 s are slept and in that the second begins with the first byte. Change: one method of the answer's progress; the watch asks first whether anything came. Ruled out: that the suspension-aware clock mattered there; it counts for ages and deadlines, not for a pause of 0.6 s in an answer.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -186,7 +186,7 @@
         let exchange = self.exchange(call);
         tokio::select! {
             answer = timeout(limit, exchange) => answer.map_err(|_| Error::Timeout(address, limit))?,
-            () = stalled(&progress, pause) => Err(Error::Timeout(address, pause)),
+            () = progress.stalled(pause) => Err(Error::Timeout(address, pause)),
         }
     }
 
@@ -263,14 +263,14 @@
         self.0.began.get_or_init(Instant::now);
         self.0.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
     }
-}
 
-/// Waits until nothing of an answer, or nothing more of it, has come for so long.
-async fn stalled(progress: &Progress, pause: Duration) {
-    let mut before = None;
-    while before != Some(progress.bytes()) {
-        before = Some(progress.bytes());
-        sleep(pause).await;
+    /// Waits until nothing of it, or nothing more of it, has come for so long.
+    pub async fn stalled(&self, pause: Duration) {
+        let mut before = None;
+        while before != Some(self.bytes()) {
+            before = Some(self.bytes());
+            sleep(pause).await;
+        }
     }
 }
 
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -217,10 +217,8 @@
 
     /// Waits until nothing more comes of an answer that is on its way, if one is.
     async fn stalled(&self) {
-        let mut before = 0;
-        while self.progress.bytes() > before {
-            before = self.progress.bytes();
-            self.clock.sleep(PAUSE).await;
+        if self.progress.bytes() > 0 {
+            self.progress.stalled(PAUSE).await;
         }
     }
 }
