--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -68,6 +68,12 @@
         self.configuration.value.as_ref().map_or(0, |catalog| catalog.declared().version)
     }
 
+    /// Whether a version of the configuration is newer than the one in force, or the first.
+    #[must_use]
+    pub fn is_newer(&self, version: u64) -> bool {
+        self.configuration.value.is_none() || version > self.version()
+    }
+
     /// Puts a configuration in force, at a revision of the store at which it is the newest.
     pub fn put_in_force(&mut self, catalog: Arc<Catalog>, revision: Revision) {
         let revision = revision.max(self.configuration.revision);
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -175,8 +175,8 @@
 
     /// Takes in a configuration; true when it is newer than the one in force.
     pub fn configured(&self, fact: Fact<Declared>, from: &str) -> bool {
-        let is_known = self.lock().configuration.value.is_some();
-        if is_known && fact.value.version <= self.lock().version() {
+        // Indexing it is spared where it is known.
+        if !self.lock().is_newer(fact.value.version) {
             return false;
         }
         self.put_in_force(Fact::new(fact.revision, fact.value.into()), from)
@@ -188,7 +188,7 @@
         let mut state = self.lock();
         let before = state.version();
         let version = catalog.declared().version;
-        if version <= before && state.configuration.value.is_some() {
+        if !state.is_newer(version) {
             return false;
         }
         let services = catalog.declared().backends.iter().map(|backend| backend.service.clone());
