Do not treat a chunk that a peer does not hold yet as a sign of a narrow link

Cause: every chunk request to a peer that returned no chunk was counted as a failure of the instance's own link. A request for an awaited chunk is refused with 404 after 0.7 s by a peer that does not hold the chunk either. Change: each chunk request yields an observation of the link: the response time, also of an error status, less the requested wait; no response; or inconclusive. A failed connection, such as a refused one, counts by the time that it took. Tests: two of the three tests in `awaited` fail without the change.

--- a/crates/core/src/gateway/link.rs
+++ b/crates/core/src/gateway/link.rs
@@ -10,6 +10,18 @@
 /// link that carries less than it should.
 pub const SLOW: Duration = Duration::from_millis(600);
 
+/// What a single chunk request indicates about the link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observation {
+    /// The time until a chunk, an error status or a connection failure, less any wait that the
+    /// peer was asked for.
+    ResponseTime(Duration),
+    /// No complete response was received.
+    NoResponse,
+    /// The request says nothing about the link.
+    Inconclusive,
+}
+
 /// What is known of an instance's link.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Link {
@@ -17,18 +29,18 @@
 }
 
 impl Link {
-    /// Takes in how long a chunk was on its way.
-    pub fn took(&mut self, time: Duration, now: Duration) {
-        if time > SLOW {
+    /// Updates the state of the link from the outcome of a chunk request.
+    pub fn observe(&mut self, observation: Observation, now: Duration) {
+        let is_slow = match observation {
+            Observation::ResponseTime(time) => time > SLOW,
+            Observation::NoResponse => true,
+            Observation::Inconclusive => false,
+        };
+        if is_slow {
             self.slow = Some(now);
         }
     }
 
-    /// Takes in that a chunk did not come from a peer that held it.
-    pub fn missed(&mut self, now: Duration) {
-        self.slow = Some(now);
-    }
-
     /// Whether what goes over it may be held up for seconds.
     #[must_use]
     pub fn is_narrow(&self, now: Duration) -> bool {
--- a/src/cinderspoke/agent/fetch.rs
+++ b/src/cinderspoke/agent/fetch.rs
@@ -7,12 +7,13 @@
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
+use cinderspoke_core::gateway::link::Observation;
 use cinderspoke_core::transfer::{Fetching, Source, Transfer};
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::size;
 
 use super::transfer::Context;
-use crate::util::http::Call;
+use crate::util::http::{Call, Error};
 
 /// How long a peer may take to give a chunk.
 const CHUNK_TIMEOUT: Duration = Duration::from_secs(20);
@@ -46,6 +47,8 @@
     pub(super) result: Result<(Digest, Bytes)>,
     /// How long it was on its way; none where it was waited for.
     pub(super) took: Option<Duration>,
+    /// What the request indicates about this instance's link.
+    pub(super) observation: Observation,
 }
 
 /// What is asked of a source.
@@ -88,9 +91,37 @@
             Source::Origin => from_origin(&context, request).await,
             Source::Peer(_) => from_peer(&context, request).await,
         };
+        let elapsed = context.clock.now().saturating_sub(began);
+        let observation = match source {
+            // A slow or failed origin request may be due to the origin's own link.
+            Source::Origin => Observation::Inconclusive,
+            Source::Peer(_) => observe_peer(&bytes, elapsed, awaited.then_some(context.times.wait)),
+        };
         let result = bytes.map(|bytes| (algorithm.chunk(&bytes), bytes));
-        let took = (!awaited).then(|| context.clock.now().saturating_sub(began));
-        Drawn { chunk, source, result, took }
+        let took = (!awaited).then_some(elapsed);
+        Drawn { chunk, source, result, took, observation }
+    }
+}
+
+/// Derives a link observation from a chunk request to a peer. `wait` is how long the peer was
+/// asked to wait for a chunk that it did not hold yet.
+fn observe_peer(result: &Result<Bytes>, elapsed: Duration, wait: Option<Duration>) -> Observation {
+    let Err(error) = result else {
+        // How long the peer waited for an awaited chunk is unknown.
+        return match wait {
+            Some(_) => Observation::Inconclusive,
+            None => Observation::ResponseTime(elapsed),
+        };
+    };
+    match error.downcast_ref::<Error>() {
+        // Error statuses and failed connections are judged by response time, like chunks.
+        Some(Error::Status(..)) => {
+            Observation::ResponseTime(elapsed.saturating_sub(wait.unwrap_or_default()))
+        }
+        Some(Error::Connect(..)) => Observation::ResponseTime(elapsed),
+        Some(_) => Observation::NoResponse,
+        // No request was sent.
+        None => Observation::Inconclusive,
     }
 }
 
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -254,19 +254,12 @@
 
 /// Takes in a chunk that came, or that it did not.
 fn take(context: &Context, transfer: &mut Transfer<Fetching>, drawn: Drawn) {
-    let Drawn { chunk, source, result, took } = drawn;
+    let Drawn { chunk, source, result, took, observation } = drawn;
     let now = context.clock.now();
     if let Some(took) = took {
         transfer.took(took);
     }
-    if let Source::Peer(_) = source {
-        let mut link = context.link.lock().unwrap_or_else(PoisonError::into_inner);
-        match (&result, took) {
-            (Ok(_), Some(took)) => link.took(took, now),
-            (Ok(_), None) => {}
-            (Err(_), _) => link.missed(now),
-        }
-    }
+    context.link.lock().unwrap_or_else(PoisonError::into_inner).observe(observation, now);
     let label = match &source {
         Source::Origin => "origin",
         Source::Peer(_) => "peer",
--- /dev/null
+++ b/tests/testsuite/awaited.rs
@@ -0,0 +1,71 @@
+//! How chunk requests to peers affect the state of an instance's link.
+//!
+//! Guards against links being reported as narrow, which keeps gateways from sending requests
+//! to the old version, when peers do not hold the awaited chunks because the origin is
+//! unavailable.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::routing::get;
+use cinderspoke::agent::peers::{self, Giver};
+use cinderspoke::agent::shelf::Shelf;
+use cinderspoke::agent::transfer::{Context, Members, collect};
+use cinderspoke::util::pace::Pacer;
+use cinderspoke_types::size;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::silent_peer::{context, manifest, member};
+
+/// How long the transfer runs: longer than an awaited chunk request takes to time out.
+const TRANSFER_TIME: Duration = Duration::from_millis(2500);
+
+async fn serve(app: Router) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(axum::serve(listener, app).into_future());
+    address
+}
+
+/// Runs a transfer whose origin is unavailable and whose only peer is in another availability
+/// zone, and returns whether the instance's link is then considered narrow.
+async fn is_link_narrow(peer: SocketAddr) -> bool {
+    let own = member("e0", SocketAddr::from(([127, 0, 0, 1], 9)));
+    let mut other = member("e1", peer);
+    (other.zone, other.region) = ("b".parse().unwrap(), "b".parse().unwrap());
+    let members = Members { own, peers: vec![other], origin_weight: 0.5 };
+    let (_sender, members) = watch::channel(members);
+    let context: Arc<Context> = Arc::new(context());
+    let transfer = tokio::spawn(collect(Arc::clone(&context), manifest(), members));
+    sleep(TRANSFER_TIME).await;
+    transfer.abort();
+    context.link.lock().unwrap().is_narrow(context.clock.now())
+}
+
+#[tokio::test]
+async fn a_peer_without_the_chunk_does_not_mark_the_link_narrow() {
+    let shelf = Arc::new(Shelf::new(size::Bytes::new(1 << 20)));
+    shelf.open(&manifest());
+    let pacer = Arc::new(Pacer::new(None));
+    let giver = Giver::new(shelf, pacer, 2, Duration::from_millis(400));
+    assert!(!is_link_narrow(serve(peers::app(Arc::new(giver))).await).await);
+}
+
+#[tokio::test]
+async fn a_refused_connection_does_not_mark_the_link_narrow() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert!(!is_link_narrow(address).await);
+}
+
+#[tokio::test]
+async fn a_peer_that_never_responds_marks_the_link_narrow() {
+    let never_respond = || async { std::future::pending::<()>().await };
+    let app = Router::new().route("/v1/chunks/{digest}", get(never_respond));
+    assert!(is_link_narrow(serve(app).await).await);
+}
--- a/tests/testsuite/gateway/link.rs
+++ b/tests/testsuite/gateway/link.rs
@@ -1,6 +1,6 @@
 //! What chunks tell of a link.
 
-use cinderspoke_core::gateway::link::Link;
+use cinderspoke_core::gateway::link::{Link, Observation};
 
 use super::ms;
 
@@ -8,13 +8,15 @@
 fn a_link_is_narrow_for_a_while_after_a_slow_chunk_or_one_that_did_not_come() {
     let mut link = Link::default();
     assert!(!link.is_narrow(ms(0)));
-    link.took(ms(200), ms(1000));
+    link.observe(Observation::ResponseTime(ms(200)), ms(1000));
     assert!(!link.is_narrow(ms(1000)));
-    link.took(ms(900), ms(2000));
+    link.observe(Observation::ResponseTime(ms(900)), ms(2000));
     assert!(link.is_narrow(ms(2000)) && link.is_narrow(ms(6900)));
-    link.took(ms(200), ms(3000));
+    link.observe(Observation::ResponseTime(ms(200)), ms(3000));
     assert!(link.is_narrow(ms(3000)), "one quick chunk does not refute it");
     assert!(!link.is_narrow(ms(7100)));
-    link.missed(ms(8000));
+    link.observe(Observation::NoResponse, ms(8000));
     assert!(link.is_narrow(ms(8100)));
+    link.observe(Observation::Inconclusive, ms(14_000));
+    assert!(!link.is_narrow(ms(14_000)));
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 
 mod addresses;
 mod apply;
+mod awaited;
 mod clock;
 mod commands;
 mod decisions;
--- a/tests/testsuite/silent_peer.rs
+++ b/tests/testsuite/silent_peer.rs
@@ -51,12 +51,12 @@
     Bytes::from(vec![number as u8; 64])
 }
 
-fn manifest() -> Manifest {
+pub(crate) fn manifest() -> Manifest {
     let digests = (0..CHUNKS).map(|number| Algorithm::Sha256.chunk(&chunk(number)));
     Manifest::listed(size::Bytes::new(64), digests.collect())
 }
 
-fn member(name: &str, address: SocketAddr) -> Peer {
+pub(crate) fn member(name: &str, address: SocketAddr) -> Peer {
     Peer {
         instance: name.parse().unwrap(),
         zone: "a".parse().unwrap(),
@@ -86,7 +86,7 @@
     address
 }
 
-fn context() -> Context {
+pub(crate) fn context() -> Context {
     Context {
         shelf: Arc::new(Shelf::new(size::Bytes::new(1 << 20))),
         origin: Arc::new(Away),
