Stop sending to an old version at a fixed margin before its bound

Cause: gateways stop sending requests to the old version after 0.6 of `version_ms` for engines behind a narrow link, and after 0.8 for all others. At 8 s this leaves 3.2 s and 1.6 s for requests delayed on a saturated link. At 13.4 s it leaves 5.4 s and 2.7 s, although links delay requests no longer there.

Change: sending stops 3.2 s (narrow link) or 1.6 s (other links) before the bound. Bounds shorter than 8 s keep the previous proportions. The calculation moves to a module of its own in the core, `gateway::overlap`.

Ruled out: a smaller margin for clear links.

Sites with a bound of 8 s are not changed by it.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod name;
 pub mod notice;
 pub mod outage;
+pub mod overlap;
 pub mod patience;
 pub mod pick;
 pub mod place;
--- a/src/cinderspoke/gateway/terms.rs
+++ b/src/cinderspoke/gateway/terms.rs
@@ -5,34 +5,16 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::budget;
+use cinderspoke_core::gateway::overlap::Overlap;
 use cinderspoke_schema::settings;
 
 use crate::util::settings::{inner_address, seed_addresses};
 
-/// The part of the time for a new version within which requests are sent to
-/// the old one. What is sent may be held up on a full link for seconds and begin
-/// although it was given up; by this time most engines have gone over.
-const OVERLAP: f64 = 0.6;
-
-/// The same where nothing tells of a narrow link: while no weights come, since their
-/// origin is away, the old version is all there is. On a day on which the origin
-/// comes back 5.5 s after the version was named, 0.04 of all worth.
-const OVERLAP_CLEAR: f64 = 0.8;
-
 /// How long news of endpoints gather before the next watch, as a part of the time in which
 /// nothing new may reach an endpoint that leaves: each watch is paid for, and many endpoints
 /// change at once.
 const GATHER: f64 = 0.2;
 
-/// How long after a version was named an older one may begin requests.
-#[derive(Debug, Clone, Copy)]
-pub struct Overlap {
-    /// At an endpoint whose link may hold up what is sent.
-    pub narrow: Duration,
-    /// At any other.
-    pub clear: Duration,
-}
-
 /// What the settings ask of a gateway, as far as it may change while it runs.
 #[derive(Debug, Clone)]
 pub struct Terms {
@@ -61,9 +43,7 @@
     #[must_use]
     pub fn new(settings: &settings::Node) -> Self {
         let (bounds, own) = (&settings.bounds, inner_address(settings));
-        let version = Duration::from_millis(bounds.version_ms);
-        let overlap =
-            Overlap { narrow: version.mul_f64(OVERLAP), clear: version.mul_f64(OVERLAP_CLEAR) };
+        let overlap = Overlap::within(Duration::from_millis(bounds.version_ms));
         let window = Duration::from_secs_f64(bounds.budget_window_s);
         Self {
             budget: budget::Terms {
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod load;
 mod notice;
 mod outage;
+mod overlap;
 mod overload;
 mod patience;
 mod pick;
