After an origin outage, delay the reserve until assigned agents can draw

Cause: an agent that acts as reserve for a chunk measures its wait from its own last failure at the origin. Change: from the first chunk after an origin failure, the reserve waits until the origin could have delivered every chunk missing at that time, plus the usual patience. During the outage the reserve retries the origin at the same intervals. Transfers whose draws have no turns wait as before.

--- a/crates/core/src/transfer/choice.rs
+++ b/crates/core/src/transfer/choice.rs
@@ -64,15 +64,10 @@
     /// Where chunks have turns, each is waited for by itself: others may keep
     /// coming while the one that was to draw it stands still.
     fn has_waited(&self, chunk: usize, turns: u32, now: Duration) -> bool {
-        self.has_waited_since(self.state.started, chunk, turns, now)
-    }
-
-    /// The same, where turns began at the given time.
-    fn has_waited_since(&self, began: Duration, chunk: usize, turns: u32, now: Duration) -> bool {
         let Limits { spacing, patience, .. } = self.state.limits;
         let since = match spacing.is_zero() {
             true => self.state.progress,
-            false => began + spacing.saturating_mul(turn(chunk + 1)),
+            false => self.state.started + spacing.saturating_mul(turn(chunk + 1)),
         };
         now.saturating_sub(since) >= patience.saturating_mul(turns)
     }
@@ -145,11 +140,21 @@
 
     /// Whether it is this instance's turn to draw a chunk that has stayed away.
     fn steps_in(&self, chunk: usize, now: Duration) -> bool {
-        // Once an origin that was away is back, those whose chunks they are draw them
-        // first: else all who stand in would draw each at the same moment.
-        let began = self.state.started.max(self.state.origin_failed);
-        let turns = self.state.roles[chunk].reserve;
-        turns.is_some_and(|turns| self.has_waited_since(began, chunk, turns, now))
+        let Fetching { limits, started, origin_failed, recovery, .. } = &self.state;
+        let Some(turns) = self.state.roles[chunk].reserve else { return false };
+        let Limits { spacing, patience, .. } = *limits;
+        // After a failure of the origin, the reserve waits until the origin could have delivered
+        // every missing chunk, so that it does not duplicate draws by the assigned instances.
+        let began = (*origin_failed).max(recovery.map_or(Duration::ZERO, |recovery| recovery.at));
+        if began <= *started || spacing.is_zero() {
+            return self.has_waited(chunk, turns, now);
+        }
+        let missing = match recovery {
+            Some(recovery) if recovery.at >= *origin_failed => recovery.missing,
+            _ => self.state.held.len() - self.state.held.count(),
+        };
+        let since = began + spacing.saturating_mul(turn(missing));
+        now.saturating_sub(since) >= patience.saturating_mul(turns)
     }
 
     /// Whether the origin can be asked for one more chunk.
--- a/crates/core/src/transfer/mod.rs
+++ b/crates/core/src/transfer/mod.rs
@@ -116,6 +116,8 @@
     started: Duration,
     // When the origin last failed.
     origin_failed: Duration,
+    // The first chunk accepted after a failure of the origin.
+    recovery: Option<Recovery>,
     // By what ties are broken differently on each instance.
     own: Key,
 }
@@ -140,6 +142,14 @@
     pub patience: Duration,
 }
 
+/// The first chunk accepted, from any source, after a failure of the origin.
+#[derive(Debug, Clone, Copy)]
+struct Recovery {
+    at: Duration,
+    // The number of chunks not held at that time, including this one.
+    missing: usize,
+}
+
 /// A chunk on its way.
 #[derive(Debug)]
 struct Flight {
@@ -201,6 +211,7 @@
             progress: now,
             started: now,
             origin_failed: Duration::ZERO,
+            recovery: None,
             window: limits.downloads as f64,
         };
         let mut transfer = Self { manifest, state };
@@ -262,7 +273,11 @@
             self.penalise(chunk, flight, now);
             return Arrival::Corrupt;
         }
-        self.state.held.insert(chunk);
+        let Fetching { held, origin_failed, recovery, .. } = &mut self.state;
+        if recovery.map_or(Duration::ZERO, |recovery| recovery.at) < *origin_failed {
+            *recovery = Some(Recovery { at: now, missing: held.len() - held.count() });
+        }
+        held.insert(chunk);
         self.state.progress = now;
         Arrival::Accepted
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod memory;
 mod once;
 mod operations;
+mod origin_outage;
 mod path;
 mod pool;
 mod processes;
