Close first-wave engines early only if the rest arrives within 0.65 s

Cause: half of the engines close when 0.75 of a version's chunks have arrived. The remaining chunks take 0.65 s where the origin delivers a chunk every 27 ms, which is about as long as running requests take to finish.

Change: an engine closes early only when it holds at least 0.75 of the chunks and the remaining ones, at the origin's declared rate, take at most 0.65 s.

Sites whose origin delivers a chunk in 27 ms or less are not changed by it.

--- a/crates/core/src/gateway/changeover.rs
+++ b/crates/core/src/gateway/changeover.rs
@@ -21,6 +21,22 @@
 /// How long requests have to end by themselves once an engine is closed.
 const DRAIN: Duration = Duration::from_millis(900);
 
+/// Minimum fraction of a version's chunks an engine must hold before it may close early.
+const CLOSING: f64 = 0.75;
+
+/// Time in which most running requests finish after an engine of the first wave closes.
+const EXPECTED_DRAIN: Duration = Duration::from_millis(650);
+
+/// Whether an engine of the first wave should close before it holds all of a version's chunks.
+///
+/// At one chunk per `spacing`, the remaining chunks must arrive within the expected drain time,
+/// so that the engine does not sit idle waiting for them.
+#[must_use]
+pub fn should_close_early(held: usize, total: usize, spacing: Duration) -> bool {
+    let remaining = u32::try_from(total.saturating_sub(held)).unwrap_or(u32::MAX);
+    held as f64 >= total as f64 * CLOSING && spacing.saturating_mul(remaining) <= EXPECTED_DRAIN
+}
+
 /// When an engine goes over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Changeover {
--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, bail};
-use cinderspoke_core::gateway::changeover::{Changeover, wave};
+use cinderspoke_core::gateway::changeover::{Changeover, should_close_early, wave};
 use cinderspoke_core::manifest::Manifest;
 use cinderspoke_ports::gateway::Engine;
 use cinderspoke_types::digest::Digest;
@@ -30,10 +30,6 @@
 /// the changeover.
 const FINISH: Duration = Duration::from_millis(3800);
 
-/// The part of a version's chunks at which the first wave closes: the rest
-/// takes about as long as requests take to end.
-const CLOSING: f64 = 0.75;
-
 /// How often it is looked how much has come.
 const LOOK: Duration = Duration::from_millis(25);
 
@@ -188,9 +184,11 @@
         Changeover::of_wave(wave(&wanted.to_string(), own, &engines))
     }
 
-    /// Closes the engine once most of its weights have come in.
+    /// Closes the engine once the rest of its weights is about to come in.
     async fn close_early(&self, wanted: &Wanted, manifest: &Manifest) {
-        while !self.collector.has_part(manifest.digest(), CLOSING) {
+        let spacing = self.collector.origin_spacing(manifest);
+        let should_close = |(held, total)| should_close_early(held, total, spacing);
+        while !self.collector.progress(manifest.digest()).is_some_and(should_close) {
             sleep(LOOK).await;
         }
         if self.plans.newest().peers.len() > 1 {
--- a/src/cinderspoke/stager/collect.rs
+++ b/src/cinderspoke/stager/collect.rs
@@ -122,12 +122,24 @@
         }
     }
 
+    /// The number of chunks held and the total for a version, if the shelf tracks it.
+    pub(super) fn progress(&self, manifest: Digest) -> Option<(usize, usize)> {
+        self.transfers.shelf.progress(manifest)
+    }
+
     /// Whether a part of a version's chunks is there.
     pub(super) fn has_part(&self, manifest: Digest, part: f64) -> bool {
-        let progress = self.transfers.shelf.progress(manifest);
+        let progress = self.progress(manifest);
         progress.is_some_and(|(held, total)| held as f64 >= total as f64 * part)
     }
 
+    /// The time the origin's link needs per chunk of a version, from its declared rate; zero if
+    /// no rate is known.
+    pub(super) fn origin_spacing(&self, manifest: &Manifest) -> Duration {
+        let rate = self.origin().map_or(0.0, |declared| declared.rate);
+        spacing(manifest.as_raw().chunk_size.as_u64(), rate)
+    }
+
     /// The chunks of a version, if all are there.
     pub(super) fn whole(&self, manifest: Digest) -> Option<Vec<Bytes>> {
         self.transfers.shelf.whole(manifest)
--- a/tests/testsuite/gateway/changeover.rs
+++ b/tests/testsuite/gateway/changeover.rs
@@ -1,6 +1,11 @@
 //! The waves in which engines change weights.
 
-use cinderspoke_core::gateway::changeover::{Changeover, wave};
+use std::time::Duration;
+
+use cinderspoke_core::gateway::changeover::{Changeover, should_close_early, wave};
+use yare::parameterized;
+
+use super::ms;
 
 #[test]
 fn waves_leave_no_zone_and_no_service_without_engines() {
@@ -25,3 +30,20 @@
     assert!(second.close() > first.break_off());
     assert!(second.break_off() > second.close());
 }
+
+// Guards against half of the engines closing too early and sitting idle behind a slow origin.
+#[parameterized(
+    fast_origin = { ms(10), 72 },
+    remaining_chunks_take_the_drain_time = { ms(27), 72 },
+    slow_origin = { ms(45), 82 },
+    very_slow_origin = { ms(325), 94 },
+    unknown_rate = { ms(0), 72 },
+)]
+fn the_first_wave_closes_once_remaining_chunks_arrive_within_the_drain_time(
+    spacing: Duration,
+    expected_held: usize,
+) {
+    let chunks = 96;
+    let first = (0..=chunks).find(|held| should_close_early(*held, chunks, spacing));
+    assert_eq!(first, Some(expected_held));
+}
