Fetch the next version's listing while the current one is being finished

Cause: an agent that finishes a version requested the listing of the next version only when it gave up the current one, 2 s later. Change: the listing is fetched as soon as the next version is named, in parallel with the remaining chunks of the version being finished. A listing is a few kilobytes. Test: `stagers::a_listing_is_fetched_while_the_previous_version_is_incomplete` fails without the change.

--- a/src/cinderspoke/stager/bring.rs
+++ b/src/cinderspoke/stager/bring.rs
@@ -101,14 +101,30 @@
         };
         let follows = newer.model == wanted.model && newer.version.0 == wanted.version.0 + 1;
         if follows && self.has_part(WORTH_FINISHING) {
-            let began = Instant::now();
-            let whole = timeout(COLLECT_REST, self.until_whole()).await.is_ok();
-            if whole {
-                sleep_until(began + FINISH).await;
+            tokio::select! {
+                () = self.finish_timeout() => {}
+                () = self.prefetch_listing(&newer) => {}
             }
         }
     }
 
+    /// Waits until the time allowed for finishing the current version has elapsed:
+    /// `COLLECT_REST` if chunks are still missing by then, `FINISH` otherwise.
+    async fn finish_timeout(&self) {
+        let began = Instant::now();
+        let whole = timeout(COLLECT_REST, self.until_whole()).await.is_ok();
+        if whole {
+            sleep_until(began + FINISH).await;
+        }
+    }
+
+    /// Fetches the listing of a version in advance, as the origin may be unavailable by the
+    /// time the version is brought. Never completes.
+    async fn prefetch_listing(&self, wanted: &Wanted) {
+        self.collector.manifest(wanted).await;
+        std::future::pending().await
+    }
+
     /// Whether a part of the chunks of what is being brought is there.
     fn has_part(&self, part: f64) -> bool {
         let manifest = *self.current();
--- a/tests/testsuite/stagers.rs
+++ b/tests/testsuite/stagers.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -127,15 +127,22 @@
 
 /// A gateway that hints every agent at the same plan.
 async fn gateway(own: SocketAddr, plan: Plan) {
+    gateway_with_shared_plan(own, Arc::new(Mutex::new(plan))).await;
+}
+
+/// Like [`gateway`], with a plan that can be changed while the gateway runs.
+async fn gateway_with_shared_plan(own: SocketAddr, plan: Arc<Mutex<Plan>>) {
     let listener = TcpListener::bind(own).await.unwrap();
     let socket = UdpSocket::bind(own).await.unwrap();
-    let hash = plan.hash();
-    let app = Router::new().route("/v1/plan", get(async move || pack(&plan)));
+    let served_plan = Arc::clone(&plan);
+    let app =
+        Router::new().route("/v1/plan", get(async move || pack(&*served_plan.lock().unwrap())));
     tokio::spawn(axum::serve(listener, app).into_future());
     tokio::spawn(async move {
         let mut buffer = buffer();
         loop {
             if let Datagram::Report { from, .. } = receive(&socket, &mut buffer).await {
+                let hash = plan.lock().unwrap().hash();
                 send(&socket, from, &pack(&hint(own, hash))).await;
             }
         }
@@ -219,6 +226,73 @@
     timeout(LONG, all_run(&engines)).await.expect("agents wait for chunks that do not exist");
 }
 
+/// An origin that lacks half of the second version's chunks, and serves listings until it is down.
+#[derive(Default)]
+struct PartialOrigin {
+    is_down: AtomicBool,
+}
+
+#[async_trait]
+impl Origin for PartialOrigin {
+    async fn listing(&self, _: &Model, version: Version) -> Result<Listing, Error> {
+        if self.is_down.load(Ordering::Relaxed) {
+            return Err(Error::Unavailable("the origin is down".into()));
+        }
+        Ok(listing(version))
+    }
+
+    async fn chunk(&self, _: &Model, version: Version, number: usize) -> Result<Bytes, Error> {
+        if version == Version(2) && number >= CHUNKS / 2 {
+            return Err(Error::Unavailable("the chunk is missing".into()));
+        }
+        Ok(chunk(version, number))
+    }
+}
+
+/// The delay before the third version is named, and again before the origin goes down. Shorter
+/// than the time an agent waits for the missing chunks of the second version.
+const STEP_DELAY: Duration = Duration::from_millis(1500);
+
+// Guards against fetching a listing only after the previous version has been given up.
+#[tokio::test]
+async fn a_listing_is_fetched_while_the_previous_version_is_incomplete() {
+    let origin = Arc::new(PartialOrigin::default());
+    let address = address::free().unwrap();
+    let seed = SocketAddr::new(address::free().unwrap().ip(), shared_port());
+    let mut rollout = Rollout::default();
+    rollout.name(model(), Version(2));
+    let plan = Arc::new(Mutex::new(Plan {
+        rollout,
+        models: vec!["m".into()],
+        origins: vec![Declared { address, rate: 1e9 }],
+        peers: vec![Peer { engine: address, zone: "a".into(), region: "r".into() }],
+        gateways: vec![seed],
+        ..Plan::default()
+    }));
+    gateway_with_shared_plan(seed, Arc::clone(&plan)).await;
+    let engine = Arc::new(Empty::default());
+    let shared_origin = Arc::clone(&origin);
+    let parts = Parts {
+        engine: Arc::<Empty>::clone(&engine),
+        open_origin: Arc::new(move |_| Arc::<PartialOrigin>::clone(&shared_origin)),
+        client: Client::new(),
+        metrics: None,
+    };
+    let _stager = Stager::bind(&settings(address, "a", seed), parts).await.unwrap();
+    sleep(STEP_DELAY).await;
+    plan.lock().unwrap().rollout.name(model(), Version(3));
+    sleep(STEP_DELAY).await;
+    origin.is_down.store(true, Ordering::Relaxed);
+    let third_version_runs = async {
+        while *engine.runs.lock().unwrap() != Some(Version(3)) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), third_version_runs)
+        .await
+        .expect("the third version was not listed before the origin went down");
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_agent_that_no_gateway_has_answered_since_it_started_says_so() {
     // Its instance may lie behind a full link since before it started.
