Explain gateway limits by their purpose instead of their tuning history

Cause: the comments on constants in `gateway::pick` and three doc comments (`with_rivals`, `passed` in `follow.rs`, `heed` in `notices.rs`) quoted trial results and their history. These belong in commits and documentation, and new contributors lack the context for them. No behaviour changes: only comments are edited. The module overview of the core gateway now lists `overlap`, which covers how long requests are still sent to an old version.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,8 +14,8 @@
 //!   long a caller has waited; [`pick`] chooses an endpoint or refuses, [`health`]
 //!   leaves out those that fail. Under load, endpoints are asked for a [`place`] first.
 //! - How engines change weights: [`listing`] says whom to ask for what a version
-//!   consists of, [`changeover`] when each engine goes over, [`link`] whether what is
-//!   sent to one may be held up.
+//!   consists of, [`changeover`] when each engine switches, [`overlap`] how long requests are
+//!   still sent to the old version, [`link`] whether traffic to an engine may be delayed.
 //! - What may be repeated: [`attempt`] knows what became of each send, and
 //!   [`budget`] bounds sends beyond the first, of which each gateway has a share:
 //!   [`gossip`] says how many gateways there are.
--- a/crates/core/src/gateway/pick.rs
+++ b/crates/core/src/gateway/pick.rs
@@ -10,55 +10,49 @@
 /// The same for another region.
 const FAR_PENALTY: Duration = Duration::from_millis(16);
 
-/// The part of the time that is left within which a first token has to be expected:
-/// estimates err both ways, and what was sent on too tight a one comes late and takes
-/// the place of what would have come in time. Of a simulated demand of 1.25 of what
-/// engines can do, 0.53 are in time with 1.05, 0.64 with this and 0.66 with 0.75; on
-/// played days less than this refuses more than it gains, most of it to short aims.
+/// Fraction of the remaining time within which the first token must be expected. The rest
+/// absorbs estimation errors: a request that is answered late takes the place of one that would
+/// have been in time.
 const TOLERANCE: f64 = 0.9;
 
-/// The same for the largest prompts: they wait as long as others for their turn, and their
-/// own reading takes a part of the time besides. Held to the same limit as others, they are
-/// refused first.
+/// Upper bound of that fraction for requests with long prompts. Their prefill takes a larger
+/// part of the time, so with [`TOLERANCE`] they would be refused first.
 const LARGE_TOLERANCE: f64 = 0.98;
 
-/// The most requests that others are taken to have sent to one endpoint: far more than
-/// any has room for, and few enough to reckon with.
+/// Upper bound on the estimated number of requests that other gateways have sent to one
+/// endpoint. Exceeds the capacity of any endpoint and keeps the duration arithmetic from
+/// overflowing.
 const MOST_RIVALS: f64 = 100.0;
 
-/// How many endpoints one request is offered at first. Gateways that know the same send
-/// to different ones then: worth 0.546 to 0.582 on a day of 1.08 of what engines can do,
-/// one play each.
+/// Number of candidates sampled per request (power of d choices), so that gateways with the same
+/// information do not all choose the same endpoint.
 const DRAWN: usize = 3;
 
-/// The part of the limit within which an endpoint of the own availability zone is taken
-/// without a look at others: what goes to another region has a price, and its link is shared
-/// with weights and configurations.
+/// Fraction of the limit within which an endpoint in the gateway's own availability zone is
+/// chosen without considering others. Traffic between regions is billed, and it shares its link
+/// with transfers of weights and configurations.
 const NEAR: f64 = 0.5;
 
 /// How long callers wait for a first token at least before they leave.
 const PATIENCE: Duration = Duration::from_millis(1800);
 
-/// The part of the aim within which an endpoint has to begin for one that is late
-/// already: where more demand comes than can be served, late work would take the
-/// place of work that is still in time, and soon all of it would be late.
+/// Lower bound of the limit as a fraction of the aim, for requests that are already late or
+/// nearly so. Kept small so that under overload they do not displace requests that can still be
+/// in time.
 const SPARE: f64 = 0.35;
 
-/// When a caller is to come back that found no endpoint at all: one that is seen
-/// again may be well.
+/// Range of retry delays when no endpoint is available.
 const NONE_THERE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_millis(450));
 
-/// When a caller is to come back that found endpoints without the weights that it may
-/// be answered with: those come in seconds, not sooner.
+/// Range of retry delays when no endpoint has suitable weights. Loading them takes seconds.
 const WEIGHTLESS: (Duration, Duration) = (Duration::from_millis(1200), Duration::from_millis(2000));
 
-/// Within how long after a rest the callers come back that were refused in it: all at once
-/// they would have the endpoint ask for the next one.
+/// Interval over which retries are spread after an endpoint's rest, so that they do not overload
+/// it again.
 const RESTED: Duration = Duration::from_millis(300);
 
-/// The least and the most time after which a refused caller is to come back: its aim is
-/// lost by then, and callers wait for at most a third of what they have. 1.2 s as the
-/// least made no difference (worth 0.656 and 0.669, one play each).
+/// Range of retry delays when every endpoint would begin too late. Callers wait for at most a
+/// third of their remaining time.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(2000));
 
 /// An endpoint that could take a request.
@@ -186,8 +180,8 @@
 /// The candidates as they are by now: other gateways have been told of the same room,
 /// and have sent there what came to them since.
 ///
-/// Without this, each place that becomes free while more is asked than can be served
-/// is given away by every gateway, and all are late: of doubled demand, 0.17 in time.
+/// Without this, every gateway would send requests to the same free place under overload, and
+/// all of them would be late.
 fn with_rivals(wish: &Wish, limit: Duration, candidates: &[Candidate]) -> Vec<Candidate> {
     let rooms = candidates.iter().filter(|candidate| candidate.first <= limit).count().max(1);
     let sent = |age: Duration| wish.rivals * age.as_secs_f64() / rooms as f64;
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -206,8 +206,8 @@
     /// Waits until nothing of the answer has come in time, or nothing more of it; gives how
     /// long that was.
     ///
-    /// An answer that is on its way is waited for: drawn again beside it, a configuration
-    /// that a link brings in 3.9 s was not there after 5.9 s, since all shared the link.
+    /// An answer that is still arriving is not requested again: the transfers would share the
+    /// link and each would take longer.
     async fn passed(&self) -> Duration {
         let began = self.clock.now();
         self.clock.sleep(self.limit).await;
--- a/src/cinderspoke/gateway/notices.rs
+++ b/src/cinderspoke/gateway/notices.rs
@@ -15,9 +15,8 @@
     /// Takes in what the head of an answer says of its endpoint, whatever becomes of the
     /// answer itself.
     ///
-    /// The list has it later, and while the store takes nothing not at all: without this,
-    /// 10 of 20 requests go to an endpoint whose answers say that it leaves, and 13 in
-    /// 1.5 s to one that wants none for so long, of two endpoints each.
+    /// The list of endpoints reports this later, and not at all while the store accepts no
+    /// writes. Without this, requests would still be sent to endpoints that leave or rest.
     pub fn heed(&self, asked: &Asked, target: &Arc<Target>, said: &AnswerHead) {
         if said.leaves && !target.leaves() {
             let (id, endpoint) = (&asked.call.id, &target.name);
