Get the list of endpoints from the region when a gateway starts

A list is requested from a gateway of the own region first, and 0.3 s later from one of another region. A request for a configuration no longer returns the list as well. Ruled out: having some gateways of each region watch endpoints for all of them: what a gateway knows about outages of the store depends on its own watch.

--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
-use super::facts::{self, knows_more};
+use super::facts::{self, has_newer_list, knows_more};
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Known, buffer, pack, receive, send};
 use super::outstanding;
@@ -55,9 +55,11 @@
     socket: Arc<UdpSocket>,
     agents: Agents,
     planner: Planner,
-    // Whether a newer configuration, or a newer list, is waited for or fetched.
+    // Whether a newer configuration, or a newer list of endpoints from a gateway of the own
+    // region or of another one, is awaited or being fetched.
     pub(super) awaiting_configuration: AtomicBool,
-    pub(super) awaiting_list: AtomicBool,
+    pub(super) awaiting_near_list: AtomicBool,
+    pub(super) awaiting_far_list: AtomicBool,
 }
 
 impl Relay {
@@ -82,7 +84,8 @@
             agents,
             planner,
             awaiting_configuration: AtomicBool::default(),
-            awaiting_list: AtomicBool::default(),
+            awaiting_near_list: AtomicBool::default(),
+            awaiting_far_list: AtomicBool::default(),
         }
     }
 
@@ -163,7 +166,8 @@
         let is_behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
             self.draw_configuration();
-        } else if knows_more(&known, &own) {
+        }
+        if has_newer_list(&known, &own) {
             self.draw_list(from, &known);
         }
         if is_behind || is_stranger {
