Take back that gateways that start have the list of endpoints from their region

Ruled out: that lists read at the start are what fills the links: the bytes between regions did not fall. Its arithmetic took 0.9 MB for a list; what a list has there was not measured.

--- a/src/cinderspoke/gateway/facts.rs
+++ b/src/cinderspoke/gateway/facts.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -31,10 +31,6 @@
 /// The same of a gateway of the own region; after it, another one is asked.
 const NEAR_PAUSE: Duration = Duration::from_millis(500);
 
-/// Additional delay before a gateway of another region is asked for the list of endpoints: a
-/// list from the own region does not use the link between regions.
-const FAR_LIST_DELAY: Duration = Duration::from_millis(300);
-
 /// How long it may take on the whole: another one may have a link that is clear.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -42,15 +38,6 @@
 /// the own region may have it by then.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// The facts that are requested from another gateway.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Requested {
-    /// Only the configuration, which a large list of endpoints in the same answer would delay.
-    Configuration,
-    /// The configuration and the list of endpoints, each if newer.
-    All,
-}
-
 impl Relay {
     /// Gets a newer configuration from another gateway, unless that is under way.
     pub(super) fn draw_configuration(self: &Arc<Self>) {
@@ -88,7 +75,7 @@
                 // The store's own word should be here by now.
                 self.knowledge.doubt();
             }
-            if let Err(error) = self.fetch(gateway, pause, Requested::Configuration).await {
+            if let Err(error) = self.fetch(gateway, pause).await {
                 tracing::debug!(%gateway, error = format!("{error:#}"), "asking a gateway");
             }
         }
@@ -97,63 +84,41 @@
     /// Asks a gateway for a newer list of endpoints, unless that comes by itself in time or
     /// is waited for already.
     pub(super) fn draw_list(self: &Arc<Self>, from: SocketAddr, known: &Known) {
-        let is_near = self.knowledge.neighbours().contains(&from);
-        if self.awaiting_list(is_near).swap(true, Ordering::SeqCst) {
+        if self.awaiting_list.swap(true, Ordering::SeqCst) {
             return;
         }
         let (relay, known) = (Arc::clone(self), known.clone());
-        // A gateway that has no list yet has no update from the store to wait for.
-        let has_no_list = self.knowledge.known().directory == Revision::default();
-        let store_wait = if has_no_list { Duration::ZERO } else { OWN_LIST };
-        let wait = if is_near { store_wait } else { store_wait + FAR_LIST_DELAY };
         tokio::spawn(async move {
-            sleep(wait).await;
-            if has_newer_list(&known, &relay.knowledge.known()) {
+            sleep(OWN_LIST).await;
+            if knows_more(&known, &relay.knowledge.known()) {
                 relay.knowledge.doubt();
-                if let Err(error) = relay.fetch(from, FAR_PAUSE, Requested::All).await {
+                if let Err(error) = relay.fetch(from, FAR_PAUSE).await {
                     tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
                 }
             }
-            relay.awaiting_list(is_near).store(false, Ordering::SeqCst);
+            relay.awaiting_list.store(false, Ordering::SeqCst);
         });
     }
 
-    /// The flag for a pending list from a gateway of the own region or of another one.
-    fn awaiting_list(&self, is_near: bool) -> &AtomicBool {
-        if is_near { &self.awaiting_near_list } else { &self.awaiting_far_list }
-    }
-
     /// Asks a gateway for what it knows more; for the whole configuration where what differs
     /// does not fit.
-    async fn fetch(&self, from: SocketAddr, pause: Duration, requested: Requested) -> Result<()> {
+    async fn fetch(&self, from: SocketAddr, pause: Duration) -> Result<()> {
         let (_, held) = self.knowledge.configuration_held();
-        let facts = self.ask(from, pause, held, requested).await?;
+        let facts = self.ask(from, pause, held).await?;
         if let Err(misfit) = self.take_in(facts) {
             tracing::warn!(%from, %misfit, "a configuration does not fit");
-            self.take_in(self.ask(from, pause, Hash::default(), requested).await?)?;
+            self.take_in(self.ask(from, pause, Hash::default()).await?)?;
         }
         Ok(())
     }
 
     /// Asks a gateway for what it knows more, with the hash of the configuration by which it
     /// may tell the newer one.
-    async fn ask(
-        &self,
-        from: SocketAddr,
-        pause: Duration,
-        held: Hash,
-        requested: Requested,
-    ) -> Result<Facts> {
+    async fn ask(&self, from: SocketAddr, pause: Duration, held: Hash) -> Result<Facts> {
         let known = self.knowledge.known();
-        let directory = match requested {
-            // No list has a newer revision, so none is sent.
-            Requested::Configuration => u64::MAX,
-            Requested::All => known.directory.0,
-        };
         let path = format!(
-            "/v1/facts?configuration={}&configuration_hash={}&directory={directory}\
-             &directory_hash={}",
-            known.configuration, held.0, known.directory_hash,
+            "/v1/facts?configuration={}&configuration_hash={}&directory={}&directory_hash={}",
+            known.configuration, held.0, known.directory.0, known.directory_hash,
         );
         let progress = Progress::default();
         let call = Call::get(from, path).alone().pause(pause).timeout(TIMEOUT);
@@ -182,12 +147,8 @@
 
 /// Whether one knows something that the other does not.
 pub(super) fn knows_more(one: &Known, other: &Known) -> bool {
-    one.configuration > other.configuration || has_newer_list(one, other)
-}
-
-/// Whether one has a list of endpoints that is newer than the other's and differs from it.
-pub(super) fn has_newer_list(one: &Known, other: &Known) -> bool {
-    one.directory > other.directory && one.directory_hash != other.directory_hash
+    one.configuration > other.configuration
+        || (one.directory > other.directory && one.directory_hash != other.directory_hash)
 }
 
 /// What the asker of facts knows.
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -58,7 +58,7 @@
     let sources: [Box<dyn Source>; 3] = [
         Box::new(Configuration(shared())),
         Box::new(Versions(shared())),
-        Box::new(Endpoints::new(shared())),
+        Box::new(Endpoints(shared())),
     ];
     for source in sources {
         let knowledge = Arc::clone(knowledge);
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -27,7 +27,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
-use super::facts::{self, has_newer_list, knows_more};
+use super::facts::{self, knows_more};
 use super::knowledge::Knowledge;
 use super::message::{Datagram, Known, buffer, pack, receive, send};
 use super::outstanding;
@@ -55,11 +55,9 @@
     socket: Arc<UdpSocket>,
     agents: Agents,
     planner: Planner,
-    // Whether a newer configuration, or a newer list of endpoints from a gateway of the own
-    // region or of another one, is awaited or being fetched.
+    // Whether a newer configuration, or a newer list, is waited for or fetched.
     pub(super) awaiting_configuration: AtomicBool,
-    pub(super) awaiting_near_list: AtomicBool,
-    pub(super) awaiting_far_list: AtomicBool,
+    pub(super) awaiting_list: AtomicBool,
 }
 
 impl Relay {
@@ -84,8 +82,7 @@
             agents,
             planner,
             awaiting_configuration: AtomicBool::default(),
-            awaiting_near_list: AtomicBool::default(),
-            awaiting_far_list: AtomicBool::default(),
+            awaiting_list: AtomicBool::default(),
         }
     }
 
@@ -166,8 +163,7 @@
         let is_behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
             self.draw_configuration();
-        }
-        if has_newer_list(&known, &own) {
+        } else if knows_more(&known, &own) {
             self.draw_list(from, &known);
         }
         if is_behind || is_stranger {
--- a/src/cinderspoke/gateway/source.rs
+++ b/src/cinderspoke/gateway/source.rs
@@ -2,7 +2,6 @@
 
 use std::future::pending;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -30,11 +29,6 @@
 /// How long it waits for the configuration of which it was told: less than it may be away.
 const TOLD: Duration = Duration::from_millis(1500);
 
-/// How long a gateway that starts waits for the list of endpoints from other gateways: longer
-/// than `TOLD`, since the list may be much larger than a configuration. If the readers of its
-/// region exit, the gateway becomes a reader itself and only `FIRST_WORD` applies.
-const LIST_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// How often it looks whether it has it.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -114,11 +108,7 @@
 pub(super) struct Versions(pub(super) Shared);
 
 /// The list of endpoints.
-pub(super) struct Endpoints {
-    shared: Shared,
-    // Whether the store has answered a read or a watch.
-    has_store_answered: AtomicBool,
-}
+pub(super) struct Endpoints(pub(super) Shared);
 
 /// Where facts came from, for logs.
 const STORE: &str = "store";
@@ -271,27 +261,6 @@
     }
 }
 
-impl Endpoints {
-    pub(super) fn new(shared: Shared) -> Self {
-        Self { shared, has_store_answered: AtomicBool::default() }
-    }
-
-    /// Whether the list may still arrive from another gateway.
-    fn may_be_told(&self, waited: Duration) -> bool {
-        let patience = match self.shared.knowledge.role() {
-            Role::Reader => FIRST_WORD,
-            Role::Follower => LIST_TIMEOUT,
-        };
-        waited < patience
-    }
-
-    /// The revision of the current list, or `None` before the first one.
-    fn list_revision(&self) -> Option<Revision> {
-        let revision = self.shared.knowledge.known().directory;
-        (revision > Revision::default()).then_some(revision)
-    }
-}
-
 #[async_trait]
 impl Source for Endpoints {
     fn name(&self) -> &'static str {
@@ -299,9 +268,8 @@
     }
 
     async fn read(&self, _: &Progress) -> Result<Answer<'_>, Error> {
-        let read = self.shared.registry.endpoints().await?;
-        let listed = |fact| _ = self.shared.knowledge.listed(fact, STORE);
-        self.has_store_answered.store(true, Ordering::Relaxed);
+        let read = self.0.registry.endpoints().await?;
+        let listed = |fact| _ = self.0.knowledge.listed(fact, STORE);
         Ok(Box::new(move |_| Some(take(read, listed))))
     }
 
@@ -311,41 +279,19 @@
         wait: Duration,
         _: &Progress,
     ) -> Result<Answer<'_>, Error> {
-        let seen = self.shared.registry.watch_endpoints(after, wait).await?;
-        let changed = |fact| _ = self.shared.knowledge.changed(fact, STORE);
-        self.has_store_answered.store(true, Ordering::Relaxed);
+        let seen = self.0.registry.watch_endpoints(after, wait).await?;
+        let changed = |fact| _ = self.0.knowledge.changed(fact, STORE);
         Ok(Box::new(move |_| take_news(seen, changed)))
     }
 
-    /// Waits for the list from other gateways, as a rule those of the region that read it:
-    /// gateways that start at the same time would saturate the link to the store if each read
-    /// the full list from it.
-    async fn start(&self) {
-        let knowledge = &self.shared.knowledge;
-        if knowledge.terms().seeds.is_empty() {
-            return;
-        }
-        let began = knowledge.clock().now();
-        while self.list_revision().is_none()
-            && self.may_be_told(knowledge.clock().now().saturating_sub(began))
-        {
-            sleep(LOOK).await;
-        }
-    }
-
-    /// The revision of the list received from other gateways, until the store has answered.
-    fn known(&self) -> Option<Revision> {
-        if self.has_store_answered.load(Ordering::Relaxed) { None } else { self.list_revision() }
-    }
-
     fn gather(&self) -> Duration {
-        let gather = self.shared.knowledge.terms().gather;
+        let gather = self.0.knowledge.terms().gather;
         // Entries that come back late after an outage are given up for a while.
-        let awaits_entries = self.shared.knowledge.next_settled().is_some();
+        let awaits_entries = self.0.knowledge.next_settled().is_some();
         if awaits_entries { gather.min(GATHER_AFTER_OUTAGE) } else { gather }
     }
 
     fn askers(&self) -> usize {
-        self.shared.knowledge.view().gateways
+        self.0.knowledge.view().gateways
     }
 }
