Two tests of draws from the origin share what they build

Cause: `origin_outage` wrote the peer and the limits of `turns` again. Ruled out: sharing the simulated zones too: one gives chunks at once, the other over time. Change: it takes both from `turns` and says what differs.

--- a/tests/testsuite/origin_outage.rs
+++ b/tests/testsuite/origin_outage.rs
@@ -13,6 +13,8 @@
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::size;
 
+use crate::turns;
+
 const CHUNKS: usize = 96;
 const AGENTS: usize = 76;
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -39,24 +41,12 @@
 }
 
 fn peer(seed: usize, number: usize) -> Peer {
-    let zone = ZONES[number % ZONES.len()];
-    Peer {
-        instance: format!("{seed}-{number}").parse().unwrap(),
-        zone: zone.parse().unwrap(),
-        region: zone.parse().unwrap(),
-        address: format!("127.0.0.1:{}", 1000 + number).parse().unwrap(),
-    }
+    let instance = format!("{seed}-{number}").parse().unwrap();
+    Peer { instance, ..turns::peer(number, ZONES[number % ZONES.len()]) }
 }
 
 fn limits() -> Limits {
-    Limits {
-        downloads: 6,
-        origin: 1,
-        spacing: SPACING,
-        patience: PATIENCE,
-        penalty: Duration::from_millis(250),
-        slow: None,
-    }
+    Limits { spacing: SPACING, patience: PATIENCE, slow: None, ..turns::limits() }
 }
 
 /// A request for a chunk from a peer.
--- a/tests/testsuite/turns.rs
+++ b/tests/testsuite/turns.rs
@@ -24,7 +24,7 @@
     Manifest::listed(size::Bytes::new(64), digests.collect())
 }
 
-fn peer(number: usize, zone: &str) -> Peer {
+pub(crate) fn peer(number: usize, zone: &str) -> Peer {
     Peer {
         instance: format!("e{number}").parse().unwrap(),
         zone: zone.parse().unwrap(),
@@ -33,7 +33,7 @@
     }
 }
 
-fn limits() -> Limits {
+pub(crate) fn limits() -> Limits {
     Limits {
         downloads: 6,
         origin: 1,
