Test that a refusal that arrives late marks the link narrow

Cause: reading the change again, no test failed when refusals said nothing at all of the link, though over a full link they arrive late and keep requests off the old version's last seconds. Ruled out: that another test covers it; with refusals taken for inconclusive only this one fails, of the four in `awaited`.

--- a/tests/testsuite/awaited.rs
+++ b/tests/testsuite/awaited.rs
@@ -15,6 +15,7 @@
 use cinderspoke::agent::transfer::{Context, Members, collect};
 use cinderspoke::util::pace::Pacer;
 use cinderspoke_types::size;
+use http::StatusCode;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -24,6 +25,10 @@
 /// How long the transfer runs: longer than an awaited chunk request takes to time out.
 const TRANSFER_TIME: Duration = Duration::from_millis(2500);
 
+/// When a late refusal is sent: after the requested wait and the time of a slow link, and before
+/// the request times out.
+const LATE: Duration = Duration::from_millis(1500);
+
 async fn serve(app: Router) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -69,3 +74,13 @@
     let app = Router::new().route("/v1/chunks/{digest}", get(never_respond));
     assert!(is_link_narrow(serve(app).await).await);
 }
+
+#[tokio::test]
+async fn a_refusal_that_arrives_late_marks_the_link_narrow() {
+    let refuse_late = || async {
+        sleep(LATE).await;
+        StatusCode::NOT_FOUND
+    };
+    let app = Router::new().route("/v1/chunks/{digest}", get(refuse_late));
+    assert!(is_link_narrow(serve(app).await).await);
+}
