The pause of a call that names none is the product's, not the adapter's

Cause: `platform/` translates and decides nothing, but held the 300 ms for which a caller that is turned away with 429 and told no time stays away. Ruled out: taking the one of `ports::http` for both: that is 1 s, and a test asks for it, so that gateways would stay away for longer.

--- a/crates/ports/src/gateway/mod.rs
+++ b/crates/ports/src/gateway/mod.rs
@@ -13,8 +13,14 @@
 mod origin;
 mod registry;
 
+use std::time::Duration;
+
 pub use self::dialect::{AnswerHead, Dialect, Misfit, Sending};
 pub use self::engine::{Engine, EngineReport, Ordered, Switch};
 pub use self::holds::Holds;
 pub use self::origin::{Listing, Origin};
 pub use self::registry::{Registry, Seen};
+
+/// How long to stay away from a platform, an engine or an origin that is asked too often and
+/// names no time.
+pub const DEFAULT_RETRY: Duration = Duration::from_millis(300);
