Serve requests in their homes, send nothing to emptied zones, spare cold endpoints

Cause: the regions that routes and teams allow, the kind that empties availability zones and what cold endpoints bear were not read at all.

Changed, each a decision without I/O: - residency: a request goes only to endpoints in regions that its route and its team allow, whether first, repeated or continued; a newer configuration binds what is not sent yet. Without an endpoint there it is refused at once, with when to come back. - evacuation: read by the few gateways that read configurations; digests carry the whole set with its revision. Nothing is sent, and a gateway is not ready, before it is known which zones are emptied. - cold: each gateway has a share of the bound of a cold endpoint, by rank among all gateways that it knows of, for each endpoint another rank. Cold by entry, by answer, after a silence, after an evacuation.

Ways weighed for the bound: places that agents hand out would need one more word in each answer, and none is there for plain services; a share by rank needs no word, and a wrong count only makes it smaller.

--- a/crates/core/src/gateway/catalog.rs
+++ b/crates/core/src/gateway/catalog.rs
@@ -1,13 +1,14 @@
 //! The configuration in force, indexed for requests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::difference::Hash;
-use super::name::{Model, Service, Team};
+use super::name::{Model, Region, Service, Team};
+use super::residency::{Homes, Residency};
 
 /// Whether a request may run more than once, and what its answer is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,6 +72,8 @@
     pub attempts: u32,
     /// Whether requests need no key.
     pub public: bool,
+    /// Where its requests may be served.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -148,6 +151,17 @@
     pub origin: Option<Origin>,
     /// How its endpoints spend their time, if they are model engines.
     pub engine: Option<Engine>,
+    /// What its endpoints bear after their start, where that is less than later.
+    pub cold: Option<Cold>,
+}
+
+/// What an endpoint bears for a time after its start.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Cold {
+    /// How long that lasts.
+    pub lasts: Duration,
+    /// Requests a second.
+    pub per_s: f64,
 }
 
 /// A team and the keys that stand for it.
@@ -159,6 +173,8 @@
     pub keys: Vec<String>,
     /// Its rank, which goes before a route's.
     pub priority: Option<u8>,
+    /// Where its requests may be served.
+    pub homes: Homes,
 }
 
 /// What callers may send.
@@ -276,6 +292,22 @@
         }
     }
 
+    /// Where a request with a key on a route may be served.
+    #[must_use]
+    pub fn residency(&self, route: &Route, key: Option<&str>) -> Residency {
+        let number = key.filter(|_| !route.public).and_then(|key| self.by_key.get(key));
+        let team = number.map(|number| self.declared.tenancies[*number].homes.clone());
+        [route.homes.clone()].into_iter().chain(team).collect()
+    }
+
+    /// The regions that routes and teams name and that are not among these.
+    #[must_use]
+    pub fn unknown_regions(&self, is_known: impl Fn(&Region) -> bool) -> BTreeSet<Region> {
+        let routes = self.declared.routes.iter().map(|route| &route.homes);
+        let homes = routes.chain(self.declared.tenancies.iter().map(|tenancy| &tenancy.homes));
+        homes.flat_map(Homes::regions).filter(|region| !is_known(region)).cloned().collect()
+    }
+
     /// A service by its name.
     #[must_use]
     pub fn backend(&self, service: &Service) -> Option<&Backend> {
--- a/crates/core/src/gateway/directory.rs
+++ b/crates/core/src/gateway/directory.rs
@@ -60,6 +60,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
+    /// How much longer it was to be cold when it wrote this.
+    pub cold: Duration,
     /// The models that it holds whole, with their versions.
     pub models: Vec<(Model, Version)>,
     /// Whether it held a model's layers, in whole or in part, when it wrote this.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -13,6 +13,8 @@
 //!   gateways have there among it; [`demand`] is how much is asked, [`patience`] how
 //!   long a caller has waited; [`pick`] chooses an endpoint or refuses, [`health`]
 //!   leaves out those that fail. Under load, endpoints are asked for a [`place`] first.
+//!   [`residency`] says in which regions a request may be served, [`evacuation`] which
+//!   availability zones receive nothing, [`cold`] how much an endpoint bears after its start.
 //! - How engines change weights: [`listing`] says whom to ask for what a version
 //!   consists of, [`changeover`] when each engine switches, [`overlap`] how long requests are
 //!   still sent to the old version, [`link`] whether traffic to an engine may be delayed.
@@ -28,9 +30,11 @@
 pub mod call;
 pub mod catalog;
 pub mod changeover;
+pub mod cold;
 pub mod demand;
 pub mod difference;
 pub mod directory;
+pub mod evacuation;
 pub mod event;
 pub mod fact;
 pub mod fingerprint;
@@ -48,6 +52,7 @@
 pub mod pick;
 pub mod place;
 pub mod region;
+pub mod residency;
 pub mod rollout;
 pub mod suspect;
 pub mod tally;
--- /dev/null
+++ b/crates/core/src/gateway/residency.rs
@@ -0,0 +1,61 @@
+//! In which regions a request may be served.
+//!
+//! A route and a team may each name regions; where both do, both bind. The limits hold for every
+//! send of a request, also for a repeat and for a stream that another endpoint continues.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use super::name::Region;
+
+/// The regions in which a route or a team allows requests to be served.
+// Invariant: an empty set stands for every region.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Homes(BTreeSet<Region>);
+
+impl Homes {
+    /// Whether requests may be served in a region; a zone of no known region has the empty
+    /// name, which no homes contain.
+    #[must_use]
+    pub fn allow(&self, region: &Region) -> bool {
+        self.0.is_empty() || self.0.contains(region)
+    }
+
+    /// The regions that are named.
+    pub fn regions(&self) -> impl Iterator<Item = &Region> {
+        self.0.iter()
+    }
+}
+
+impl FromIterator<Region> for Homes {
+    fn from_iter<T: IntoIterator<Item = Region>>(regions: T) -> Self {
+        Self(regions.into_iter().collect())
+    }
+}
+
+/// All limits that bind one request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Residency(Vec<Homes>);
+
+impl Residency {
+    /// Whether the request may be served in a region.
+    #[must_use]
+    pub fn allows(&self, region: &Region) -> bool {
+        self.0.iter().all(|homes| homes.allow(region))
+    }
+
+    /// Adds the limits of a newer configuration: what is not sent yet is bound by both.
+    #[must_use]
+    pub fn and(mut self, other: Self) -> Self {
+        let more = other.0.into_iter().filter(|homes| !self.0.contains(homes)).collect::<Vec<_>>();
+        self.0.extend(more);
+        self
+    }
+}
+
+impl FromIterator<Homes> for Residency {
+    fn from_iter<T: IntoIterator<Item = Homes>>(limits: T) -> Self {
+        Self(limits.into_iter().filter(|homes| *homes != Homes::default()).collect())
+    }
+}
--- a/crates/ports/src/gateway/dialect.rs
+++ b/crates/ports/src/gateway/dialect.rs
@@ -51,6 +51,8 @@
     pub leaves: bool,
     /// For how long the endpoint wants no more requests from whoever sent this one.
     pub rest: Option<Duration>,
+    /// How much longer the endpoint is cold, where it says that.
+    pub cold: Option<Duration>,
 }
 
 /// How requests and answers are spelled on the wire.
--- a/crates/ports/src/gateway/registry.rs
+++ b/crates/ports/src/gateway/registry.rs
@@ -1,12 +1,15 @@
 //! The platform's store, as gateways read it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use cinderspoke_core::gateway::catalog::Declared;
 use cinderspoke_core::gateway::directory::{Change, Directory};
+use cinderspoke_core::gateway::evacuation;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::name::Zone;
 use cinderspoke_core::gateway::rollout::Rollout;
 
 use crate::Error;
@@ -52,6 +55,23 @@
         wait: Duration,
     ) -> Result<Seen<Vec<Change>>, Error>;
 
+    /// The availability zones that operators have emptied; a platform that knows of none has
+    /// none.
+    async fn evacuations(&self) -> Result<Fact<BTreeSet<Zone>>, Error> {
+        Ok(Fact::default())
+    }
+
+    /// Zones that were emptied or taken back after a revision, as soon as there are some within
+    /// the time.
+    async fn watch_evacuations(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Seen<Vec<evacuation::Change>>, Error> {
+        tokio::time::sleep(wait).await;
+        Ok(Seen::News(Fact::new(after, Vec::new())))
+    }
+
     /// Our own gateways that have said that they are there.
     async fn gateways(&self) -> Result<Vec<SocketAddr>, Error>;
 
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -7,6 +7,7 @@
 
 use cinderspoke_core::gateway::catalog::Catalog;
 use cinderspoke_core::gateway::directory::{Directory, Entry, Keeper};
+use cinderspoke_core::gateway::evacuation;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::lag::Lag;
 use cinderspoke_core::gateway::name::{Endpoint, Service};
@@ -46,6 +47,8 @@
     pub stored: Option<Rollout>,
     /// The list of endpoints.
     pub keeper: Keeper,
+    /// The availability zones that are emptied.
+    pub evacuation: evacuation::Table,
     /// When the platform last did not answer, and whether it answered others.
     pub outage: Outage,
     /// Tells lists of endpoints apart; kept, since it is asked for with each digest.
@@ -97,7 +100,8 @@
         });
         for (name, entry) in entries {
             let new = || Arc::new(Target::new(name.clone(), entry, notices));
-            targets.entry(name.clone()).or_insert_with(new);
+            let target = targets.entry(name.clone()).or_insert_with(new);
+            target.listed_cold(entry.cold, now);
         }
         let addressed = entries.iter().filter_map(|(name, entry)| {
             let target = targets.get(name)?;
@@ -124,6 +128,7 @@
             ages: self.timeline.ages(now),
             directory: self.keeper.revision(),
             directory_hash: self.directory_hash,
+            emptied: self.evacuation.known().cloned(),
             answers: self.outage.answers(now),
             leaving: self.notices.tell(self.ready().map(|(target, _)| target.run), now),
             ..Known::default()
@@ -139,8 +144,9 @@
         .entries
         .iter()
         .map(|(name, entry)| {
-            let Entry { service, address, zone, slots, state, start, .. } = entry;
-            format!("{name} {service} {address} {zone} {slots} {state:?} {start:?};")
+            let Entry { service, address, zone, slots, state, start, cold, .. } = entry;
+            let is_cold = !cold.is_zero();
+            format!("{name} {service} {address} {zone} {slots} {state:?} {start:?} {is_cold};")
         })
         .collect();
     Key::of(&text).as_u64()
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -6,11 +6,13 @@
 use bytes::Bytes;
 use cinderspoke_core::gateway::attempt::{Fate, History};
 use cinderspoke_core::gateway::catalog::Engine;
+use cinderspoke_core::gateway::cold::Bound;
 use cinderspoke_core::gateway::health;
 use cinderspoke_core::gateway::load::{self, Load, first_token, longer_reading};
 use cinderspoke_core::gateway::name::Endpoint;
 use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish};
 use cinderspoke_core::gateway::place::{Search, Step};
+use cinderspoke_core::gateway::residency::Residency;
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::rendezvous::Key;
 use http::Response;
@@ -112,6 +114,7 @@
             return match choice {
                 Choice::Send { number, first } => {
                     let target = Arc::clone(&members[number].target);
+                    target.tracking().sends.add(context.clock.now());
                     let place = settle(places, Some(&target), context);
                     let prospect = prospects.iter().find(|one| one.candidate.number == number);
                     let version = prospect.and_then(|prospect| prospect.version);
@@ -134,7 +137,16 @@
         let now = context.clock.now();
         let engine = view.engine(&asked.service);
         let (members, size) = (view.members(&asked.service), asked.call.size);
-        let survey = Survey { context, asked, tried: &self.tried, view, engine, now };
+        let survey = Survey {
+            context,
+            asked,
+            tried: &self.tried,
+            view,
+            engine,
+            residency: residency(asked, view),
+            cold: context.knowledge.cold_bound(view, &asked.service),
+            now,
+        };
         let mut options = survey.options(members, Avoided::LeftOut);
         if options.is_empty() {
             // Better one that failed lately than none.
@@ -142,11 +154,12 @@
         }
         if options.is_empty() && !self.stale.is_empty() {
             let tried = self.tried.iter().filter(|name| !self.stale.contains(*name));
-            let survey = Survey { tried: &tried.cloned().collect::<Vec<_>>(), ..survey };
+            let tried = &tried.cloned().collect::<Vec<_>>();
+            let survey = Survey { tried, residency: survey.residency.clone(), ..survey };
             options = survey.options(members, Avoided::Included);
         }
         let wish = Wish {
-            weightless: engine.is_some() && !members.is_empty(),
+            weightless: engine.is_some() && members.iter().any(|one| survey.is_allowed(one)),
             rest: survey.rest_left(members),
             reading: engine.map_or(Duration::ZERO, |engine| longer_reading(engine, size)),
             rivals: context.rivals(&asked.service, view.gateways),
@@ -224,9 +237,21 @@
     tried: &'a [Endpoint],
     view: &'a View,
     engine: Option<&'a Engine>,
+    residency: Residency,
+    // Of cold endpoints; none without a bound.
+    cold: Option<Bound>,
     now: Duration,
 }
 
+/// Where a request may be served: a configuration that has come since it was read binds it too.
+fn residency(asked: &Asked, view: &View) -> Residency {
+    let catalog = view.catalog.as_ref();
+    let route = catalog.and_then(|catalog| catalog.route(&asked.call.host, &asked.call.path));
+    let newer = catalog.zip(route);
+    let newer = newer.map(|(catalog, route)| catalog.residency(route, asked.call.key.as_deref()));
+    asked.residency.clone().and(newer.unwrap_or_default())
+}
+
 impl Survey<'_> {
     /// The members that may get the request, each with its place among all members.
     fn options(&self, members: &[Member], avoided: Avoided) -> Vec<Prospect> {
@@ -238,20 +263,40 @@
     /// After how long the first of those members takes requests again that could answer
     /// this one but rest.
     fn rest_left(&self, members: &[Member]) -> Option<Duration> {
+        let allowed = members.iter().filter(|member| self.is_allowed(member));
         let left = |member: &Member| {
             let left = member.target.rest_left(self.now)?;
             let tracking = member.target.tracking();
             (!matches!(self.weights(member, &tracking.load), Weights::Unfit)).then_some(left)
         };
-        members.iter().filter_map(left).min()
+        allowed.filter_map(left).min()
+    }
+
+    /// Whether a member may get the request whatever it is busy with: its zone is not emptied,
+    /// and the request may be served in its region.
+    fn is_allowed(&self, member: &Member) -> bool {
+        !member.is_emptied && self.residency.allows(&member.region)
+    }
+
+    /// Whether a member is cold and was sent this gateway's share of what it bears.
+    fn is_spent(&self, member: &Member, tracking: &Tracking) -> bool {
+        let Some(bound) = self.cold.filter(|_| member.target.is_cold(self.now)) else {
+            return false;
+        };
+        let endpoint = Key::of(member.target.name.as_str());
+        let share = bound.share(endpoint, self.context.knowledge.key(), &self.view.others);
+        tracking.sends.count(self.now) >= share
     }
 
     /// A member as a prospect, if it is one.
     fn option(&self, number: usize, member: &Member, avoided: Avoided) -> Option<Prospect> {
-        if !member.target.takes_requests(self.now) {
+        if !self.is_allowed(member) || !member.target.takes_requests(self.now) {
             return None;
         }
         let tracking = member.target.tracking();
+        if self.is_spent(member, &tracking) {
+            return None;
+        }
         let state = tracking.health.state(self.now);
         let stands = tracking.load.is_out_of_reach(self.now) || tracking.load.is_stuck(self.now);
         let avoid = state == health::State::Out || tracking.rests_until > self.now || stands;
--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -77,7 +77,8 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let view = self.knowledge.view();
-        !self.is_leaving() && view.catalog.is_some() && !view.members.is_empty()
+        let knows = view.catalog.is_some() && view.knows_emptied && !view.members.is_empty();
+        !self.is_leaving() && knows
     }
 
     /// Says that the gateway takes no new connections.
--- a/src/cinderspoke/gateway/facts.rs
+++ b/src/cinderspoke/gateway/facts.rs
@@ -149,6 +149,15 @@
 pub(super) fn knows_more(one: &Known, other: &Known) -> bool {
     one.configuration > other.configuration
         || (one.directory > other.directory && one.directory_hash != other.directory_hash)
+        || knows_more_zones(one, other)
+}
+
+/// Whether one knows which zones are emptied where the other does not, or knows others.
+fn knows_more_zones(one: &Known, other: &Known) -> bool {
+    match (&one.emptied, &other.emptied) {
+        (Some(one), Some(other)) => one.revision > other.revision && one.value != other.value,
+        (one, other) => one.is_some() && other.is_none(),
+    }
 }
 
 /// What the asker of facts knows.
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -24,7 +24,9 @@
 
 use super::draw;
 use super::knowledge::Knowledge;
-use super::source::{Answer, Configuration, Endpoints, LOOK_AT_ROLE, Shared, Source, Versions};
+use super::source::{
+    Answer, Configuration, Endpoints, Evacuations, LOOK_AT_ROLE, Shared, Source, Versions,
+};
 use crate::util::clock::Clock;
 use crate::util::settings::inner_address;
 use crate::util::stop;
@@ -55,11 +57,14 @@
     token: CancellationToken,
 ) {
     let shared = || Shared { knowledge: Arc::clone(knowledge), registry: Arc::clone(registry) };
-    let sources: [Box<dyn Source>; 3] = [
+    let mut sources: Vec<Box<dyn Source>> = vec![
         Box::new(Configuration(shared())),
         Box::new(Versions(shared())),
         Box::new(Endpoints(shared())),
     ];
+    if knowledge.terms().evacuates {
+        sources.push(Box::new(Evacuations(shared())));
+    }
     for source in sources {
         let knowledge = Arc::clone(knowledge);
         tokio::spawn(stop::until(token.clone(), follow(source, knowledge)));
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -8,17 +8,19 @@
 
 use arc_swap::ArcSwap;
 use cinderspoke_core::gateway::catalog::{Catalog, Declared};
+use cinderspoke_core::gateway::cold;
 use cinderspoke_core::gateway::directory::{Change, Directory, Keeper};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::gossip::patience;
 use cinderspoke_core::gateway::load::Report;
-use cinderspoke_core::gateway::name::{Model, Service, Zone};
+use cinderspoke_core::gateway::name::{Model, Region, Service, Zone};
 use cinderspoke_core::gateway::notice::Run;
 use cinderspoke_core::gateway::outage::Ago;
 use cinderspoke_core::gateway::region;
 use cinderspoke_core::gateway::rollout::{Rollout, Version};
 use cinderspoke_core::gateway::timeline::{Age, Ages};
 use cinderspoke_core::gateway::watch::Freshness;
+use cinderspoke_core::rendezvous::Key;
 use cinderspoke_core::swarm::Distance;
 use cinderspoke_schema::settings;
 
@@ -53,6 +55,8 @@
     suspects: Suspects,
     terms: ArcSwap<Terms>,
     zone: Zone,
+    // By which this gateway is ranked among all.
+    key: Key,
     clock: Clock,
 }
 
@@ -74,6 +78,7 @@
             suspects: Suspects::new(&settings.instance),
             terms: ArcSwap::from_pointee(terms),
             zone: settings.zone.as_str().into(),
+            key: cold::key(own),
             clock,
         }
     }
@@ -130,6 +135,12 @@
         self.changes.raise();
     }
 
+    /// The key by which this gateway is ranked among all.
+    #[must_use]
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
     /// The gateway's clock.
     #[must_use]
     pub fn clock(&self) -> Clock {
@@ -205,6 +216,10 @@
         let now = self.clock.now();
         state.lag.hear(version, now);
         let behind_ms = state.lag.behind(before, now).as_millis() as u64;
+        let unknown = catalog.unknown_regions(|region| self.is_region(region));
+        if !unknown.is_empty() {
+            tracing::warn!(version, ?unknown, "routes or teams name regions that nobody knows");
+        }
         state.put_in_force(Arc::new(catalog), revision);
         self.show(&mut state);
         drop(state);
@@ -362,7 +377,10 @@
         told: Duration,
         is_answer: bool,
     ) {
-        let target = self.lock().by_address.get(&endpoint).cloned();
+        let (target, cold) = {
+            let state = self.lock();
+            (state.by_address.get(&endpoint).cloned(), state.cold(&endpoint.0))
+        };
         if let Some(target) = target {
             if let Some(departure) = report.leaving {
                 self.told_departure(&target, departure);
@@ -370,6 +388,10 @@
             let mut tracking = target.tracking();
             tracking.agent = Some(agent);
             let now = self.clock.now();
+            if let Some(cold) = cold.filter(|_| tracking.load.report(now).is_none()) {
+                // It may have started anew while nothing was heard of it.
+                target.is_cold_until(now + cold.lasts);
+            }
             tracking.load.reported(report, told, now);
             if is_answer {
                 tracking.load.answered(now);
@@ -452,13 +474,15 @@
     }
 
     /// Makes what is known visible to requests.
-    fn show(&self, state: &mut Belief) {
+    pub(super) fn show(&self, state: &mut Belief) {
         let mut members: BTreeMap<Service, Vec<Member>> = BTreeMap::new();
         for (target, entry) in state.ready().filter(|(target, _)| !target.leaves()) {
             let (target, entry) = (Arc::clone(target), entry.clone());
             let distance = self.distance(&entry.zone);
+            let region = self.region_of(&entry.zone);
+            let is_emptied = state.evacuation.holds(&entry.zone);
             let members = members.entry(entry.service.clone()).or_default();
-            members.push(Member { target, entry, distance });
+            members.push(Member { target, entry, distance, region, is_emptied });
         }
         let gateways = self.count(state);
         self.view.store(Arc::new(View {
@@ -467,9 +491,22 @@
             members: Arc::new(members),
             rollout: state.rollout.clone(),
             gateways,
+            knows_emptied: !self.terms().evacuates || state.evacuation.known().is_some(),
+            others: state.gateways.keys().map(|gateway| cold::key(*gateway)).collect(),
         }));
     }
 
+    /// Whether the settings name a region.
+    fn is_region(&self, region: &Region) -> bool {
+        self.terms().regions.values().any(|known| known == region.as_str())
+    }
+
+    /// The region of an availability zone; the empty name where the settings name none.
+    fn region_of(&self, zone: &Zone) -> Region {
+        let terms = self.terms();
+        terms.regions.get(zone.as_str()).map(|region| region.as_str().into()).unwrap_or_default()
+    }
+
     /// How near an availability zone is to this gateway.
     fn distance(&self, zone: &Zone) -> Distance {
         let terms = self.terms();
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -4,6 +4,7 @@
 //! can be asked for over HTTP. All messages are packed with `postcard`, so both
 //! sides have to be of one build.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use cinderspoke_core::gateway::directory::Directory;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::load::Report;
-use cinderspoke_core::gateway::name::{Region, Service};
+use cinderspoke_core::gateway::name::{Region, Service, Zone};
 use cinderspoke_core::gateway::notice;
 use cinderspoke_core::gateway::outage::Ago;
 use cinderspoke_core::gateway::region::Standing;
@@ -46,6 +47,8 @@
     pub directory: Revision,
     /// Tells lists of endpoints apart.
     pub directory_hash: u64,
+    /// The availability zones that are emptied, where that is known.
+    pub emptied: Option<Fact<BTreeSet<Zone>>>,
     /// How long ago the platform answered any gateway, as far as is known, the last
     /// answers first.
     pub answers: Vec<Ago>,
--- a/src/cinderspoke/gateway/notices.rs
+++ b/src/cinderspoke/gateway/notices.rs
@@ -23,6 +23,9 @@
             tracing::info!(%id, %endpoint, "an endpoint says that it leaves");
             self.knowledge.leaves(target.run, "answer");
         }
+        if let Some(cold) = said.cold {
+            target.is_cold_until(self.clock.now() + cold);
+        }
         if let Some(rest) = said.rest {
             self.knowledge.rests(target, rest);
         }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -160,6 +160,9 @@
         self.knowledge.told_suspects(&known.suspects);
         self.knowledge.told_leaving(&known.leaving);
         self.knowledge.told_answers(&known.answers);
+        if let Some(emptied) = known.emptied.clone() {
+            self.knowledge.evacuated(emptied, "gateway");
+        }
         let is_behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
             self.draw_configuration();
--- a/src/cinderspoke/gateway/source.rs
+++ b/src/cinderspoke/gateway/source.rs
@@ -101,6 +101,43 @@
     pub(super) registry: Arc<dyn Registry>,
 }
 
+impl Shared {
+    /// Waits until something is known from other gateways, as long as they may tell it: a
+    /// gateway that starts while others run has it from them. Were all that start at once to
+    /// read it whole, they would fill the link to the store.
+    async fn wait_for<T>(&self, known: impl Fn(&Knowledge) -> Option<T>) {
+        let knowledge = &self.knowledge;
+        if knowledge.terms().seeds.is_empty() {
+            return;
+        }
+        let began = knowledge.clock().now();
+        while known(knowledge).is_none()
+            && self.may_be_told(knowledge.clock().now().saturating_sub(began))
+        {
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Whether other gateways are known to have a configuration, or may yet say so.
+    fn may_be_told(&self, waited: Duration) -> bool {
+        let knowledge = &self.knowledge;
+        let told = knowledge.configuration_behind() > Duration::ZERO;
+        let patience = match knowledge.role() {
+            Role::Reader if !told => FIRST_WORD,
+            _ => TOLD,
+        };
+        waited < patience
+    }
+
+    /// Among how many gateways the asking is shared for what few of them read.
+    fn askers(&self) -> usize {
+        match self.knowledge.role() {
+            Role::Reader => self.knowledge.readers(),
+            Role::Follower => self.knowledge.view().gateways,
+        }
+    }
+}
+
 /// The operators' configuration.
 pub(super) struct Configuration(pub(super) Shared);
 
@@ -110,6 +147,9 @@
 /// The list of endpoints.
 pub(super) struct Endpoints(pub(super) Shared);
 
+/// The availability zones that are emptied.
+pub(super) struct Evacuations(pub(super) Shared);
+
 /// Where facts came from, for logs.
 const STORE: &str = "store";
 
@@ -130,17 +170,6 @@
 }
 
 impl Configuration {
-    /// Whether other gateways are known to have one, or may yet say so.
-    fn may_be_told(&self, waited: Duration) -> bool {
-        let knowledge = &self.0.knowledge;
-        let told = knowledge.configuration_behind() > Duration::ZERO;
-        let patience = match knowledge.role() {
-            Role::Reader if !told => FIRST_WORD,
-            _ => TOLD,
-        };
-        waited < patience
-    }
-
     fn learn(&self, fact: Fact<Option<Declared>>, progress: &Progress) {
         if let Some(declared) = fact.value {
             draw::came(STORE, STORE, declared.version, progress);
@@ -173,19 +202,8 @@
         Ok(Box::new(move |_| take_news(seen, |fact| self.learn(fact, &progress))))
     }
 
-    /// A gateway that starts while others run has it from them: were all that start at once
-    /// to read it whole, they would fill the link to the store.
     async fn start(&self) {
-        let knowledge = &self.0.knowledge;
-        if knowledge.terms().seeds.is_empty() {
-            return;
-        }
-        let began = knowledge.clock().now();
-        while knowledge.configuration_revision().is_none()
-            && self.may_be_told(knowledge.clock().now().saturating_sub(began))
-        {
-            sleep(LOOK).await;
-        }
+        self.0.wait_for(Knowledge::configuration_revision).await;
     }
 
     fn known(&self) -> Option<Revision> {
@@ -197,10 +215,7 @@
     }
 
     fn askers(&self) -> usize {
-        match self.role() {
-            Role::Reader => self.0.knowledge.readers(),
-            Role::Follower => self.0.knowledge.view().gateways,
-        }
+        self.0.askers()
     }
 
     /// What still comes of an answer then would take room on the link from what is news.
@@ -295,3 +310,43 @@
         self.0.knowledge.view().gateways
     }
 }
+
+#[async_trait]
+impl Source for Evacuations {
+    fn name(&self) -> &'static str {
+        "evacuations"
+    }
+
+    async fn read(&self, _: &Progress) -> Result<Answer<'_>, Error> {
+        let read = self.0.registry.evacuations().await?;
+        let listed = |fact| self.0.knowledge.evacuated(fact, STORE);
+        Ok(Box::new(move |_| Some(take(read, listed))))
+    }
+
+    async fn watch(
+        &self,
+        after: Revision,
+        wait: Duration,
+        _: &Progress,
+    ) -> Result<Answer<'_>, Error> {
+        let seen = self.0.registry.watch_evacuations(after, wait).await?;
+        let changed = |fact| self.0.knowledge.evacuations_changed(fact, STORE);
+        Ok(Box::new(move |_| take_news(seen, changed)))
+    }
+
+    async fn start(&self) {
+        self.0.wait_for(Knowledge::evacuations_revision).await;
+    }
+
+    fn known(&self) -> Option<Revision> {
+        self.0.knowledge.evacuations_revision()
+    }
+
+    fn role(&self) -> Role {
+        self.0.knowledge.role()
+    }
+
+    fn askers(&self) -> usize {
+        self.0.askers()
+    }
+}
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cinderspoke_core::gateway::cold;
 use cinderspoke_core::gateway::directory::{Entry, Start};
 use cinderspoke_core::gateway::health::{Health, Sign};
 use cinderspoke_core::gateway::load::Load;
@@ -27,6 +28,8 @@
     pub health: Health,
     /// Until when it is left alone after it refused a request.
     pub rests_until: Duration,
+    /// What it was sent lately.
+    pub sends: cold::Sends,
 }
 
 /// An endpoint with its connections, kept from one view to the next.
@@ -45,6 +48,9 @@
     // the gateway knows is asked for: that lock comes second.
     leaves: AtomicBool,
     wants_none_until: AtomicU64,
+    // Until when it is taken for cold, and what its entry last said of that, in milliseconds.
+    cold_until: AtomicU64,
+    listed_cold: AtomicU64,
     tracking: Mutex<Tracking>,
 }
 
@@ -56,7 +62,9 @@
         let (pool, start, run) = (Pool::new(entry.address), entry.start, Run::of(&name, entry));
         let leaves = AtomicBool::new(notices.is_leaving(run));
         let wants_none_until = AtomicU64::new(whole_millis(notices.rests_until(run)));
-        Self { name, pool, run, start, leaves, wants_none_until, tracking: Mutex::default() }
+        let (cold_until, listed_cold) = (AtomicU64::default(), AtomicU64::default());
+        let tracking = Mutex::default();
+        Self { name, pool, run, start, leaves, wants_none_until, cold_until, listed_cold, tracking }
     }
 
     /// Whether an entry of its name is of this run of the endpoint: another one has none
@@ -103,6 +111,26 @@
         self.wants_none_until.fetch_max(whole_millis(until), Ordering::Relaxed);
     }
 
+    /// Sets how much longer its entry says that it is cold; an entry that says the same again
+    /// is the same word.
+    pub fn listed_cold(&self, cold: Duration, now: Duration) {
+        let cold_ms = whole_millis(cold);
+        if self.listed_cold.swap(cold_ms, Ordering::Relaxed) != cold_ms {
+            self.is_cold_until(now + cold);
+        }
+    }
+
+    /// Counts it as cold until a time, or longer where it was known to be.
+    pub fn is_cold_until(&self, until: Duration) {
+        self.cold_until.fetch_max(whole_millis(until), Ordering::Relaxed);
+    }
+
+    /// Whether it is taken for cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Duration) -> bool {
+        Duration::from_millis(self.cold_until.load(Ordering::Relaxed)) > now
+    }
+
     /// For how much longer it wants no requests; none if it takes them.
     #[must_use]
     pub fn rest_left(&self, now: Duration) -> Option<Duration> {
--- a/src/cinderspoke/gateway/terms.rs
+++ b/src/cinderspoke/gateway/terms.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::budget;
+use cinderspoke_core::gateway::cold;
 use cinderspoke_core::gateway::overlap::Overlap;
 use cinderspoke_schema::settings;
 
@@ -28,6 +29,11 @@
     pub grace: Duration,
     /// The region of each availability zone.
     pub regions: HashMap<String, String>,
+    /// Whether operators may empty availability zones, so that nothing is sent before it is
+    /// known which ones are.
+    pub evacuates: bool,
+    /// What a cold endpoint may receive; none without a bound.
+    pub cold: Option<cold::Terms>,
     /// Gateways to be told of this one while it knows of no others.
     pub seeds: Vec<SocketAddr>,
 }
@@ -57,6 +63,10 @@
             gather: Duration::from_millis(bounds.drain_ms).mul_f64(GATHER),
             grace: Duration::from_secs_f64(bounds.grace_s),
             regions: settings.regions.clone(),
+            evacuates: bounds.evacuate_ms.is_some(),
+            cold: bounds
+                .cold_overage
+                .map(|overage| cold::Terms { overage, slack: bounds.cold_slack }),
             seeds: seed_addresses(settings).into_iter().filter(|seed| *seed != own).collect(),
         }
     }
--- a/src/cinderspoke/gateway/understand.rs
+++ b/src/cinderspoke/gateway/understand.rs
@@ -8,6 +8,7 @@
 use cinderspoke_core::gateway::catalog::{Access, Catalog, Limits, Route};
 use cinderspoke_core::gateway::fingerprint::Fingerprint;
 use cinderspoke_core::gateway::name::{Service, Team};
+use cinderspoke_core::gateway::residency::Residency;
 use cinderspoke_core::rendezvous::Key;
 use http::{StatusCode, request};
 use http_body_util::{BodyExt, Limited};
@@ -34,6 +35,8 @@
     pub team: Option<Team>,
     /// How urgent it is.
     pub priority: u8,
+    /// Where it may be served, by the configuration under which it was read.
+    pub residency: Residency,
     /// When it arrived, by the gateway's clock.
     pub arrived: Duration,
     /// When its caller needs no answer any more.
@@ -50,6 +53,7 @@
     service: Service,
     team: Option<Team>,
     priority: u8,
+    residency: Residency,
 }
 
 /// Finds out where a request may go, and reads it whole.
@@ -73,7 +77,10 @@
     let Some(catalog) = &view.catalog else {
         return Err(Refusal::not_run("no configuration is known yet", COME_BACK));
     };
-    let Destination { route, service, team, priority } = destination(catalog, &call)?;
+    if !view.knows_emptied {
+        return Err(Refusal::not_run("which zones are emptied is not known yet", COME_BACK));
+    }
+    let Destination { route, service, team, priority, residency } = destination(catalog, &call)?;
     record.version = catalog.declared().version;
     record.route = route.name.clone();
     let deadline = call.deadline.unwrap_or(route.timeout);
@@ -93,6 +100,7 @@
         service,
         team,
         priority,
+        residency,
         arrived,
         end,
         waited,
@@ -117,7 +125,8 @@
         return Err(Refusal::not_run("the route leads to no service", COME_BACK));
     };
     let priority = rank.unwrap_or(route.priority);
-    Ok(Destination { route: route.clone(), service, team, priority })
+    let residency = catalog.residency(route, call.key.as_deref());
+    Ok(Destination { route: route.clone(), service, team, priority, residency })
 }
 
 /// Reads a body that is neither too large nor too late.
--- a/src/cinderspoke/gateway/view.rs
+++ b/src/cinderspoke/gateway/view.rs
@@ -5,8 +5,9 @@
 
 use cinderspoke_core::gateway::catalog::{Catalog, Engine};
 use cinderspoke_core::gateway::directory::Entry;
-use cinderspoke_core::gateway::name::Service;
+use cinderspoke_core::gateway::name::{Region, Service};
 use cinderspoke_core::gateway::rollout::Rollout;
+use cinderspoke_core::rendezvous::Key;
 use cinderspoke_core::swarm::Distance;
 
 use super::target::Target;
@@ -20,6 +21,10 @@
     pub entry: Entry,
     /// How near it is.
     pub distance: Distance,
+    /// The region of its availability zone; the empty name where that is unknown.
+    pub region: Region,
+    /// Whether its availability zone is emptied.
+    pub is_emptied: bool,
 }
 
 /// All that is known at a moment.
@@ -35,6 +40,10 @@
     pub rollout: Rollout,
     /// How many gateways there are, this one among them.
     pub gateways: usize,
+    /// Whether it is known which availability zones are emptied, where any may be.
+    pub knows_emptied: bool,
+    /// The keys of all other gateways, alive or not, by which shares are ranked.
+    pub others: Arc<[Key]>,
 }
 
 impl View {
--- /dev/null
+++ b/src/cinderspoke/gateway/zones.rs
@@ -0,0 +1,88 @@
+//! Which availability zones receive nothing, and which endpoints are cold.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use cinderspoke_core::gateway::catalog::Cold;
+use cinderspoke_core::gateway::cold::Bound;
+use cinderspoke_core::gateway::evacuation::{Change, Table};
+use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::name::{Service, Zone};
+
+use super::belief::Belief;
+use super::knowledge::Knowledge;
+use super::view::View;
+
+impl Knowledge {
+    /// Replaces the emptied zones, unless those that are known are newer.
+    pub fn evacuated(&self, told: Fact<BTreeSet<Zone>>, from: &str) {
+        self.change_evacuations(from, |table| table.replace(told));
+    }
+
+    /// Applies changes of the emptied zones.
+    pub fn evacuations_changed(&self, fact: Fact<Vec<Change>>, from: &str) {
+        self.change_evacuations(from, |table| table.apply(fact.revision, fact.value));
+    }
+
+    fn change_evacuations(&self, from: &str, change: impl FnOnce(&mut Table) -> bool) {
+        let mut state = self.lock();
+        let before = state.evacuation.known().cloned().unwrap_or_default().value;
+        if !change(&mut state.evacuation) {
+            return;
+        }
+        let now = self.clock().now();
+        state.reopen(&before, now);
+        self.show(&mut state);
+        let zones = state.evacuation.known().cloned().unwrap_or_default().value;
+        let unknown: Vec<_> = zones.iter().filter(|zone| !self.is_zone(zone)).collect();
+        if !unknown.is_empty() {
+            tracing::warn!(?unknown, "zones are emptied that the settings do not name");
+        }
+        tracing::info!(?zones, from, "emptied zones changed");
+        drop(state);
+        self.tell_others();
+    }
+
+    /// Whether the settings name an availability zone.
+    fn is_zone(&self, zone: &Zone) -> bool {
+        self.terms().regions.contains_key(zone.as_str())
+    }
+
+    /// The revision of the emptied zones; none before they are known.
+    #[must_use]
+    pub fn evacuations_revision(&self) -> Option<Revision> {
+        self.lock().evacuation.known().map(|known| known.revision)
+    }
+
+    /// The most requests that all gateways together may send to a cold endpoint of a service
+    /// within a second; none without a bound.
+    #[must_use]
+    pub fn cold_bound(&self, view: &View, service: &Service) -> Option<Bound> {
+        let terms = self.terms().cold?;
+        let cold = view.catalog.as_ref()?.backend(service)?.cold?;
+        Some(terms.bound(cold.per_s))
+    }
+}
+
+impl Belief {
+    /// What endpoints of a service bear after their start.
+    #[must_use]
+    pub fn cold(&self, service: &Service) -> Option<Cold> {
+        self.configuration.value.as_ref()?.backend(service)?.cold
+    }
+
+    /// Counts endpoints as cold whose zones were emptied before and are no longer.
+    fn reopen(&self, before: &BTreeSet<Zone>, now: Duration) {
+        let entries = &self.keeper.directory().entries;
+        let reopened = entries
+            .iter()
+            .filter(|(_, entry)| before.contains(&entry.zone))
+            .filter(|(_, entry)| !self.evacuation.holds(&entry.zone));
+        for (name, entry) in reopened {
+            if let (Some(target), Some(cold)) = (self.targets.get(name), self.cold(&entry.service))
+            {
+                target.is_cold_until(now + cold.lasts);
+            }
+        }
+    }
+}
--- a/tests/testsuite/follow.rs
+++ b/tests/testsuite/follow.rs
@@ -51,6 +51,7 @@
         zone: "a".into(),
         slots: 4,
         state: State::Ready,
+        cold: Duration::ZERO,
         models: Vec::new(),
         reports_models: false,
         start: None,
--- a/tests/testsuite/gateway/catalog.rs
+++ b/tests/testsuite/gateway/catalog.rs
@@ -3,6 +3,7 @@
 use cinderspoke_core::gateway::catalog::{
     Access, Backend, Catalog, Declared, Kind, Limits, Route, Share, Tenancy,
 };
+use cinderspoke_core::gateway::residency::Homes;
 use yare::parameterized;
 
 use super::ms;
@@ -23,6 +24,7 @@
         ],
         attempts: 2,
         public: false,
+        homes: Homes::default(),
     }
 }
 
@@ -35,8 +37,14 @@
             connections: 10,
             origin: None,
             engine: None,
+            cold: None,
+        }],
+        tenancies: vec![Tenancy {
+            team: "t".into(),
+            keys: vec!["k".into()],
+            priority: Some(0),
+            homes: Homes::default(),
         }],
-        tenancies: vec![Tenancy { team: "t".into(), keys: vec!["k".into()], priority: Some(0) }],
         limits: Limits::default(),
     }
     .into()
--- a/tests/testsuite/gateway/difference.rs
+++ b/tests/testsuite/gateway/difference.rs
@@ -2,6 +2,7 @@
 
 use cinderspoke_core::gateway::catalog::{Catalog, Declared, Kind, Limits, Route, Share, Tenancy};
 use cinderspoke_core::gateway::difference::{Difference, Misfit};
+use cinderspoke_core::gateway::residency::Homes;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use yare::parameterized;
@@ -21,6 +22,7 @@
         shares: vec![Share { service: "svc".into(), weight: 1 }],
         attempts: 2,
         public: false,
+        homes: Homes::default(),
     }
 }
 
@@ -28,7 +30,12 @@
     Declared {
         version,
         routes: routes.into_iter().map(route).collect(),
-        tenancies: vec![Tenancy { team: "t".into(), keys: vec!["k".into()], priority: None }],
+        tenancies: vec![Tenancy {
+            team: "t".into(),
+            keys: vec!["k".into()],
+            priority: None,
+            homes: Homes::default(),
+        }],
         ..Declared::default()
     }
 }
--- a/tests/testsuite/gateway/directory.rs
+++ b/tests/testsuite/gateway/directory.rs
@@ -7,6 +7,8 @@
 };
 use cinderspoke_core::gateway::fact::Revision;
 
+use std::time::Duration;
+
 use super::ms;
 
 /// An endpoint of a service as it is listed.
@@ -17,6 +19,7 @@
         zone: "a".into(),
         slots: 16,
         state,
+        cold: Duration::ZERO,
         models: Vec::new(),
         reports_models: true,
         start: None,
--- /dev/null
+++ b/tests/testsuite/gateway/residency.rs
@@ -0,0 +1,38 @@
+//! In which regions a request may be served.
+
+use cinderspoke_core::gateway::name::Region;
+use cinderspoke_core::gateway::residency::{Homes, Residency};
+use yare::parameterized;
+
+fn homes(regions: &[&str]) -> Homes {
+    regions.iter().map(|region| Region::from(*region)).collect()
+}
+
+fn residency(route: &[&str], team: &[&str]) -> Residency {
+    [homes(route), homes(team)].into_iter().collect()
+}
+
+// Guards against a request that is served where its route or its team does not allow it.
+#[parameterized(
+    none = { &[], &[], &["n", "s", ""] },
+    route = { &["n"], &[], &["n"] },
+    team = { &[], &["s"], &["s"] },
+    both = { &["n", "s"], &["s", "c"], &["s"] },
+    apart = { &["n"], &["s"], &[] },
+)]
+fn route_and_team_both_bind(route: &[&str], team: &[&str], allowed: &[&str]) {
+    let residency = residency(route, team);
+    let regions = ["n", "s", "c", ""].map(Region::from);
+    for region in &regions {
+        let expected = allowed.contains(&region.as_str()) || (route.is_empty() && team.is_empty());
+        assert_eq!(residency.allows(region), expected, "{region}");
+    }
+}
+
+// Guards against a request that was read before a configuration narrows its homes.
+#[test]
+fn a_newer_configuration_narrows_what_is_not_sent_yet() {
+    let narrowed = residency(&["n", "s"], &[]).and(residency(&["s"], &[]));
+    assert!(narrowed.allows(&"s".into()));
+    assert!(!narrowed.allows(&"n".into()));
+}
