--- a/crates/core/src/gateway/cold.rs
+++ b/crates/core/src/gateway/cold.rs
@@ -7,7 +7,6 @@
 //! nothing.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::rendezvous::{Key, weight};
@@ -42,16 +41,6 @@
     }
 }
 
-/// The key by which a gateway is ranked.
-#[must_use]
-pub fn key(gateway: SocketAddr) -> Key {
-    let address = match gateway {
-        SocketAddr::V4(address) => u64::from(u32::from(*address.ip())),
-        SocketAddr::V6(address) => Key::of(&address.ip().to_string()).as_u64(),
-    };
-    Key::of_number(address << 16 ^ u64::from(gateway.port()))
-}
-
 impl Bound {
     /// How many requests a gateway may send to an endpoint within [`WINDOW`], where it and the
     /// others are known by their keys.
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //!   [`difference`] what of it is new. [`outage`] tells whether the
 //!   platform was away for all or for this gateway only.
 //! - Where a request goes: [`load`] estimates what endpoints are busy with
-//!   by what agents tell each gateway in its [`turn`], the [`tally`] of what all
+//!   by what the agents of its [`subset`] tell each gateway in its [`turn`], the [`tally`] of what all
 //!   gateways have there among it; [`demand`] is how much is asked, [`patience`] how
 //!   long a caller has waited; [`pick`] chooses an endpoint or refuses, [`health`]
 //!   leaves out those that fail. Under load, endpoints are asked for a [`place`] first.
@@ -54,6 +54,7 @@
 pub mod region;
 pub mod residency;
 pub mod rollout;
+pub mod subset;
 pub mod suspect;
 pub mod tally;
 pub mod timeline;
--- a/crates/core/src/gateway/pick.rs
+++ b/crates/core/src/gateway/pick.rs
@@ -81,6 +81,9 @@
     None,
     /// It can be asked what its endpoint holds.
     Askable,
+    /// It has to be asked first: it does not report here, and nothing else tells whether its
+    /// endpoint has room.
+    Unheard,
     /// It has just answered: what is known of its endpoint is of this moment.
     Answered,
 }
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -134,8 +134,10 @@
     /// What is next, by what is known of the endpoints now; those that have answered are
     /// known by their answers.
     pub fn next(&mut self, wish: &Wish, candidates: &[Candidate]) -> Step {
-        if wish.sent || candidates.iter().all(|candidate| candidate.agent == Agent::None) {
-            return Step::Done(pick(wish, candidates));
+        let heard = heard(candidates);
+        let no_agent = candidates.iter().all(|candidate| candidate.agent == Agent::None);
+        if no_agent || (wish.sent && !heard.is_empty()) {
+            return Step::Done(pick(wish, &heard));
         }
         let limit = limit(wish);
         if let Some(found) = self.found(wish, limit, candidates) {
@@ -153,7 +155,7 @@
     /// The endpoint that has room, at first by reports and then by answers.
     fn found(&self, wish: &Wish, limit: Duration, candidates: &[Candidate]) -> Option<Choice> {
         let best = if self.rounds == 0 {
-            match pick(wish, candidates) {
+            match pick(wish, &heard(candidates)) {
                 Choice::Send { number, first } if first <= limit.mul_f64(EASY) => {
                     Some((number, first))
                 }
@@ -190,7 +192,12 @@
     fn give_up(&self, wish: &Wish, candidates: &[Candidate]) -> Choice {
         match self.answered(candidates).map(|candidate| candidate.first).min() {
             Some(best) => refusal(wish, best),
-            None => pick(wish, candidates),
+            None => pick(wish, &heard(candidates)),
         }
     }
 }
+
+/// The candidates of which something is known without asking.
+fn heard(candidates: &[Candidate]) -> Vec<Candidate> {
+    candidates.iter().filter(|candidate| candidate.agent != Agent::Unheard).copied().collect()
+}
--- a/crates/core/src/gateway/region.rs
+++ b/crates/core/src/gateway/region.rs
@@ -51,6 +51,18 @@
 /// addresses. One of hundreds that is silent for as long is known again with its next word.
 const GONE: Duration = Duration::from_secs(600);
 
+/// Tells regions apart in few bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tag(u16);
+
+impl Tag {
+    /// The tag of a region.
+    #[must_use]
+    pub fn of(region: &Region) -> Self {
+        Self(Key::of(region.as_str()).as_u64() as u16)
+    }
+}
+
 /// What a gateway says of itself.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
@@ -134,6 +146,32 @@
         self.peers.insert(from, peer).is_none()
     }
 
+    /// Adds a gateway of which others say in which region it is, unless it is known.
+    pub fn name(&mut self, gateway: SocketAddr, region: Region, now: Duration) {
+        let standing = Standing { region, reads: false };
+        let peer = Peer { standing, rank: rank(gateway), heard: now, version: 0 };
+        self.peers.entry(gateway).or_insert(peer);
+    }
+
+    /// The region of a gateway, where it is known.
+    #[must_use]
+    pub fn region_of(&self, gateway: SocketAddr) -> Option<&Region> {
+        self.peers.get(&gateway).map(|peer| &peer.standing.region)
+    }
+
+    /// The other gateways that are known of a region.
+    #[must_use]
+    pub fn gateways_of(&self, region: &Region) -> Vec<SocketAddr> {
+        let of_region = self.peers.iter().filter(|(_, peer)| peer.standing.region == *region);
+        of_region.map(|(gateway, _)| *gateway).collect()
+    }
+
+    /// Whether a gateway is known to be of this region.
+    #[must_use]
+    pub fn is_neighbour(&self, gateway: SocketAddr) -> bool {
+        self.region_of(gateway) == Some(&self.region)
+    }
+
     /// Takes in whether the platform answers this gateway.
     pub fn answered(&mut self, answered: bool) {
         self.answered = answered;
@@ -189,6 +227,13 @@
         Standing { region: self.region.clone(), reads }
     }
 
+    /// Whether this gateway tells other regions of news: it reads, or no other gateway of the
+    /// region is heard to.
+    pub fn tells_far(&mut self, regions: usize, now: Duration) -> bool {
+        let others_read = self.peers.values().any(|peer| self.is_near(peer) && peer.reads_at(now));
+        !others_read || self.role(regions, now) == Role::Reader
+    }
+
     /// The gateways of the region besides this one.
     #[must_use]
     pub fn neighbours(&self) -> Vec<SocketAddr> {
--- a/crates/core/src/gateway/watch.rs
+++ b/crates/core/src/gateway/watch.rs
@@ -113,6 +113,17 @@
         self.away
     }
 
+    /// Takes in that the next call does not follow the one before it without a pause: what it
+    /// brings may be as old as that.
+    pub fn pause_over(&mut self) {
+        self.amiss = true;
+    }
+
+    /// Takes in that others told, at a time, all that there was until then.
+    pub fn told(&mut self, at: Duration) {
+        self.whole = self.whole.max(at);
+    }
+
     /// Takes in that the call was given up for a new one.
     pub fn give_up(&mut self) {
         self.amiss = true;
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -1,5 +1,7 @@
 //! Rendezvous hashing: everyone who knows the same names ranks them alike.
 
+use std::net::SocketAddr;
+
 use cinderspoke_types::digest::Digest;
 
 /// A name, hashed once so that ranking it costs little.
@@ -22,6 +24,16 @@
         Self(mix(number))
     }
 
+    /// The key of an address.
+    #[must_use]
+    pub fn of_address(address: SocketAddr) -> Self {
+        let number = match address {
+            SocketAddr::V4(address) => u64::from(u32::from(*address.ip())),
+            SocketAddr::V6(address) => Self::of(&address.ip().to_string()).0,
+        };
+        Self(mix(number << 16 ^ u64::from(address.port())))
+    }
+
     /// The key as a number.
     #[must_use]
     pub const fn as_u64(self) -> u64 {
--- a/src/cinderspoke/gateway/ask.rs
+++ b/src/cinderspoke/gateway/ask.rs
@@ -82,7 +82,9 @@
                 tracking.load.open.asked(number, asked);
                 tracking.agent
             };
-            let Some(agent) = agent else { continue };
+            // Agents listen beside their engines, to the port to which gateways do.
+            let beside = || SocketAddr::new(target.pool.address().ip(), own.port());
+            let agent = agent.unwrap_or_else(beside);
             missing += 1;
             let ask = Datagram::Ask { from: *own, number, asked, prompt };
             send(socket, agent, &pack(&ask)).await;
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -41,6 +41,10 @@
     pub lag: Lag,
     /// The versions that models are to have.
     pub rollout: Rollout,
+    /// The last revision of the store at which they are known to be the newest.
+    pub rollout_revision: Revision,
+    /// When another gateway last told that revision.
+    pub rollout_told_at: Duration,
     /// For how long they have been named.
     pub timeline: Timeline,
     /// The versions that the store itself told of last; none before it first did.
@@ -126,6 +130,7 @@
             configuration: self.version(),
             configuration_revision: self.configuration.revision,
             ages: self.timeline.ages(now),
+            rollout_revision: self.rollout_revision,
             directory: self.keeper.revision(),
             directory_hash: self.directory_hash,
             emptied: self.evacuation.known().cloned(),
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -95,8 +95,9 @@
         let members = view.members(&asked.service);
         let mut search = Search::default();
         let mut places: Vec<Place> = Vec::new();
+        let mut reach = Reach::Subset;
         loop {
-            let (prospects, wish) = self.look(context, asked, &view);
+            let (prospects, wish) = self.look(context, asked, &view, reach);
             let candidates: Vec<_> = prospects.iter().map(|prospect| prospect.candidate).collect();
             let choice = match search.next(&wish, &candidates) {
                 Step::Done(choice) => choice,
@@ -123,6 +124,12 @@
                     record.chose(&chosen, candidates.len());
                     Ok(chosen)
                 }
+                Choice::Refuse { .. } if reach == Reach::Subset && self.is_more(members) => {
+                    // No endpoint that reports here has room; others may.
+                    reach = Reach::All;
+                    search = Search::default();
+                    continue;
+                }
                 Choice::Refuse { come_back, best } => {
                     settle(places, None, context);
                     record.found_none(members.len(), candidates.len(), best);
@@ -132,8 +139,20 @@
         }
     }
 
+    /// Whether there are endpoints whose agents do not report here.
+    fn is_more(&self, members: &[Member]) -> bool {
+        let mut untried = members.iter().filter(|member| !self.tried.contains(&member.target.name));
+        untried.any(|member| !member.target.reports_here())
+    }
+
     /// The endpoints that may get the request, and what it asks of them.
-    fn look(&self, context: &Context, asked: &Asked, view: &View) -> (Vec<Prospect>, Wish) {
+    fn look(
+        &self,
+        context: &Context,
+        asked: &Asked,
+        view: &View,
+        reach: Reach,
+    ) -> (Vec<Prospect>, Wish) {
         let now = context.clock.now();
         let engine = view.engine(&asked.service);
         let (members, size) = (view.members(&asked.service), asked.call.size);
@@ -145,6 +164,7 @@
             engine,
             residency: residency(asked, view),
             cold: context.knowledge.cold_bound(view, &asked.service),
+            reach,
             now,
         };
         let mut options = survey.options(members, Avoided::LeftOut);
@@ -213,6 +233,15 @@
     Included,
 }
 
+/// How far an endpoint for a request is looked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// Among those whose agents report here.
+    Subset,
+    /// Among all; those whose agents do not report here are asked first.
+    All,
+}
+
 /// An endpoint that may get the request.
 struct Prospect {
     candidate: Candidate,
@@ -240,6 +269,7 @@
     residency: Residency,
     // Of cold endpoints; none without a bound.
     cold: Option<Bound>,
+    reach: Reach,
     now: Duration,
 }
 
@@ -298,7 +328,11 @@
             return None;
         }
         let state = tracking.health.state(self.now);
-        let stands = tracking.load.is_out_of_reach(self.now) || tracking.load.is_stuck(self.now);
+        // One whose agent reports to others looks as if it had nothing to do, or stood still.
+        let is_heard = tracking.load.report(self.now).is_some();
+        let is_beyond = self.engine.is_some() && !is_heard && !member.target.reports_here();
+        let is_away = !is_beyond && tracking.load.is_out_of_reach(self.now);
+        let stands = is_away || tracking.load.is_stuck(self.now);
         let avoid = state == health::State::Out || tracking.rests_until > self.now || stands;
         if avoid && avoided == Avoided::LeftOut {
             return None;
@@ -314,6 +348,9 @@
         let report = tracking.load.report(self.now);
         let (heard, narrow) = (report.is_some(), report.is_none_or(|report| report.narrow));
         let version_left = version.and_then(|version| self.version_left(version, narrow));
+        if is_beyond && avoided == Avoided::LeftOut && self.reach == Reach::Subset {
+            return None;
+        }
         let well = heard && !stands && state == health::State::Well;
         // What is held up on the way may begin long after it was given up.
         if version_left.is_some_and(|left| !well || left < first) {
@@ -323,7 +360,12 @@
         let age = tracking.load.report_age(self.now).unwrap_or_default();
         let turn = self.engine.map_or(Duration::ZERO, load::turn);
         let distance = member.distance;
-        let agent = self.agent(&tracking, heard);
+        let agent = match self.agent(&tracking, heard) {
+            _ if is_beyond && self.reach == Reach::All && avoided == Avoided::LeftOut => {
+                Agent::Unheard
+            }
+            agent => agent,
+        };
         let candidate = Candidate { number, distance, first, age, turn, trial, agent };
         Some(Prospect { candidate, version, version_left })
     }
--- a/src/cinderspoke/gateway/facts.rs
+++ b/src/cinderspoke/gateway/facts.rs
@@ -1,8 +1,8 @@
 //! Asking another gateway for facts that it has and this one lacks, and telling them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -38,6 +38,25 @@
 /// the own region may have it by then.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// How long a gateway that does not read the list waits at most before it asks one of its
+/// region for a newer one, so that not all ask at the same moment.
+const NEAR_LIST: Duration = Duration::from_millis(80);
+
+/// How long it waits for one of its region before it asks one of another.
+const FAR_LIST: Duration = Duration::from_millis(500);
+
+/// How often it is looked whether that time is over.
+const LOOK_AT_LIST: Duration = Duration::from_millis(20);
+
+/// A newer list of endpoints, and who has it.
+pub(super) struct Awaited {
+    from: SocketAddr,
+    known: Known,
+    is_near: bool,
+    // When it is asked for, by the gateway's clock.
+    due: Duration,
+}
+
 impl Relay {
     /// Gets a newer configuration from another gateway, unless that is under way.
     pub(super) fn draw_configuration(self: &Arc<Self>) {
@@ -82,22 +101,59 @@
     }
 
     /// Asks a gateway for a newer list of endpoints, unless that comes by itself in time or
-    /// is waited for already.
+    /// is waited for already; one of the own region goes before one of another.
     pub(super) fn draw_list(self: &Arc<Self>, from: SocketAddr, known: &Known) {
-        if self.awaiting_list.swap(true, Ordering::SeqCst) {
+        let is_near = self.knowledge.is_neighbour(from);
+        let due = self.knowledge.clock().now() + self.list_patience(is_near);
+        let mut awaited = self.awaited_list();
+        if let Some(awaited) = &mut *awaited {
+            if is_near && !awaited.is_near {
+                *awaited = Awaited { from, known: known.clone(), is_near, due };
+            }
             return;
         }
-        let (relay, known) = (Arc::clone(self), known.clone());
-        tokio::spawn(async move {
-            sleep(OWN_LIST).await;
-            if knows_more(&known, &relay.knowledge.known()) {
-                relay.knowledge.doubt();
-                if let Err(error) = relay.fetch(from, FAR_PAUSE).await {
-                    tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
-                }
-            }
-            relay.awaiting_list.store(false, Ordering::SeqCst);
-        });
+        *awaited = Some(Awaited { from, known: known.clone(), is_near, due });
+        drop(awaited);
+        let relay = Arc::clone(self);
+        tokio::spawn(async move { relay.draw_awaited().await });
+    }
+
+    fn awaited_list(&self) -> MutexGuard<'_, Option<Awaited>> {
+        self.awaited_list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How long the list of endpoints is waited for before a gateway is asked for it.
+    fn list_patience(&self, is_near: bool) -> Duration {
+        match self.knowledge.role() {
+            Role::Reader => OWN_LIST,
+            Role::Follower if is_near => NEAR_LIST.mul_f64(rand::random()),
+            Role::Follower => FAR_LIST,
+        }
+    }
+
+    /// Whether the time to ask for the newer list is yet to come.
+    fn is_list_awaited(&self) -> bool {
+        let now = self.knowledge.clock().now();
+        self.awaited_list().as_ref().is_some_and(|awaited| awaited.due > now)
+    }
+
+    /// Asks the gateway from which a newer list is awaited, once its time has come.
+    async fn draw_awaited(self: &Arc<Self>) {
+        while self.is_list_awaited() {
+            sleep(LOOK_AT_LIST).await;
+        }
+        let awaited = self.awaited_list().take();
+        let Some(Awaited { from, known, is_near, .. }) = awaited else { return };
+        if !knows_more(&known, &self.knowledge.known()) {
+            return;
+        }
+        if self.knowledge.role() == Role::Reader {
+            self.knowledge.doubt();
+        }
+        let pause = if is_near { NEAR_PAUSE } else { FAR_PAUSE };
+        if let Err(error) = self.fetch(from, pause).await {
+            tracing::debug!(%from, error = format!("{error:#}"), "asking a gateway");
+        }
     }
 
     /// Asks a gateway for what it knows more; for the whole configuration where what differs
@@ -176,7 +232,7 @@
     let facts = Facts {
         configuration: knowledge.configuration_after(asked.configuration, held),
         directory: knowledge.directory_after(Revision(asked.directory), asked.directory_hash),
-        gateways: relay.others(),
+        gateways: knowledge.names(relay.others()),
     };
     pack(&facts).into()
 }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -49,6 +49,10 @@
 /// on which packets are lost.
 const PAUSE: Duration = Duration::from_millis(600);
 
+/// How long a gateway that starts waits for the word of others before it asks the store who
+/// they are.
+const ALONE: Duration = Duration::from_millis(600);
+
 /// Starts the tasks that follow the store.
 pub fn spawn(
     knowledge: &Arc<Knowledge>,
@@ -108,10 +112,12 @@
         let is_known = revision.or(source.known()).is_some() && !is_forgotten;
         if is_known && source.role() == Role::Follower {
             pass(watch.pause(askers, draw), &*source, clock).await;
+            watch.pause_over();
             wait = Duration::ZERO;
         }
         if !is_forgotten {
             revision = revision.max(source.known());
+            watch.told(source.told_at());
         }
         let suspended = clock.suspended();
         let progress = Progress::default();
@@ -337,8 +343,17 @@
     wait.mul_f64(rand::random_range(SPREAD))
 }
 
-/// Tells the store that this gateway is there, and learns of the others once.
+/// Tells the store that this gateway is there, and learns of the others once, where it reads
+/// for its region or has heard of no other.
+///
+/// The rest are known by digests. Were all to do so, the calls at a start of all would grow with
+/// the square of their number: a list has as many pages as there are hundreds of gateways.
 async fn meet(shared: Shared, name: String, own: SocketAddr) {
+    sleep(ALONE).await;
+    let knowledge = &shared.knowledge;
+    while knowledge.role() == Role::Follower && knowledge.view().gateways > 1 {
+        sleep(LOOK_AT_ROLE).await;
+    }
     let mut failures = 0;
     loop {
         let met = async {
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -8,7 +8,6 @@
 
 use arc_swap::ArcSwap;
 use cinderspoke_core::gateway::catalog::{Catalog, Declared};
-use cinderspoke_core::gateway::cold;
 use cinderspoke_core::gateway::directory::{Change, Directory, Keeper};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::gossip::patience;
@@ -78,7 +77,7 @@
             suspects: Suspects::new(&settings.instance),
             terms: ArcSwap::from_pointee(terms),
             zone: settings.zone.as_str().into(),
-            key: cold::key(own),
+            key: Key::of_address(own),
             clock,
         }
     }
@@ -232,13 +231,14 @@
     /// it first reads the store may have been named long before it started; what
     /// the store did not say before was named just now, or at some time since the
     /// store last answered: an old version that goes on too long breaks a promise.
-    pub fn named(&self, rollout: &Rollout, freshness: Freshness) {
-        let now = self.clock.now();
+    pub fn named(&self, fact: &Fact<Rollout>, freshness: Freshness) {
+        let (now, rollout) = (self.clock.now(), &fact.value);
         let age = match freshness {
             Freshness::New => Age::Seen(Duration::ZERO),
             Freshness::Within(time) => Age::Within(time),
         };
         self.learn_versions("store", |state| {
+            state.rollout_revision = state.rollout_revision.max(fact.revision);
             state.rollout.merge(rollout);
             match &mut state.stored {
                 Some(stored) => {
@@ -254,6 +254,32 @@
         });
     }
 
+    /// The last revision of the store at which the versions are known to be the newest; none
+    /// before any.
+    #[must_use]
+    pub fn rollout_revision(&self) -> Option<Revision> {
+        Some(self.lock().rollout_revision).filter(|revision| *revision > Revision::default())
+    }
+
+    /// When another gateway last told a newer such revision; zero if none did.
+    #[must_use]
+    pub fn rollout_told_at(&self) -> Duration {
+        self.lock().rollout_told_at
+    }
+
+    /// Takes in for how long versions have been named, as another gateway knows it by a
+    /// revision of the store: whatever was named until then is among them.
+    pub fn told_versions(&self, ages: &Ages, revision: Revision) {
+        self.told_ages(ages, "gateway");
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if revision > state.rollout_revision {
+            (state.rollout_revision, state.rollout_told_at) = (revision, now);
+            let told = state.rollout.clone();
+            state.stored.get_or_insert(told);
+        }
+    }
+
     /// Takes in for how long versions have been named, as another process knows it.
     pub fn told_ages(&self, ages: &Ages, from: &str) {
         let now = self.clock.now();
@@ -446,6 +472,13 @@
         Fact::new(state.keeper.revision(), state.keeper.tell(self.clock.now()))
     }
 
+    /// The revision of the list of endpoints; none before there is one.
+    #[must_use]
+    pub fn directory_revision(&self) -> Option<Revision> {
+        let revision = self.lock().keeper.revision();
+        (revision > Revision::default()).then_some(revision)
+    }
+
     /// The list of endpoints, if it is newer than a revision and not the list with
     /// that hash.
     #[must_use]
@@ -492,7 +525,7 @@
             rollout: state.rollout.clone(),
             gateways,
             knows_emptied: !self.terms().evacuates || state.evacuation.known().is_some(),
-            others: state.gateways.keys().map(|gateway| cold::key(*gateway)).collect(),
+            others: state.gateways.keys().map(|gateway| Key::of_address(*gateway)).collect(),
         }));
     }
 
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -16,7 +16,7 @@
 use cinderspoke_core::gateway::name::{Region, Service, Zone};
 use cinderspoke_core::gateway::notice;
 use cinderspoke_core::gateway::outage::Ago;
-use cinderspoke_core::gateway::region::Standing;
+use cinderspoke_core::gateway::region::{self, Standing};
 use cinderspoke_core::gateway::rollout::Rollout;
 use cinderspoke_core::gateway::suspect::Told;
 use cinderspoke_core::gateway::tally::Outstanding;
@@ -43,6 +43,8 @@
     pub standing: Standing,
     /// The versions that were named, and for how long.
     pub ages: Ages,
+    /// The last revision of the store at which those are known to be all.
+    pub rollout_revision: Revision,
     /// The revision of the list of endpoints.
     pub directory: Revision,
     /// Tells lists of endpoints apart.
@@ -58,6 +60,15 @@
     pub leaving: Vec<notice::Told>,
 }
 
+/// A gateway as others name it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Named {
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// The tag of its region, where that is known.
+    pub region: Option<region::Tag>,
+}
+
 /// What goes between processes without an answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Datagram {
@@ -68,7 +79,7 @@
         /// What it knows.
         known: Known,
         /// Other gateways that it knows of.
-        gateways: Vec<SocketAddr>,
+        gateways: Vec<Named>,
     },
     /// An agent says what its engine is busy with.
     Report {
@@ -99,6 +110,11 @@
         /// The time that the report told.
         told: Duration,
     },
+    /// A gateway wants an agent's reports for a while.
+    Subscribe {
+        /// The gateway.
+        from: SocketAddr,
+    },
     /// A gateway says what it has outstanding at an agent's engine.
     Outstanding {
         /// The gateway.
@@ -160,7 +176,7 @@
     /// The endpoints, if the list is newer than the asker's and another one.
     pub directory: Option<Fact<Directory>>,
     /// Other gateways.
-    pub gateways: Vec<SocketAddr>,
+    pub gateways: Vec<Named>,
 }
 
 /// An engine of a service, as agents see it.
@@ -189,16 +205,14 @@
     pub origins: Vec<Origin>,
     /// The engines of the service.
     pub peers: Vec<Peer>,
-    /// The gateways.
-    pub gateways: Vec<SocketAddr>,
 }
 
 impl Plan {
     /// Tells plans apart, whenever they held and however old their versions are.
     #[must_use]
     pub fn hash(&self) -> u64 {
-        let Self { rollout, models, origins, peers, gateways, .. } = self;
-        Key::of(&format!("{rollout:?}{models:?}{origins:?}{peers:?}{gateways:?}")).as_u64()
+        let Self { rollout, models, origins, peers, .. } = self;
+        Key::of(&format!("{rollout:?}{models:?}{origins:?}{peers:?}")).as_u64()
     }
 }
 
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! - [`follow`] learns facts from the platform, each kind from a [`source`]; [`relay`] tells
 //!   other gateways and [`agents`] of them in a [`message`], and asks a gateway for [`facts`]
 //!   that this one lacks: of configurations, [`region`] says whom, and [`draw`] counts what
-//!   they cost. What agents have to know is a [`plan`]; of what is [`outstanding`] at their
+//!   they cost. The agents of a [`subset`] of engines report here; what agents have to know is a [`plan`]; of what is [`outstanding`] at their
 //!   engines they are told as it changes.
 //! - [`serve`] takes callers' requests, whose [`head`] has to come in time, and
 //!   [`forward`] brings them to endpoints: it has [`understand`] read what is asked
@@ -50,6 +50,7 @@
 pub mod socket;
 pub mod source;
 pub mod stream;
+pub mod subset;
 pub mod suspects;
 pub mod target;
 pub mod terms;
--- a/src/cinderspoke/gateway/plan.rs
+++ b/src/cinderspoke/gateway/plan.rs
@@ -1,16 +1,13 @@
 //! Plans: what the agents of a service have to know, made of what a gateway knows.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use cinderspoke_core::gateway::directory::{Directory, Entry};
 use cinderspoke_core::gateway::name::Service;
-use cinderspoke_schema::settings;
 
 use super::knowledge::Knowledge;
 use super::message::{Peer, Plan};
-use crate::util::settings::inner_address;
 
 /// A plan's hash, and the number of the view that the plan is of.
 #[derive(Debug, Clone, Copy)]
@@ -21,7 +18,6 @@
 
 /// Makes plans, and keeps their hashes.
 pub struct Planner {
-    own: SocketAddr,
     knowledge: Arc<Knowledge>,
     hashes: Mutex<HashMap<Service, Hashed>>,
 }
@@ -29,8 +25,8 @@
 impl Planner {
     /// A planner of what a gateway knows.
     #[must_use]
-    pub fn new(settings: &settings::Node, knowledge: Arc<Knowledge>) -> Self {
-        Self { own: inner_address(settings), knowledge, hashes: Mutex::default() }
+    pub fn new(knowledge: Arc<Knowledge>) -> Self {
+        Self { knowledge, hashes: Mutex::default() }
     }
 
     /// The hash of a service's plan, made anew only when something is known anew:
@@ -64,20 +60,9 @@
             models: models.unwrap_or_default(),
             origins: origins.unwrap_or_default(),
             peers: self.peers(&directory.value, service),
-            gateways: self.gateways(),
         }
     }
 
-    /// The gateways that are known, this one among them, in the order of their
-    /// addresses.
-    fn gateways(&self) -> Vec<SocketAddr> {
-        let mut gateways = self.knowledge.gateways();
-        gateways.retain(|other| *other != self.own);
-        gateways.push(self.own);
-        gateways.sort();
-        gateways
-    }
-
     /// The engines of a service, in the order of their addresses.
     fn peers(&self, directory: &Directory, service: &Service) -> Vec<Peer> {
         let terms = self.knowledge.terms();
--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -57,6 +57,10 @@
     pub rested: bool,
 }
 
+/// The most bytes of an answer that are held unread: what its caller does not read stays at its
+/// endpoint. A thousand connections hold a third of the memory of the least instance.
+const MOST_UNREAD: usize = 32 << 10;
+
 /// The connections to an endpoint.
 #[derive(Debug)]
 pub struct Pool {
@@ -151,7 +155,8 @@
 /// Opens a connection, and has it carried by a task of its own.
 async fn connect(address: SocketAddr) -> Result<Connection> {
     let socket = Socket::open(address, UNACKNOWLEDGED).await?;
-    let (sender, connection) = http1::handshake(TokioIo::new(socket)).await?;
+    let (sender, connection) =
+        http1::Builder::new().max_buf_size(MOST_UNREAD).handshake(TokioIo::new(socket)).await?;
     tokio::spawn(async move {
         // Whoever uses the connection learns of its end by its own request.
         if let Err(error) = connection.await {
--- a/src/cinderspoke/gateway/region.rs
+++ b/src/cinderspoke/gateway/region.rs
@@ -7,10 +7,11 @@
 use cinderspoke_core::gateway::catalog::Catalog;
 use cinderspoke_core::gateway::difference::{Difference, Hash, Misfit};
 use cinderspoke_core::gateway::fact::{Fact, Revision};
-use cinderspoke_core::gateway::region::{Role, Standing, Step, Table};
+use cinderspoke_core::gateway::name::Region;
+use cinderspoke_core::gateway::region::{Role, Standing, Step, Table, Tag};
 
 use super::knowledge::Knowledge;
-use super::message::{Configuration, Known};
+use super::message::{Configuration, Known, Named};
 
 impl Knowledge {
     /// Takes in what another gateway says of itself and of its configuration; true when it
@@ -89,6 +90,47 @@
         self.lock().region.standing(self.terms().region_count(), self.clock().now())
     }
 
+    /// Adds a gateway that others name; true when it was not known and is to be greeted: it
+    /// may be of this region, where those who read have to know of it.
+    pub fn introduced(&self, gateway: Named) -> bool {
+        let is_new = self.met(gateway.address, false);
+        let terms = self.terms();
+        let regions = terms.regions.values().map(|region| Region::from(region.as_str()));
+        let region = regions.into_iter().find(|region| gateway.region == Some(Tag::of(region)));
+        let Some(region) = region else { return is_new };
+        let now = self.clock().now();
+        let mut state = self.lock();
+        state.region.name(gateway.address, region, now);
+        is_new && state.region.is_neighbour(gateway.address)
+    }
+
+    /// Some gateways as they are named to others.
+    #[must_use]
+    pub fn names(&self, gateways: impl IntoIterator<Item = SocketAddr>) -> Vec<Named> {
+        let state = self.lock();
+        let region = |gateway| state.region.region_of(gateway).map(Tag::of);
+        let named = gateways.into_iter().map(|address| Named { address, region: region(address) });
+        named.collect()
+    }
+
+    /// The other gateways that are known of a region.
+    #[must_use]
+    pub fn gateways_of(&self, region: &Region) -> Vec<SocketAddr> {
+        self.lock().region.gateways_of(region)
+    }
+
+    /// Whether a gateway is known to be of this region.
+    #[must_use]
+    pub fn is_neighbour(&self, gateway: SocketAddr) -> bool {
+        self.lock().region.is_neighbour(gateway)
+    }
+
+    /// Whether this gateway tells other regions of news.
+    #[must_use]
+    pub fn tells_far(&self) -> bool {
+        self.lock().region.tells_far(self.terms().region_count(), self.clock().now())
+    }
+
     /// The other gateways of the region.
     #[must_use]
     pub fn neighbours(&self) -> Vec<SocketAddr> {
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -7,8 +7,8 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use axum::Router;
@@ -18,6 +18,7 @@
 use cinderspoke_core::gateway::gossip;
 use cinderspoke_core::gateway::name::{Region, Service};
 use cinderspoke_core::gateway::region::{self, Role};
+use cinderspoke_core::gateway::subset;
 use cinderspoke_schema::settings;
 use http::StatusCode;
 use metrics::gauge;
@@ -27,9 +28,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::agents::Agents;
-use super::facts::{self, knows_more};
+use super::facts::{self, Awaited, knows_more};
 use super::knowledge::Knowledge;
-use super::message::{Datagram, Known, buffer, pack, receive, send};
+use super::message::{Datagram, Known, Named, buffer, pack, receive, send};
 use super::outstanding;
 use super::plan::Planner;
 use crate::util::http::Client;
@@ -43,8 +44,8 @@
 /// How often it is looked whether this gateway still is to read the configuration.
 const LOOK_AT_ROLE: Duration = Duration::from_millis(100);
 
-/// How many gateways a digest names at most.
-const NAMED_GATEWAYS: usize = 24;
+/// How many gateways a digest names at most, drawn anew each time.
+const NAMED_GATEWAYS: usize = 8;
 
 /// Tells other processes what this gateway knows, and learns from them.
 pub struct Relay {
@@ -57,7 +58,7 @@
     planner: Planner,
     // Whether a newer configuration, or a newer list, is waited for or fetched.
     pub(super) awaiting_configuration: AtomicBool,
-    pub(super) awaiting_list: AtomicBool,
+    pub(super) awaited_list: Mutex<Option<Awaited>>,
 }
 
 impl Relay {
@@ -70,7 +71,7 @@
         socket: UdpSocket,
     ) -> Self {
         let own = inner_address(settings);
-        let planner = Planner::new(settings, Arc::clone(&knowledge));
+        let planner = Planner::new(Arc::clone(&knowledge));
         let (agents, socket) = (Agents::default(), Arc::new(socket));
         knowledge.asker().attach(own, Arc::clone(&socket));
         Self {
@@ -82,7 +83,7 @@
             agents,
             planner,
             awaiting_configuration: AtomicBool::default(),
-            awaiting_list: AtomicBool::default(),
+            awaited_list: Mutex::default(),
         }
     }
 
@@ -104,6 +105,7 @@
         spawn(Box::pin(Arc::clone(self).gossip()));
         spawn(Box::pin(Arc::clone(self).tell_region()));
         spawn(Box::pin(Arc::clone(self).tell_outstanding()));
+        spawn(Box::pin(Arc::clone(self).subscribe()));
     }
 
     /// Takes in what other processes say.
@@ -142,13 +144,14 @@
                 Datagram::Hint { .. }
                 | Datagram::Echo { .. }
                 | Datagram::Outstanding { .. }
+                | Datagram::Subscribe { .. }
                 | Datagram::Ask { .. } => {}
             }
         }
     }
 
     /// Learns from what another gateway knows, and tells it what it does not.
-    async fn on_digest(self: &Arc<Self>, from: SocketAddr, known: Known, others: Vec<SocketAddr>) {
+    async fn on_digest(self: &Arc<Self>, from: SocketAddr, known: Known, others: Vec<Named>) {
         if from == self.own {
             return;
         }
@@ -156,7 +159,7 @@
         let is_stranger = self.knowledge.heard(from, &known);
         self.meet(others).await;
         let own = self.knowledge.known();
-        self.knowledge.told_ages(&known.ages, "gateway");
+        self.knowledge.told_versions(&known.ages, known.rollout_revision);
         self.knowledge.told_suspects(&known.suspects);
         self.knowledge.told_leaving(&known.leaving);
         self.knowledge.told_answers(&known.answers);
@@ -170,16 +173,16 @@
             self.draw_list(from, &known);
         }
         if is_behind || is_stranger {
-            send(&self.socket, from, &self.digest()).await;
+            send(&self.socket, from, &self.digest_for(&known.standing.region)).await;
         }
     }
 
-    /// Takes in gateways that another one names, and greets those that are new, so that
-    /// each learns in which region the other is.
-    pub(super) async fn meet(&self, gateways: Vec<SocketAddr>) {
-        for gateway in gateways.into_iter().filter(|gateway| *gateway != self.own) {
-            if self.knowledge.met(gateway, false) {
-                send(&self.socket, gateway, &self.digest()).await;
+    /// Takes in gateways that another one names, and greets those that are new and may be of
+    /// this region, so that each knows of the other.
+    pub(super) async fn meet(&self, gateways: Vec<Named>) {
+        for gateway in gateways.into_iter().filter(|gateway| gateway.address != self.own) {
+            if self.knowledge.introduced(gateway) {
+                send(&self.socket, gateway.address, &self.digest()).await;
             }
         }
     }
@@ -212,15 +215,22 @@
         }
     }
 
-    /// The gateways that this one tells of news, drawn anew each time: some of all, and
-    /// some of its own region, who have the configuration from each other.
+    /// The gateways that this one tells of news, drawn anew each time: some of its own region,
+    /// and some of all where it reads from the platform or hears of no such gateway nearby.
+    /// Others leave that to those who read: of news, as many copies cross the links between
+    /// regions as there are regions, and not as there are gateways.
     fn told_of_news(&self) -> BTreeSet<SocketAddr> {
         let drawn = |gateways: Vec<SocketAddr>| {
             let told = gossip::fanout(gateways.len());
             let drawn = rand::seq::index::sample(&mut rand::rng(), gateways.len(), told);
             drawn.into_iter().map(move |number| gateways[number])
         };
-        drawn(self.others()).chain(drawn(self.knowledge.neighbours())).collect()
+        let neighbours = drawn(self.knowledge.neighbours());
+        if self.knowledge.tells_far() {
+            drawn(self.others()).chain(neighbours).collect()
+        } else {
+            neighbours.collect()
+        }
     }
 
     /// Hints every agent that does not know its service's plan.
@@ -280,6 +290,19 @@
         outstanding::tell(&self.knowledge, &self.socket, self.own).await;
     }
 
+    /// Has the agents of some engines report here.
+    async fn subscribe(self: Arc<Self>) {
+        let subscribe = pack(&Datagram::Subscribe { from: self.own });
+        let mut ticks = interval(subset::RENEWAL);
+        loop {
+            ticks.tick().await;
+            for engine in self.knowledge.subset() {
+                let agent = SocketAddr::new(engine.ip(), self.own.port());
+                send(&self.socket, agent, &subscribe).await;
+            }
+        }
+    }
+
     /// The gateways that are known besides this one.
     pub(super) fn others(&self) -> Vec<SocketAddr> {
         let mut others = self.knowledge.gateways();
@@ -287,10 +310,24 @@
         others
     }
 
+    /// What this gateway knows, for one of a region: those that are named are of the same one,
+    /// if any are known, so that one that starts soon knows who reads there.
+    fn digest_for(&self, region: &Region) -> Vec<u8> {
+        match self.knowledge.gateways_of(region) {
+            near if near.is_empty() => self.digest(),
+            near => self.digest_naming(near),
+        }
+    }
+
     /// What this gateway knows, as a datagram.
     fn digest(&self) -> Vec<u8> {
-        let mut gateways = self.others();
-        gateways.truncate(NAMED_GATEWAYS);
+        self.digest_naming(self.others())
+    }
+
+    fn digest_naming(&self, others: Vec<SocketAddr>) -> Vec<u8> {
+        let count = others.len().min(NAMED_GATEWAYS);
+        let drawn = rand::seq::index::sample(&mut rand::rng(), others.len(), count);
+        let gateways = self.knowledge.names(drawn.into_iter().map(|number| others[number]));
         pack(&Datagram::Digest { from: self.own, known: self.knowledge.known(), gateways })
     }
 }
--- a/src/cinderspoke/gateway/source.rs
+++ b/src/cinderspoke/gateway/source.rs
@@ -72,6 +72,11 @@
         None
     }
 
+    /// When others last told that revision; zero if they did not.
+    fn told_at(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Whether this gateway waits for its news, or has them from others.
     fn role(&self) -> Role {
         Role::Reader
@@ -246,7 +251,7 @@
 
 impl Versions {
     fn learn(&self, fact: Fact<Rollout>, freshness: Freshness) {
-        self.0.knowledge.named(&fact.value, freshness);
+        self.0.knowledge.named(&fact, freshness);
     }
 }
 
@@ -271,8 +276,24 @@
         Ok(Box::new(move |freshness| take_news(seen, |fact| self.learn(fact, freshness))))
     }
 
+    async fn start(&self) {
+        self.0.wait_for(Knowledge::rollout_revision).await;
+    }
+
+    fn known(&self) -> Option<Revision> {
+        self.0.knowledge.rollout_revision()
+    }
+
+    fn told_at(&self) -> Duration {
+        self.0.knowledge.rollout_told_at()
+    }
+
+    fn role(&self) -> Role {
+        self.0.knowledge.role()
+    }
+
     fn askers(&self) -> usize {
-        self.0.knowledge.view().gateways
+        self.0.askers()
     }
 }
 
@@ -306,8 +327,20 @@
         if awaits_entries { gather.min(GATHER_AFTER_OUTAGE) } else { gather }
     }
 
+    async fn start(&self) {
+        self.0.wait_for(Knowledge::directory_revision).await;
+    }
+
+    fn known(&self) -> Option<Revision> {
+        self.0.knowledge.directory_revision()
+    }
+
+    fn role(&self) -> Role {
+        self.0.knowledge.role()
+    }
+
     fn askers(&self) -> usize {
-        self.0.knowledge.view().gateways
+        self.0.askers()
     }
 }
 
--- /dev/null
+++ b/src/cinderspoke/gateway/subset.rs
@@ -0,0 +1,41 @@
+//! The engines whose agents a gateway has report to it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use cinderspoke_core::gateway::name::Region;
+use cinderspoke_core::gateway::subset::{far, first, near};
+use cinderspoke_core::swarm::Distance;
+
+use super::knowledge::Knowledge;
+use super::view::Member;
+
+impl Knowledge {
+    /// Chooses the engines of each service whose agents are to report here; gives their
+    /// addresses.
+    #[must_use]
+    pub fn subset(&self) -> Vec<SocketAddr> {
+        let view = self.view();
+        let gateways = self.neighbours().len() + 1;
+        let models = view.members.iter().filter(|(service, _)| view.engine(service).is_some());
+        models.flat_map(|(_, members)| self.subset_of(members, gateways)).collect()
+    }
+
+    /// The same of one service, where there are so many gateways in the region.
+    fn subset_of(&self, members: &[Member], gateways: usize) -> Vec<SocketAddr> {
+        let mut regions: BTreeMap<(bool, &Region), Vec<SocketAddr>> = BTreeMap::new();
+        for member in members {
+            let is_near = member.distance != Distance::Far;
+            regions.entry((is_near, &member.region)).or_default().push(member.entry.address);
+        }
+        let chosen = regions.into_iter().flat_map(|((is_near, _), engines)| {
+            let count = if is_near { near(engines.len(), gateways) } else { far(gateways) };
+            first(self.key(), engines, count)
+        });
+        let chosen: BTreeSet<_> = chosen.collect();
+        for member in members {
+            member.target.set_reports_here(chosen.contains(&member.entry.address));
+        }
+        chosen.into_iter().collect()
+    }
+}
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -51,6 +51,8 @@
     // Until when it is taken for cold, and what its entry last said of that, in milliseconds.
     cold_until: AtomicU64,
     listed_cold: AtomicU64,
+    // Whether its agent was asked to report here.
+    reports_here: AtomicBool,
     tracking: Mutex<Tracking>,
 }
 
@@ -62,9 +64,18 @@
         let (pool, start, run) = (Pool::new(entry.address), entry.start, Run::of(&name, entry));
         let leaves = AtomicBool::new(notices.is_leaving(run));
         let wants_none_until = AtomicU64::new(whole_millis(notices.rests_until(run)));
-        let (cold_until, listed_cold) = (AtomicU64::default(), AtomicU64::default());
-        let tracking = Mutex::default();
-        Self { name, pool, run, start, leaves, wants_none_until, cold_until, listed_cold, tracking }
+        Self {
+            name,
+            pool,
+            run,
+            start,
+            leaves,
+            wants_none_until,
+            cold_until: AtomicU64::default(),
+            listed_cold: AtomicU64::default(),
+            reports_here: AtomicBool::new(true),
+            tracking: Mutex::default(),
+        }
     }
 
     /// Whether an entry of its name is of this run of the endpoint: another one has none
@@ -111,6 +122,17 @@
         self.wants_none_until.fetch_max(whole_millis(until), Ordering::Relaxed);
     }
 
+    /// Sets whether its agent was asked to report here.
+    pub fn set_reports_here(&self, reports: bool) {
+        self.reports_here.store(reports, Ordering::Relaxed);
+    }
+
+    /// Whether its agent was asked to report here: silence tells of its instance then.
+    #[must_use]
+    pub fn reports_here(&self) -> bool {
+        self.reports_here.load(Ordering::Relaxed)
+    }
+
     /// Sets how much longer its entry says that it is cold; an entry that says the same again
     /// is the same word.
     pub fn listed_cold(&self, cold: Duration, now: Duration) {
--- a/src/cinderspoke/stager/plan.rs
+++ b/src/cinderspoke/stager/plan.rs
@@ -108,11 +108,10 @@
         self.plan.subscribe()
     }
 
-    /// The gateways, as far as they are known.
+    /// Gateways that may be reached while none has asked for reports.
     #[must_use]
-    pub fn gateways(&self) -> Vec<SocketAddr> {
-        let plan = self.plan.borrow();
-        if plan.gateways.is_empty() { self.seeds.load().to_vec() } else { plan.gateways.clone() }
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.load().to_vec()
     }
 
     /// The version that is wanted, once a plan is known.
--- a/src/cinderspoke/stager/report.rs
+++ b/src/cinderspoke/stager/report.rs
@@ -8,9 +8,10 @@
 use cinderspoke_core::gateway::link::Link;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::place::Ledger;
+use cinderspoke_core::gateway::subset::Subscribers;
 use cinderspoke_core::gateway::tally::{Outstanding, Tally};
 use cinderspoke_core::gateway::timeline::Ages;
-use cinderspoke_core::gateway::turn::{asks_last, in_turn};
+use cinderspoke_core::gateway::turn::asks_last;
 use cinderspoke_ports::gateway::{Engine, EngineReport};
 use cinderspoke_schema::settings;
 use tokio::net::UdpSocket;
@@ -48,6 +49,8 @@
     // Counts the times that the engine answered: who is told then goes by turns.
     tick: AtomicUsize,
     heard: Mutex<Heard>,
+    // Who is told.
+    subscribers: Mutex<Subscribers>,
     // What gateways have outstanding at the engine.
     tally: Mutex<Tally>,
     // Places at the engine that are kept for gateways that asked.
@@ -98,6 +101,7 @@
             open,
             tick,
             heard,
+            subscribers: Mutex::default(),
             tally,
             ledger,
             link,
@@ -116,7 +120,7 @@
         self.open.store(open, Ordering::Relaxed);
         let latest = self.latest.borrow().clone();
         if let Some(report) = latest {
-            self.tell(&report, self.plans.gateways()).await;
+            self.tell(&report, self.gateways()).await;
         }
     }
 
@@ -232,12 +236,22 @@
         self.tally.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn subscribers(&self) -> MutexGuard<'_, Subscribers> {
+        self.subscribers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The gateways that want reports; seeds while there are none, so that one of them learns
+    /// that this agent lacks the plan.
+    fn gateways(&self) -> Vec<SocketAddr> {
+        let subscribers = self.subscribers().all(self.clock.now());
+        if subscribers.is_empty() { self.plans.seeds() } else { subscribers }
+    }
+
     /// The gateways whose turn it is to be told.
     fn next_told(&self) -> Vec<SocketAddr> {
-        let gateways = self.plans.gateways();
+        let gateways = self.gateways();
         let tick = self.tick.fetch_add(1, Ordering::Relaxed);
-        let mut told: Vec<_> =
-            in_turn(gateways.len(), tick).map(|number| gateways[number]).collect();
+        let mut told = Subscribers::in_turn(&gateways, tick);
         // Who answered last is always told, so that it can answer again.
         let last = self.heard().from.filter(|last| gateways.contains(last));
         told.extend(last.filter(|last| !told.contains(last)));
@@ -276,6 +290,7 @@
         loop {
             match receive(&self.socket, &mut buffer).await {
                 Datagram::Echo { from, told } => self.on_echo(from, told),
+                Datagram::Subscribe { from } => self.subscribers().renew(from, self.clock.now()),
                 Datagram::Outstanding { from, outstanding, sent, decided_before } => {
                     self.tally().take(from, outstanding, sent, self.clock.now());
                     self.ledger().decided(from, decided_before);
--- a/tests/testsuite/gateway/cold.rs
+++ b/tests/testsuite/gateway/cold.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cinderspoke_core::gateway::cold::{Bound, Sends, Terms, key};
+use cinderspoke_core::gateway::cold::{Bound, Sends, Terms};
 use cinderspoke_core::rendezvous::Key;
 use yare::parameterized;
 
@@ -13,7 +13,7 @@
         let [high, low] = number.to_be_bytes();
         std::net::SocketAddr::from(([10, 0, high, low], 7700))
     };
-    (0..gateways).map(|number| key(address(number))).collect()
+    (0..gateways).map(|number| Key::of_address(address(number))).collect()
 }
 
 /// The shares of all gateways for an endpoint, of which each knows all but `unknown` others.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod region;
 mod residency;
 mod rollout;
+mod subset;
 mod suspect;
 mod tally;
 mod timeline;
--- a/tests/testsuite/gateway/place.rs
+++ b/tests/testsuite/gateway/place.rs
@@ -280,3 +280,33 @@
     }
     assert!(asked.len() > 40, "{} of 45", asked.len());
 }
+
+// Guards against requests that are sent where nothing is known of an engine: it looks as if it
+// had nothing to do.
+#[test]
+fn an_engine_whose_agent_does_not_report_here_is_asked_before_it_gets_a_request() {
+    let mut search = Search::default();
+    let mut candidates = all(4, ms(900), Agent::Askable);
+    candidates.extend((4..20).map(|number| candidate(number, ms(20), Agent::Unheard)));
+    let Step::Ask(asked) = search.next(&wish(), &candidates) else { panic!("some are asked") };
+    assert!(asked.iter().any(|number| *number >= 4), "{asked:?}");
+    for number in &asked {
+        candidates[*number] = candidate(*number, ms(900), Agent::Answered);
+    }
+    let chosen = *asked.last().unwrap();
+    candidates[chosen] = candidate(chosen, ms(60), Agent::Answered);
+    let sent = Step::Done(Choice::Send { number: chosen, first: ms(60) });
+    assert_eq!(search.next(&wish(), &candidates), sent);
+}
+
+// Guards against an engine of which nothing is known that gets a request since nobody answers.
+#[test]
+fn where_no_agent_answers_only_engines_of_which_something_is_known_get_a_request() {
+    let mut search = Search::default();
+    let unheard = all(9, ms(20), Agent::Unheard);
+    let mut step = search.next(&wish(), &unheard);
+    while matches!(step, Step::Ask(_)) {
+        step = search.next(&wish(), &unheard);
+    }
+    assert!(is_refused(&step), "{step:?}");
+}
--- /dev/null
+++ b/tests/testsuite/gateway/subset.rs
@@ -0,0 +1,81 @@
+//! Whose reports a gateway receives.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cinderspoke_core::gateway::subset::{FAR_TOLD, LEAST_FAR, NEAR, Subscribers, far, first, near};
+use cinderspoke_core::rendezvous::Key;
+use yare::parameterized;
+
+use super::ms;
+
+fn address(kind: u8, number: usize) -> SocketAddr {
+    let [.., high, low] = number.to_be_bytes();
+    SocketAddr::from(([10, kind, high, low], 7700))
+}
+
+fn engines(count: usize) -> Vec<SocketAddr> {
+    (0..count).map(|number| address(1, number)).collect()
+}
+
+/// How many of a region's gateways each of its engines is reported to.
+fn told(engines_count: usize, gateways: usize) -> BTreeMap<SocketAddr, usize> {
+    let mut told: BTreeMap<_, _> = engines(engines_count).into_iter().map(|one| (one, 0)).collect();
+    for gateway in 0..gateways {
+        let own = Key::of_address(address(0, gateway));
+        for engine in first(own, engines(engines_count), near(engines_count, gateways)) {
+            *told.entry(engine).or_default() += 1;
+        }
+    }
+    told
+}
+
+// Guards against reports that grow with the product of gateways and engines: 110 gateways and
+// 88 engines of a region told each other 29,000 times a second.
+#[parameterized(fleet = { 88, 110 }, twice = { 176, 220 }, tenfold = { 880, 1100 })]
+fn what_a_gateway_receives_does_not_grow_with_the_fleet(engines: usize, gateways: usize) {
+    assert_eq!(near(engines, gateways), NEAR);
+    let told = told(engines, gateways);
+    let (least, most) = (told.values().min().unwrap(), told.values().max().unwrap());
+    let mean = NEAR * gateways / engines;
+    assert!(*least > mean / 3 && *most < 2 * mean, "{least} to {most}, {mean} on average");
+}
+
+// Guards against a subset that takes engines from fleets that are small enough for all.
+#[parameterized(first = { 4, 3 }, grown = { 15, 14 }, large = { 24, 30 })]
+fn in_a_small_fleet_every_gateway_has_reports_of_every_engine(engines: usize, gateways: usize) {
+    assert!(near(engines, gateways) >= engines);
+    assert!(far(gateways) >= engines.min(15));
+}
+
+// Guards against engines that nobody has reports of where gateways are few.
+#[parameterized(one = { 200, 1 }, two = { 200, 2 }, five = { 400, 5 })]
+fn where_gateways_are_few_each_engine_is_reported_to_some(engines: usize, gateways: usize) {
+    assert!(told(engines, gateways).values().all(|told| *told > 0));
+}
+
+// Guards against reports that fill the link between two regions.
+#[parameterized(grown = { 14 }, large = { 30 }, fleet = { 110 }, twice = { 220 })]
+fn reports_to_another_region_are_bounded(gateways: usize) {
+    assert!(gateways * far(gateways) <= FAR_TOLD.max(gateways * LEAST_FAR));
+}
+
+// Guards against a gateway that loses its reports with each engine that comes or goes.
+#[test]
+fn an_engine_that_goes_changes_one_place_of_a_subset() {
+    let own = Key::of_address(address(0, 1));
+    let before = first(own, engines(88), NEAR);
+    let gone = before[7];
+    let left: Vec<_> = engines(88).into_iter().filter(|engine| *engine != gone).collect();
+    let after = first(own, left, NEAR);
+    assert_eq!(after.iter().filter(|engine| !before.contains(engine)).count(), 1);
+}
+
+// Guards against reports to gateways that are gone, and against a cut that ends them at once.
+#[test]
+fn a_subscription_lapses_long_after_the_last_word() {
+    let mut subscribers = Subscribers::default();
+    subscribers.renew(address(0, 1), ms(0));
+    assert_eq!(subscribers.all(ms(20_000)), [address(0, 1)]);
+    assert!(subscribers.all(ms(30_000)).is_empty());
+}
--- a/tests/testsuite/stagers.rs
+++ b/tests/testsuite/stagers.rs
@@ -184,7 +184,6 @@
         models: vec!["m".into()],
         origins: vec![Declared { address: addresses[0], rate: 1e9 }],
         peers: addresses.iter().enumerate().map(peer).collect(),
-        gateways: vec![seed],
         ..Plan::default()
     };
     gateway(seed, plan).await;
@@ -266,7 +265,6 @@
         models: vec!["m".into()],
         origins: vec![Declared { address, rate: 1e9 }],
         peers: vec![Peer { engine: address, zone: "a".into(), region: "r".into() }],
-        gateways: vec![seed],
         ..Plan::default()
     }));
     gateway_with_shared_plan(seed, Arc::clone(&plan)).await;
