--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -132,7 +132,8 @@
                 }
                 Choice::Refuse { come_back, best } => {
                     settle(places, None, context);
-                    record.found_none(members.len(), candidates.len(), best);
+                    let barred = self.survey(context, asked, &view, reach).barred(members);
+                    record.found_none(members.len(), barred, candidates.len(), best);
                     Err(come_back)
                 }
             };
@@ -153,20 +154,9 @@
         view: &View,
         reach: Reach,
     ) -> (Vec<Prospect>, Wish) {
-        let now = context.clock.now();
-        let engine = view.engine(&asked.service);
-        let (members, size) = (view.members(&asked.service), asked.call.size);
-        let survey = Survey {
-            context,
-            asked,
-            tried: &self.tried,
-            view,
-            engine,
-            residency: residency(asked, view),
-            cold: context.knowledge.cold_bound(view, &asked.service),
-            reach,
-            now,
-        };
+        let survey = self.survey(context, asked, view, reach);
+        let (engine, members, size) =
+            (survey.engine, view.members(&asked.service), asked.call.size);
         let mut options = survey.options(members, Avoided::LeftOut);
         if options.is_empty() {
             // Better one that failed lately than none.
@@ -188,6 +178,27 @@
         (options, wish)
     }
 
+    /// What one choice looks at now.
+    fn survey<'a>(
+        &'a self,
+        context: &'a Context,
+        asked: &'a Asked,
+        view: &'a View,
+        reach: Reach,
+    ) -> Survey<'a> {
+        Survey {
+            context,
+            asked,
+            tried: &self.tried,
+            view,
+            engine: view.engine(&asked.service),
+            residency: residency(asked, view),
+            cold: context.knowledge.cold_bound(view, &asked.service),
+            reach,
+            now: context.clock.now(),
+        }
+    }
+
     /// What the request asks of an endpoint now.
     fn wish(&self, context: &Context, asked: &Asked) -> Wish {
         let waited = asked.waited + context.clock.now().saturating_sub(asked.arrived);
@@ -259,6 +270,17 @@
     Unfit,
 }
 
+/// How many endpoints may not get a request, by what bars them.
+#[derive(Debug, Clone, Copy)]
+pub struct Barred {
+    /// They are outside the regions where it may be served.
+    pub outside_homes: usize,
+    /// Their availability zones are emptied.
+    pub in_emptied_zones: usize,
+    /// They are cold, and were sent this gateway's share.
+    pub cold: usize,
+}
+
 /// What one choice looks at.
 struct Survey<'a> {
     context: &'a Context,
@@ -308,6 +330,18 @@
         !member.is_emptied && self.residency.allows(&member.region)
     }
 
+    /// How many members may not get the request, whatever they are busy with.
+    fn barred(&self, members: &[Member]) -> Barred {
+        let count = |is_barred: &dyn Fn(&Member) -> bool| {
+            members.iter().filter(|member| is_barred(member)).count()
+        };
+        Barred {
+            outside_homes: count(&|member| !self.residency.allows(&member.region)),
+            in_emptied_zones: count(&|member| member.is_emptied),
+            cold: count(&|member| self.is_spent(member, &member.target.tracking())),
+        }
+    }
+
     /// Whether a member is cold and was sent this gateway's share of what it bears.
     fn is_spent(&self, member: &Member, tracking: &Tracking) -> bool {
         let Some(bound) = self.cold.filter(|_| member.target.is_cold(self.now)) else {
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -11,7 +11,7 @@
 use metrics::{counter, histogram};
 use tokio::time::Instant;
 
-use super::choose::Chosen;
+use super::choose::{Barred, Chosen};
 use super::context::InProgress;
 use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, REQUESTS};
 
@@ -133,12 +133,21 @@
     }
 
     /// Takes in that no endpoint was chosen.
-    pub fn found_none(&mut self, members: usize, candidates: usize, best: Option<Duration>) {
+    pub fn found_none(
+        &mut self,
+        members: usize,
+        barred: Barred,
+        candidates: usize,
+        best: Option<Duration>,
+    ) {
         self.candidates = candidates;
         self.predicted = best;
         tracing::info!(
             id = self.id(),
             members,
+            outside_homes = barred.outside_homes,
+            in_emptied_zones = barred.in_emptied_zones,
+            cold = barred.cold,
             candidates,
             asked = self.asked,
             best_ms = best.map(|best| best.as_millis() as u64),
