Gateways that start wait for those who read; what is held back is read by few

At a start of all each gateway reads by itself 0.3 s later unless it has heard who reads, and seeds that start later are told of it 0.5 s later only; each also reads what is held back. Now seeds are told each 0.1 s until one answers, a gateway waits while others come to be known (1.2 s at most), and what is held back is read by those who read for their region; who starts has all of it from whoever it asks for the configuration.

--- a/crates/core/src/gateway/suspect.rs
+++ b/crates/core/src/gateway/suspect.rs
@@ -333,9 +333,17 @@
         Admission::Trial
     }
 
-    /// What other gateways are to be told: of those that are held back, and of news.
+    /// What other gateways are to be told in a digest: of those that are held back, and of news.
     #[must_use]
     pub fn tell(&self, now: Duration) -> Vec<Told> {
+        let mut told = self.tell_all(now);
+        told.truncate(MOST_TOLD);
+        told
+    }
+
+    /// The same, however much it is, for a gateway that asks.
+    #[must_use]
+    pub fn tell_all(&self, now: Duration) -> Vec<Told> {
         let is_told = |suspect: &Suspect| {
             suspect.is_held() || suspect.last_news().is_some_and(|at| at.age(now) < TOLD)
         };
@@ -344,7 +352,6 @@
         told.sort_by_key(|(_, suspect)| {
             std::cmp::Reverse((suspect.is_held(), suspect.ends.len(), suspect.last_news()))
         });
-        told.truncate(MOST_TOLD);
         told.into_iter().map(|(fingerprint, suspect)| tell(*fingerprint, suspect, now)).collect()
     }
 
--- a/src/cinderspoke/gateway/belief.rs
+++ b/src/cinderspoke/gateway/belief.rs
@@ -64,6 +64,8 @@
     /// Endpoints by service and address: anyone may write an entry with an address that
     /// an endpoint of another service has.
     pub by_address: HashMap<(Service, SocketAddr), Arc<Target>>,
+    /// When the last of them came to be known.
+    pub met_at: Duration,
     /// Other gateways and when each was last heard of by itself, or else first named.
     pub gateways: BTreeMap<SocketAddr, Duration>,
 }
--- a/src/cinderspoke/gateway/facts.rs
+++ b/src/cinderspoke/gateway/facts.rs
@@ -185,6 +185,7 @@
             draw::came("gateway", &from.to_string(), version, &progress);
         }
         self.meet(facts.gateways.clone()).await;
+        self.knowledge.told_suspects(&facts.suspects);
         Ok(facts)
     }
 
@@ -233,6 +234,7 @@
         configuration: knowledge.configuration_after(asked.configuration, held),
         directory: knowledge.directory_after(Revision(asked.directory), asked.directory_hash),
         gateways: knowledge.names(relay.others()),
+        suspects: knowledge.suspects().tell_all(knowledge.clock().now()),
     };
     pack(&facts).into()
 }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -343,17 +343,22 @@
     wait.mul_f64(rand::random_range(SPREAD))
 }
 
+/// Waits until this gateway reads for its region, or has heard of no other when the others had
+/// time to say who they are.
+pub(super) async fn reads_or_is_alone(knowledge: &Knowledge) {
+    sleep(ALONE).await;
+    while knowledge.role() == Role::Follower && knowledge.view().gateways > 1 {
+        sleep(LOOK_AT_ROLE).await;
+    }
+}
+
 /// Tells the store that this gateway is there, and learns of the others once, where it reads
 /// for its region or has heard of no other.
 ///
 /// The rest are known by digests. Were all to do so, the calls at a start of all would grow with
 /// the square of their number: a list has as many pages as there are hundreds of gateways.
 async fn meet(shared: Shared, name: String, own: SocketAddr) {
-    sleep(ALONE).await;
-    let knowledge = &shared.knowledge;
-    while knowledge.role() == Role::Follower && knowledge.view().gateways > 1 {
-        sleep(LOOK_AT_ROLE).await;
-    }
+    reads_or_is_alone(&shared.knowledge).await;
     let mut failures = 0;
     loop {
         let met = async {
--- a/src/cinderspoke/gateway/holds.rs
+++ b/src/cinderspoke/gateway/holds.rs
@@ -1,9 +1,11 @@
 //! Keeping in the store which requests are held back.
 //!
 //! Gateways tell each other, but what they know ends with the last of them, and one that
-//! is cut off from all others hears of nothing while the store may still answer it.
+//! is cut off from all others hears of nothing while the store may still answer it. Those who
+//! read for their region look when they begin to; the others have it from them.
 
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,6 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::follow::reads_or_is_alone;
 use super::knowledge::Knowledge;
 
 /// How long after a failure the store is asked again.
@@ -65,12 +68,15 @@
 /// Learns from the store what is held back, and tells it, whatever fails.
 pub async fn keep(knowledge: Arc<Knowledge>, store: Arc<dyn Holds>) {
     let due = knowledge.suspects().due();
-    let mut look_at = Some(Instant::now());
+    let mut look_at = None;
     let mut looked = Instant::now();
+    let mut first = pin!(reads_or_is_alone(&knowledge));
+    let mut is_first = true;
     loop {
         let next_look = look_at.unwrap_or_else(Instant::now);
         tokio::select! {
             () = due.added.notified() => {}
+            () = &mut first, if is_first => (look_at, is_first) = (Some(Instant::now()), false),
             () = sleep_until(next_look), if look_at.is_some() => {
                 look_at = look(&knowledge, &*store).await;
                 looked = Instant::now();
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -438,6 +438,9 @@
         if itself {
             *heard = now;
         }
+        if !known {
+            state.met_at = now;
+        }
         if !known || (itself && !alive) {
             tracing::info!(%gateway, itself, "gateway heard of");
             self.show(&mut state);
@@ -445,6 +448,12 @@
         !known
     }
 
+    /// When another gateway last came to be known; zero before any.
+    #[must_use]
+    pub fn met_at(&self) -> Duration {
+        self.lock().met_at
+    }
+
     /// Other gateways, alive or not.
     #[must_use]
     pub fn gateways(&self) -> Vec<SocketAddr> {
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -177,6 +177,8 @@
     pub directory: Option<Fact<Directory>>,
     /// Other gateways.
     pub gateways: Vec<Named>,
+    /// Requests under which endpoints ended.
+    pub suspects: Vec<Told>,
 }
 
 /// An engine of a service, as agents see it.
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -44,6 +44,9 @@
 /// How often it is looked whether this gateway still is to read the configuration.
 const LOOK_AT_ROLE: Duration = Duration::from_millis(100);
 
+/// How often seeds are told of this gateway until one of them answers: they may start later.
+const GREETING: Duration = Duration::from_millis(100);
+
 /// How many gateways a digest names at most, drawn anew each time.
 const NAMED_GATEWAYS: usize = 8;
 
@@ -268,9 +271,7 @@
 
     /// Tells one gateway after the other, in a random order.
     async fn gossip(self: Arc<Self>) {
-        let mut ticks = interval(gossip::PERIOD);
         loop {
-            ticks.tick().await;
             let others = self.others();
             let targets = match others.len() {
                 0 => self.knowledge.terms().seeds.clone(),
@@ -282,6 +283,7 @@
             for target in targets {
                 send(&self.socket, target, &digest).await;
             }
+            sleep(if others.is_empty() { GREETING } else { gossip::PERIOD }).await;
         }
     }
 
--- a/src/cinderspoke/gateway/source.rs
+++ b/src/cinderspoke/gateway/source.rs
@@ -26,6 +26,12 @@
 /// some round trips to a seed and to those that it names.
 const FIRST_WORD: Duration = Duration::from_millis(300);
 
+/// How much longer it waits each time that it comes to know of another gateway, and how long
+/// altogether: where hundreds start at once each hears of the others over some tenths of a
+/// second, and all that heard of nobody who reads would read.
+const NEXT_WORD: Duration = Duration::from_millis(200);
+const ALL_WORDS: Duration = Duration::from_millis(1200);
+
 /// How long it waits for the configuration of which it was told: less than it may be away.
 const TOLD: Duration = Duration::from_millis(1500);
 
@@ -128,12 +134,18 @@
         let knowledge = &self.knowledge;
         let told = knowledge.configuration_behind() > Duration::ZERO;
         let patience = match knowledge.role() {
-            Role::Reader if !told => FIRST_WORD,
+            Role::Reader if !told => FIRST_WORD.max(self.others_known_at()).min(ALL_WORDS),
             _ => TOLD,
         };
         waited < patience
     }
 
+    /// Until when after its start a gateway waits since others have lately come to be known:
+    /// who comes before it and reads may be the next.
+    fn others_known_at(&self) -> Duration {
+        self.knowledge.met_at() + NEXT_WORD
+    }
+
     /// Among how many gateways the asking is shared for what few of them read.
     fn askers(&self) -> usize {
         match self.knowledge.role() {
--- a/src/cinderspoke/gateway/suspects.rs
+++ b/src/cinderspoke/gateway/suspects.rs
@@ -83,6 +83,12 @@
         self.act(|table| table.merge(told, now))
     }
 
+    /// All that a gateway that asks is to be told.
+    #[must_use]
+    pub fn tell_all(&self, now: Duration) -> Vec<Told> {
+        if self.any() { self.act(|table| table.tell_all(now)) } else { Vec::new() }
+    }
+
     /// What other gateways are to be told.
     #[must_use]
     pub fn tell(&self, now: Duration) -> Vec<Told> {
