--- a/crates/core/src/gateway/watch.rs
+++ b/crates/core/src/gateway/watch.rs
@@ -113,13 +113,13 @@
         self.away
     }
 
-    /// Takes in that the next call does not follow the one before it without a pause: what it
+    /// Notes that the next call does not follow the one before it without a pause: what it
     /// brings may be as old as that.
-    pub fn pause_over(&mut self) {
+    pub fn paused(&mut self) {
         self.amiss = true;
     }
 
-    /// Takes in that others told, at a time, all that there was until then.
+    /// Notes that others told, at a time, all that there was until then.
     pub fn told(&mut self, at: Duration) {
         self.whole = self.whole.max(at);
     }
--- a/src/cinderspoke/gateway/facts.rs
+++ b/src/cinderspoke/gateway/facts.rs
@@ -59,14 +59,14 @@
 
 impl Relay {
     /// Gets a newer configuration from another gateway, unless that is under way.
-    pub(super) fn draw_configuration(self: &Arc<Self>) {
+    pub(super) fn fetch_configuration(self: &Arc<Self>) {
         if self.awaiting_configuration.swap(true, Ordering::SeqCst) {
             return;
         }
         let relay = Arc::clone(self);
         tokio::spawn(async move {
             loop {
-                relay.draw_from_others().await;
+                relay.fetch_from_others().await;
                 relay.awaiting_configuration.store(false, Ordering::SeqCst);
                 // What was told just before that began no other draw.
                 let is_done = relay.knowledge.next_step(0.0) == Step::Rest;
@@ -78,7 +78,7 @@
     }
 
     /// Asks one gateway after the other until none is known that has a newer configuration.
-    async fn draw_from_others(&self) {
+    async fn fetch_from_others(&self) {
         loop {
             let (gateway, pause) = match self.knowledge.next_step(rand::random()) {
                 Step::AskNear(gateway) => (gateway, NEAR_PAUSE),
@@ -102,7 +102,7 @@
 
     /// Asks a gateway for a newer list of endpoints, unless that comes by itself in time or
     /// is waited for already; one of the own region goes before one of another.
-    pub(super) fn draw_list(self: &Arc<Self>, from: SocketAddr, known: &Known) {
+    pub(super) fn fetch_list(self: &Arc<Self>, from: SocketAddr, known: &Known) {
         let is_near = self.knowledge.is_neighbour(from);
         let due = self.knowledge.clock().now() + self.list_patience(is_near);
         let mut awaited = self.awaited_list();
@@ -115,7 +115,7 @@
         *awaited = Some(Awaited { from, known: known.clone(), is_near, due });
         drop(awaited);
         let relay = Arc::clone(self);
-        tokio::spawn(async move { relay.draw_awaited().await });
+        tokio::spawn(async move { relay.fetch_awaited().await });
     }
 
     fn awaited_list(&self) -> MutexGuard<'_, Option<Awaited>> {
@@ -138,7 +138,7 @@
     }
 
     /// Asks the gateway from which a newer list is awaited, once its time has come.
-    async fn draw_awaited(self: &Arc<Self>) {
+    async fn fetch_awaited(self: &Arc<Self>) {
         while self.is_list_awaited() {
             sleep(LOOK_AT_LIST).await;
         }
--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -112,7 +112,7 @@
         let is_known = revision.or(source.known()).is_some() && !is_forgotten;
         if is_known && source.role() == Role::Follower {
             pass(watch.pause(askers, draw), &*source, clock).await;
-            watch.pause_over();
+            watch.paused();
             wait = Duration::ZERO;
         }
         if !is_forgotten {
--- a/src/cinderspoke/gateway/knowledge.rs
+++ b/src/cinderspoke/gateway/knowledge.rs
@@ -267,7 +267,7 @@
         self.lock().rollout_told_at
     }
 
-    /// Takes in for how long versions have been named, as another gateway knows it by a
+    /// Merges for how long versions have been named, as another gateway knows it by a
     /// revision of the store: whatever was named until then is among them.
     pub fn told_versions(&self, ages: &Ages, revision: Revision) {
         self.told_ages(ages, "gateway");
@@ -280,7 +280,7 @@
         }
     }
 
-    /// Takes in for how long versions have been named, as another process knows it.
+    /// Merges for how long versions have been named, as another process knows it.
     pub fn told_ages(&self, ages: &Ages, from: &str) {
         let now = self.clock.now();
         self.learn_versions(from, |state| {
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -47,7 +47,7 @@
 /// How often seeds are told of this gateway until one of them answers: they may start later.
 const GREETING: Duration = Duration::from_millis(100);
 
-/// How many gateways a digest names at most, drawn anew each time.
+/// How many gateways a digest names at most, sampled anew each time.
 const NAMED_GATEWAYS: usize = 8;
 
 /// Tells other processes what this gateway knows, and learns from them.
@@ -171,16 +171,16 @@
         }
         let is_behind = knows_more(&own, &known);
         if known.configuration > own.configuration {
-            self.draw_configuration();
+            self.fetch_configuration();
         } else if knows_more(&known, &own) {
-            self.draw_list(from, &known);
+            self.fetch_list(from, &known);
         }
         if is_behind || is_stranger {
             send(&self.socket, from, &self.digest_for(&known.standing.region)).await;
         }
     }
 
-    /// Takes in gateways that another one names, and greets those that are new and may be of
+    /// Adds gateways that another one names, and greets those that are new and may be of
     /// this region, so that each knows of the other.
     pub(super) async fn meet(&self, gateways: Vec<Named>) {
         for gateway in gateways.into_iter().filter(|gateway| gateway.address != self.own) {
@@ -218,19 +218,19 @@
         }
     }
 
-    /// The gateways that this one tells of news, drawn anew each time: some of its own region,
+    /// The gateways that this one tells of news, sampled anew each time: some of its own region,
     /// and some of all where it reads from the platform or hears of no such gateway nearby.
     /// Others leave that to those who read: of news, as many copies cross the links between
     /// regions as there are regions, and not as there are gateways.
     fn told_of_news(&self) -> BTreeSet<SocketAddr> {
-        let drawn = |gateways: Vec<SocketAddr>| {
+        let sample = |gateways: Vec<SocketAddr>| {
             let told = gossip::fanout(gateways.len());
-            let drawn = rand::seq::index::sample(&mut rand::rng(), gateways.len(), told);
-            drawn.into_iter().map(move |number| gateways[number])
+            let sampled = rand::seq::index::sample(&mut rand::rng(), gateways.len(), told);
+            sampled.into_iter().map(move |number| gateways[number])
         };
-        let neighbours = drawn(self.knowledge.neighbours());
+        let neighbours = sample(self.knowledge.neighbours());
         if self.knowledge.tells_far() {
-            drawn(self.others()).chain(neighbours).collect()
+            sample(self.others()).chain(neighbours).collect()
         } else {
             neighbours.collect()
         }
@@ -328,8 +328,8 @@
 
     fn digest_naming(&self, others: Vec<SocketAddr>) -> Vec<u8> {
         let count = others.len().min(NAMED_GATEWAYS);
-        let drawn = rand::seq::index::sample(&mut rand::rng(), others.len(), count);
-        let gateways = self.knowledge.names(drawn.into_iter().map(|number| others[number]));
+        let sampled = rand::seq::index::sample(&mut rand::rng(), others.len(), count);
+        let gateways = self.knowledge.names(sampled.into_iter().map(|number| others[number]));
         pack(&Datagram::Digest { from: self.own, known: self.knowledge.known(), gateways })
     }
 }
--- a/tests/testsuite/gateway/cold.rs
+++ b/tests/testsuite/gateway/cold.rs
@@ -16,7 +16,7 @@
     (0..gateways).map(|number| Key::of_address(address(number))).collect()
 }
 
-/// The shares of all gateways for an endpoint, of which each knows all but `unknown` others.
+/// The shares of all gateways for an endpoint, each of which knows all others.
 fn shares(bound: Bound, gateways: u16, endpoint: &str) -> Vec<usize> {
     let keys = keys(gateways);
     let share = |own: &Key| {
