--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -17,7 +17,7 @@
 //!   those under which some did; [`holds`] keeps in the store which are held back for it.
 //! - [`stream`] is an answer in events; [`passing`] passes it on and has another
 //!   endpoint go on with it.
-//! - [`zones`] says which availability zones receive nothing, and which endpoints are cold.
+//! - [`versions`] says which versions were named, [`zones`] which availability zones receive nothing, and which endpoints are cold.
 //! - [`context`] is what all requests share, [`target`] what is kept of each
 //!   endpoint, [`record`] what is logged of each request.
 
@@ -55,6 +55,7 @@
 pub mod target;
 pub mod terms;
 pub mod understand;
+pub mod versions;
 pub mod view;
 pub mod zones;
 
--- a/src/cinderspoke/gateway/source.rs
+++ b/src/cinderspoke/gateway/source.rs
@@ -85,7 +85,7 @@
 
     /// Whether this gateway waits for its news, or has them from others.
     fn role(&self) -> Role {
-        Role::Reader
+        self.shared().knowledge.role()
     }
 
     /// Waits until a call that is made now is needless, since others told the news before it
@@ -100,7 +100,12 @@
     }
 
     /// Among how many gateways the asking for it is shared.
-    fn askers(&self) -> usize;
+    fn askers(&self) -> usize {
+        self.shared().askers()
+    }
+
+    /// What it reads from, and where it brings it.
+    fn shared(&self) -> &Shared;
 
     /// Takes in whether the store answers.
     fn answered(&self, _: bool) {}
@@ -227,12 +232,8 @@
         self.0.knowledge.configuration_revision()
     }
 
-    fn role(&self) -> Role {
-        self.0.knowledge.role()
-    }
-
-    fn askers(&self) -> usize {
-        self.0.askers()
+    fn shared(&self) -> &Shared {
+        &self.0
     }
 
     /// What still comes of an answer then would take room on the link from what is news.
@@ -300,12 +301,8 @@
         self.0.knowledge.rollout_told_at()
     }
 
-    fn role(&self) -> Role {
-        self.0.knowledge.role()
-    }
-
-    fn askers(&self) -> usize {
-        self.0.askers()
+    fn shared(&self) -> &Shared {
+        &self.0
     }
 }
 
@@ -347,12 +344,8 @@
         self.0.knowledge.directory_revision()
     }
 
-    fn role(&self) -> Role {
-        self.0.knowledge.role()
-    }
-
-    fn askers(&self) -> usize {
-        self.0.askers()
+    fn shared(&self) -> &Shared {
+        &self.0
     }
 }
 
@@ -387,11 +380,7 @@
         self.0.knowledge.evacuations_revision()
     }
 
-    fn role(&self) -> Role {
-        self.0.knowledge.role()
-    }
-
-    fn askers(&self) -> usize {
-        self.0.askers()
+    fn shared(&self) -> &Shared {
+        &self.0
     }
 }
--- /dev/null
+++ b/src/cinderspoke/gateway/versions.rs
@@ -0,0 +1,104 @@
+//! What a gateway knows of versions of weights: which were named, and for how long.
+
+use std::time::Duration;
+
+use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::name::Model;
+use cinderspoke_core::gateway::rollout::{Rollout, Version};
+use cinderspoke_core::gateway::timeline::{Age, Ages};
+use cinderspoke_core::gateway::watch::Freshness;
+
+use super::belief::Belief;
+use super::knowledge::Knowledge;
+
+impl Knowledge {
+    /// Takes in what the store says of named versions. What a process finds when
+    /// it first reads the store may have been named long before it started; what
+    /// the store did not say before was named just now, or at some time since the
+    /// store last answered: an old version that goes on too long breaks a promise.
+    pub fn named(&self, fact: &Fact<Rollout>, freshness: Freshness) {
+        let (now, rollout) = (self.clock().now(), &fact.value);
+        let age = match freshness {
+            Freshness::New => Age::Seen(Duration::ZERO),
+            Freshness::Within(time) => Age::Within(time),
+        };
+        self.learn_versions("store", |state| {
+            state.rollout_revision = state.rollout_revision.max(fact.revision);
+            state.rollout.merge(rollout);
+            match &mut state.stored {
+                Some(stored) => {
+                    let news = rollout.newer_than(stored);
+                    stored.merge(rollout);
+                    state.timeline.learn(&news, age, now)
+                }
+                none => {
+                    *none = Some(rollout.clone());
+                    state.timeline.learn(rollout, Age::Found, now)
+                }
+            }
+        });
+    }
+
+    /// The last revision of the store at which the versions are known to be the newest; none
+    /// before any.
+    #[must_use]
+    pub fn rollout_revision(&self) -> Option<Revision> {
+        Some(self.lock().rollout_revision).filter(|revision| *revision > Revision::default())
+    }
+
+    /// When another gateway last told a newer such revision; zero if none did.
+    #[must_use]
+    pub fn rollout_told_at(&self) -> Duration {
+        self.lock().rollout_told_at
+    }
+
+    /// Merges for how long versions have been named, as another gateway knows it by a
+    /// revision of the store: whatever was named until then is among them.
+    pub fn told_versions(&self, ages: &Ages, revision: Revision) {
+        self.told_ages(ages, "gateway");
+        let now = self.clock().now();
+        let mut state = self.lock();
+        if revision > state.rollout_revision {
+            (state.rollout_revision, state.rollout_told_at) = (revision, now);
+            let told = state.rollout.clone();
+            state.stored.get_or_insert(told);
+        }
+    }
+
+    /// Merges for how long versions have been named, as another process knows it.
+    pub fn told_ages(&self, ages: &Ages, from: &str) {
+        let now = self.clock().now();
+        self.learn_versions(from, |state| {
+            state.rollout.merge(&ages.rollout());
+            state.timeline.merge(ages, now)
+        });
+    }
+
+    /// Has versions learned; makes them known if any is news, or its age is.
+    fn learn_versions(&self, from: &str, learn: impl FnOnce(&mut Belief) -> bool) {
+        let mut state = self.lock();
+        if !learn(&mut state) {
+            return;
+        }
+        self.show(&mut state);
+        let ages = state.timeline.ages(self.clock().now());
+        drop(state);
+        tracing::info!(?ages, from, "versions named");
+        self.tell_others();
+    }
+
+    /// The versions that were named, and for how long.
+    #[must_use]
+    pub fn ages(&self) -> Ages {
+        self.lock().timeline.ages(self.clock().now())
+    }
+
+    /// How much longer a model's version may begin requests at an endpoint whose link
+    /// is narrow, or is not; none for no end.
+    #[must_use]
+    pub fn version_left(&self, model: &Model, version: Version, narrow: bool) -> Option<Duration> {
+        let overlap = self.terms().overlap;
+        let overlap = if narrow { overlap.narrow } else { overlap.clear };
+        self.lock().timeline.left(model, version, overlap, self.clock().now())
+    }
+}
