Sizes of requests in logs, metrics and the account; the limit that a refused one was held to

Cause: who was refused for its size could not be told from who was refused for want of room: the line of a request named neither prompt, answer nor body, nor its limit, and no metric was by size. Change: the lines of a request and of a refusal have sizes, the part of the estimate that is the request's own prompt, and the limit; a counter by outcome and class of size (at most 4 outcomes x 3 sizes x 4 classes); the account has lines for the largest of each route and the part of callers served. No decision changed: the estimate of a first token is told in two parts whose sum is what it was.

--- a/crates/bench/src/account/attempt.rs
+++ b/crates/bench/src/account/attempt.rs
@@ -47,6 +47,11 @@
         Self::Left,
     ];
 
+    /// Whether its caller got an answer, in time or later.
+    pub(crate) const fn is_served(self) -> bool {
+        matches!(self, Self::InTime | Self::Returned | Self::LateFirst | Self::LongPause)
+    }
+
     /// A few words for people and columns.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
@@ -79,6 +84,31 @@
     pub(crate) route: String,
     /// What became of it.
     pub(crate) fate: Fate,
+    /// Whether its caller had been refused before.
+    pub(crate) returning: bool,
+    /// Its size, where it was for a model.
+    pub(crate) size: Option<Size>,
+}
+
+/// The size of a request for a model, in tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Size {
+    /// Tokens of the prompt.
+    pub(crate) prompt: u64,
+    /// The most tokens of the answer.
+    pub(crate) answer: u64,
+    /// Tokens of the answer as its caller guessed; else the most.
+    pub(crate) guess: u64,
+}
+
+/// How many read tokens take an engine about as long as one that it writes.
+const READ_PER_WRITTEN: u64 = 10;
+
+impl Size {
+    /// The work that it is, in read tokens.
+    pub(crate) fn work(self) -> u64 {
+        self.prompt + READ_PER_WRITTEN * self.answer
+    }
 }
 
 /// The fields of a gateway's line on a request that an account needs.
@@ -99,6 +129,11 @@
     #[serde(default)]
     gap_ms: u64,
     gap_aim_ms: Option<u64>,
+    #[serde(default)]
+    prompt: u64,
+    #[serde(default)]
+    answer: u64,
+    guess: Option<u64>,
     // Only of requests that are held back.
     fingerprint: Option<String>,
 }
@@ -133,7 +168,13 @@
         Err(error) => return Read::Misfit(error.to_string()),
     };
     match fate(&line) {
-        Some(fate) => Read::Attempt(Attempt { ended, route: line.route, fate }),
+        Some(fate) => {
+            let guess = line.guess.unwrap_or(line.answer);
+            let size = Size { prompt: line.prompt, answer: line.answer, guess };
+            let size = (size.work() > 0).then_some(size);
+            let returning = line.waited_ms > 0;
+            Read::Attempt(Attempt { ended, route: line.route, fate, returning, size })
+        }
         None => Read::Misfit(format!("unknown outcome \"{}\"", line.outcome)),
     }
 }
--- a/crates/bench/tests/testsuite/account.rs
+++ b/crates/bench/tests/testsuite/account.rs
@@ -86,6 +86,31 @@
     assert_eq!(counts, [3, 3, 2, 0, 1]);
 }
 
+// A caller that is refused and comes back counts as one that is served or not, and the largest
+// requests have lines of their own: that most of them are refused shows in no other line.
+#[test]
+fn the_largest_requests_have_lines_of_their_own() {
+    let sized = |size: u32, fields: &str| {
+        line(0, &format!(r#""prompt":{size},"answer":{},{fields}"#, 100 - size))
+    };
+    let mut lines: Vec<_> = (1..=10).map(|size| sized(size, IN_TIME)).collect();
+    // The longest prompts, whose answers are the shortest.
+    lines[9] = sized(10, NO_ROOM);
+    lines.push(sized(10, RETURNED));
+    lines[8] = sized(9, NO_ROOM);
+    lines.push(sized(9, AGAIN));
+    let rows = rows(&lines);
+    let served = |of: &str| {
+        let row = rows.iter().find(|row| row["of"] == of).unwrap();
+        (row["attempts"].as_u64().unwrap(), row["served"].as_f64().unwrap())
+    };
+    assert_eq!(served("r"), (12, 0.9));
+    assert_eq!(served("r, longest prompts"), (2, 1.0));
+    assert_eq!(served("r, longest answers"), (1, 1.0));
+    assert_eq!(served("r, largest tenth"), (1, 1.0));
+    assert_eq!(served("r, fifth below it"), (2, 1.0));
+}
+
 #[test]
 fn the_seconds_are_drawn() {
     let folder = TempDir::new().unwrap();
--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -32,6 +32,9 @@
 /// The most of an engine's time that is taken to go into reading prompts.
 const MOST_READING: f64 = 0.8;
 
+/// The longest time that is forecast, in milliseconds: beyond any deadline.
+const MOST_MS: f64 = 600_000.0;
+
 /// How many passes of the engine a first token waits besides reading.
 const PASSES: f64 = 1.5;
 
@@ -254,7 +257,7 @@
 #[must_use]
 pub fn turn(engine: &Engine) -> Duration {
     let step = step_ms(engine, f64::from(engine.slots));
-    Duration::from_secs_f64(turn_ms(engine, step).clamp(0.0, 600_000.0) / 1000.0)
+    Duration::from_secs_f64(turn_ms(engine, step).clamp(0.0, MOST_MS) / 1000.0)
 }
 
 /// By how much longer a request's prompt takes to be read than a usual one.
@@ -264,25 +267,50 @@
     Duration::from_secs_f64(f64::from(more) / engine.read_per_s.max(1.0))
 }
 
-/// The time until another request would have its first token.
+/// How long an engine takes to read a prompt, in milliseconds at its declared speed.
+fn reading_ms(engine: &Engine, prompt: u32) -> f64 {
+    let prompt = f64::from(prompt);
+    let pairs = prompt * prompt / 2.0 / 1e6;
+    prompt * 1000.0 / engine.read_per_s.max(1.0) + pairs * engine.per_pairs_ms
+}
+
+/// When another request would have its first token.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Forecast {
+    /// The time that it waits for others: their prompts, their steps, and a free slot.
+    pub wait: Duration,
+    /// The time that its own prompt takes to be read.
+    pub own: Duration,
+}
+
+impl Forecast {
+    /// The time until its first token.
+    #[must_use]
+    pub fn first(&self) -> Duration {
+        self.wait + self.own
+    }
+}
+
+/// When another request would have its first token at an engine.
 #[must_use]
-pub fn first_token(engine: &Engine, estimate: &Estimate, size: Size) -> Duration {
+pub fn forecast(engine: &Engine, estimate: &Estimate, size: Size) -> Forecast {
     let slots = f64::from(engine.slots.max(1));
     let running = (estimate.requests - estimate.waiting).clamp(0.0, slots);
     let step = step_ms(engine, running);
     let per_token = 1000.0 / engine.read_per_s.max(1.0);
-    let prompt = f64::from(size.prompt);
-    let pairs = prompt * prompt / 2.0 / 1e6 * engine.per_pairs_ms;
     let excess = (estimate.requests + 1.0 - slots).max(0.0);
     // Those that wait for a slot are read in their turn, which is counted below.
     let reading = (estimate.waiting - excess).max(0.0) / estimate.waiting.max(1.0);
-    let tokens = estimate.unread * reading + prompt;
+    let unread = estimate.unread * reading;
     let usual_reading = f64::from(engine.usual_prompt) * per_token;
     let turn = turn_ms(engine, step);
     // Passes are longer by what is read for others in them.
     let others = (usual_reading / turn.max(1.0) * running / slots).clamp(0.0, MOST_READING);
     let pass = if running >= 1.0 { f64::from(engine.stride.max(1)) * step } else { step };
     let passes = if running >= 1.0 { PASSES / (1.0 - others) } else { 1.0 };
-    let total = tokens * per_token + pairs + passes * pass + excess * turn;
-    Duration::from_secs_f64((total * estimate.pace.max(1.0)).clamp(0.0, 600_000.0) / 1000.0)
+    let wait = unread * per_token + passes * pass + excess * turn;
+    let at_pace = |ms: f64| {
+        Duration::from_secs_f64((ms * estimate.pace.max(1.0)).clamp(0.0, MOST_MS) / 1000.0)
+    };
+    Forecast { wait: at_pace(wait), own: at_pace(reading_ms(engine, size.prompt)) }
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 pub mod region;
 pub mod residency;
 pub mod rollout;
+pub mod size;
 pub mod subset;
 pub mod suspect;
 pub mod tally;
--- a/crates/core/src/gateway/pick.rs
+++ b/crates/core/src/gateway/pick.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::load::Forecast;
 use crate::swarm::Distance;
 
 /// What a farther endpoint has to be faster by: its way and the price of the bytes.
@@ -62,8 +63,8 @@
     pub number: usize,
     /// How near it is.
     pub distance: Distance,
-    /// The time until it would begin to answer, as far as is known.
-    pub first: Duration,
+    /// When it would begin to answer, as far as is known.
+    pub forecast: Forecast,
     /// How old that knowledge is.
     pub age: Duration,
     /// By how much each request that came since then would have this one wait longer.
@@ -74,6 +75,14 @@
     pub agent: Agent,
 }
 
+impl Candidate {
+    /// The time until it would begin to answer.
+    #[must_use]
+    pub fn first(&self) -> Duration {
+        self.forecast.first()
+    }
+}
+
 /// What is to be had from an endpoint's agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Agent {
@@ -126,11 +135,20 @@
     Refuse {
         /// When there should be room.
         come_back: Duration,
-        /// The time that the best endpoint would have needed; none when there is none.
-        best: Option<Duration>,
+        /// What the best endpoint would have needed; none when there is none.
+        best: Option<Best>,
     },
 }
 
+/// Why the best endpoint for a request is not good enough.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Best {
+    /// When it would begin to answer.
+    pub forecast: Forecast,
+    /// The latest time to a first token with which the request would have been sent.
+    pub limit: Duration,
+}
+
 /// Chooses an endpoint for a request.
 #[must_use]
 pub fn pick(wish: &Wish, candidates: &[Candidate]) -> Choice {
@@ -141,17 +159,17 @@
     };
     let near = candidates.iter().filter(|candidate| candidate.distance == Distance::Zone);
     let near = best_of(&draw(wish.spread, &near.copied().collect::<Vec<_>>(), DRAWN));
-    let near = near.filter(|candidate| candidate.first <= limit.mul_f64(NEAR));
+    let near = near.filter(|candidate| candidate.first() <= limit.mul_f64(NEAR));
     let drawn = near.or_else(|| best_of(&draw(wish.spread, &candidates, DRAWN)));
-    let in_time = drawn.filter(|candidate| candidate.first <= limit);
+    let in_time = drawn.filter(|candidate| candidate.first() <= limit);
     // A refusal needs more proof than a choice.
     let Some(best) = in_time.or_else(|| best_of(&candidates)) else {
         return Choice::Refuse { come_back: spread_out(none_there(wish), wish.spread), best: None };
     };
-    if best.first <= limit {
-        return Choice::Send { number: best.number, first: best.first };
+    if best.first() <= limit {
+        return Choice::Send { number: best.number, first: best.first() };
     }
-    refusal(wish, best.first)
+    refusal(wish, Best { forecast: best.forecast, limit })
 }
 
 /// What an endpoint costs a request: its time, its way, and some spread.
@@ -161,11 +179,11 @@
         Distance::Region => REGION_PENALTY,
         Distance::Far => FAR_PENALTY,
     };
-    candidate.first + penalty + jitter(wish.spread, candidate.number)
+    candidate.first() + penalty + jitter(wish.spread, candidate.number)
 }
 
 /// The refusal of a request that the best endpoint would begin too late.
-pub(super) fn refusal(wish: &Wish, best: Duration) -> Choice {
+pub(super) fn refusal(wish: &Wish, best: Best) -> Choice {
     Choice::Refuse { come_back: spread_out(COME_BACK, wish.spread), best: Some(best) }
 }
 
@@ -186,11 +204,12 @@
 /// Without this, every gateway would send requests to the same free place under overload, and
 /// all of them would be late.
 fn with_rivals(wish: &Wish, limit: Duration, candidates: &[Candidate]) -> Vec<Candidate> {
-    let rooms = candidates.iter().filter(|candidate| candidate.first <= limit).count().max(1);
+    let rooms = candidates.iter().filter(|candidate| candidate.first() <= limit).count().max(1);
     let sent = |age: Duration| wish.rivals * age.as_secs_f64() / rooms as f64;
-    let by_now = |candidate: &Candidate| Candidate {
-        first: candidate.first + candidate.turn.mul_f64(sent(candidate.age).min(MOST_RIVALS)),
-        ..*candidate
+    let by_now = |candidate: &Candidate| {
+        let more = candidate.turn.mul_f64(sent(candidate.age).min(MOST_RIVALS));
+        let forecast = Forecast { wait: candidate.forecast.wait + more, ..candidate.forecast };
+        Candidate { forecast, ..*candidate }
     };
     candidates.iter().map(by_now).collect()
 }
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::pick::{Agent, Candidate, Choice, Wish, cost, draw, limit, pick, refusal};
+use super::pick::{Agent, Best, Candidate, Choice, Wish, cost, draw, limit, pick, refusal};
 use super::tally::Outstanding;
 
 /// How long a place is kept for a gateway that says no more: the way there and back over a
@@ -162,9 +162,9 @@
                 _ => None,
             }
         } else {
-            let answered = self.answered(candidates).filter(|candidate| candidate.first <= limit);
+            let answered = self.answered(candidates).filter(|candidate| candidate.first() <= limit);
             let best = answered.min_by_key(|candidate| (cost(wish, candidate), candidate.number));
-            best.map(|best| (best.number, best.first))
+            best.map(|best| (best.number, best.first()))
         };
         best.map(|(number, first)| Choice::Send { number, first })
     }
@@ -190,8 +190,8 @@
     /// What is done when no endpoint that was asked has room. Where none has answered,
     /// nothing tells that there is none.
     fn give_up(&self, wish: &Wish, candidates: &[Candidate]) -> Choice {
-        match self.answered(candidates).map(|candidate| candidate.first).min() {
-            Some(best) => refusal(wish, best),
+        match self.answered(candidates).min_by_key(|candidate| candidate.first()) {
+            Some(best) => refusal(wish, Best { forecast: best.forecast, limit: limit(wish) }),
             None => pick(wish, &heard(candidates)),
         }
     }
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -8,9 +8,9 @@
 use cinderspoke_core::gateway::catalog::Engine;
 use cinderspoke_core::gateway::cold::Bound;
 use cinderspoke_core::gateway::health;
-use cinderspoke_core::gateway::load::{self, Load, first_token, longer_reading};
+use cinderspoke_core::gateway::load::{self, Forecast, Load, forecast, longer_reading};
 use cinderspoke_core::gateway::name::Endpoint;
-use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish};
+use cinderspoke_core::gateway::pick::{Agent, Best, Candidate, Choice, Wish};
 use cinderspoke_core::gateway::place::{Search, Step};
 use cinderspoke_core::gateway::residency::Residency;
 use cinderspoke_core::gateway::rollout::Version;
@@ -133,7 +133,12 @@
                 Choice::Refuse { come_back, best } => {
                     settle(places, None, context);
                     let barred = self.survey(context, asked, &view, reach).barred(members);
-                    record.found_none(members.len(), barred, candidates.len(), best);
+                    record.found_none(Lack {
+                        members: members.len(),
+                        barred,
+                        candidates: candidates.len(),
+                        best,
+                    });
                     Err(come_back)
                 }
             };
@@ -281,6 +286,19 @@
     pub cold: usize,
 }
 
+/// Why no endpoint was chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Lack {
+    /// How many endpoints the service has.
+    pub members: usize,
+    /// How many of them may not get the request.
+    pub barred: Barred,
+    /// How many could have taken it.
+    pub candidates: usize,
+    /// Why the best of these is not good enough.
+    pub best: Option<Best>,
+}
+
 /// What one choice looks at.
 struct Survey<'a> {
     context: &'a Context,
@@ -376,7 +394,7 @@
             Weights::Only(version) => Some(version),
             Weights::Unfit => return None,
         };
-        let first = self.first(&tracking.load);
+        let forecast = self.forecast(&tracking.load);
         // Silence from the start tells as little as silence since: an instance that
         // was out of reach before this gateway started has never reported here.
         let report = tracking.load.report(self.now);
@@ -387,7 +405,7 @@
         }
         let well = heard && !stands && state == health::State::Well;
         // What is held up on the way may begin long after it was given up.
-        if version_left.is_some_and(|left| !well || left < first) {
+        if version_left.is_some_and(|left| !well || left < forecast.first()) {
             return None;
         }
         let trial = state == health::State::Trial;
@@ -400,7 +418,7 @@
             }
             agent => agent,
         };
-        let candidate = Candidate { number, distance, first, age, turn, trial, agent };
+        let candidate = Candidate { number, distance, forecast, age, turn, trial, agent };
         Some(Prospect { candidate, version, version_left })
     }
 
@@ -421,11 +439,14 @@
     }
 
     /// When an endpoint should begin to answer.
-    fn first(&self, load: &Load) -> Duration {
+    fn forecast(&self, load: &Load) -> Forecast {
         let estimate = load.estimate(self.engine, self.view.gateways, self.now);
         match self.engine {
-            Some(engine) => first_token(engine, &estimate, self.asked.call.size),
-            None => PLAIN_TURN.saturating_mul(load.own() as u32),
+            Some(engine) => forecast(engine, &estimate, self.asked.call.size),
+            None => {
+                let wait = PLAIN_TURN.saturating_mul(load.own() as u32);
+                Forecast { wait, own: Duration::ZERO }
+            }
         }
     }
 
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -3,17 +3,24 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::attempt::Fate;
+use cinderspoke_core::gateway::call::Size;
+use cinderspoke_core::gateway::catalog::Engine;
 use cinderspoke_core::gateway::fingerprint::Fingerprint;
 use cinderspoke_core::gateway::name::{Endpoint, Request};
+use cinderspoke_core::gateway::pick::Best;
 use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_core::gateway::size::Class;
 use cinderspoke_ports::gateway::Misfit;
 use http::StatusCode;
 use metrics::{counter, histogram};
 use tokio::time::Instant;
 
-use super::choose::{Barred, Chosen};
+use super::choose::{Chosen, Lack};
 use super::context::InProgress;
-use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, REQUESTS};
+use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, REQUESTS, REQUESTS_BY_SIZE};
+
+/// The bytes of a usual body: a few kilobytes take no longer than the shortest one.
+const USUAL_BODY: u64 = 4096;
 
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +61,14 @@
     pub aim: Duration,
     /// The longest pause between events that keeps the full worth.
     pub gap_aim: Option<Duration>,
+    /// Its size in tokens, where it is for a model.
+    pub size: Size,
+    /// The bytes of its body; none before it was read whole.
+    pub body_bytes: Option<u64>,
+    // What is usual where it goes; none where it is for no model.
+    usual: Option<Size>,
+    // Why it was refused, where an endpoint could have taken it.
+    best: Option<Best>,
     endpoint: Option<Endpoint>,
     // The version that it was last sent for, and how much longer that could begin
     // requests then; none while it was the newest.
@@ -89,6 +104,10 @@
             waited: Duration::ZERO,
             aim: Duration::ZERO,
             gap_aim: None,
+            size: Size::default(),
+            body_bytes: None,
+            usual: None,
+            best: None,
             endpoint: None,
             weights: None,
             weights_left: None,
@@ -122,6 +141,15 @@
         self.sends += 1;
     }
 
+    /// Records what the service's engines, if they are model engines, are usually asked for.
+    pub fn goes_to(&mut self, engine: Option<&Engine>) {
+        self.usual = engine.map(|engine| Size {
+            prompt: engine.usual_prompt,
+            most: engine.usual_answer,
+            guess: None,
+        });
+    }
+
     /// Takes in how many agents were asked before a choice.
     pub fn asked(&mut self, agents: usize) {
         self.asked = agents;
@@ -133,24 +161,26 @@
     }
 
     /// Takes in that no endpoint was chosen.
-    pub fn found_none(
-        &mut self,
-        members: usize,
-        barred: Barred,
-        candidates: usize,
-        best: Option<Duration>,
-    ) {
+    pub fn found_none(&mut self, lack: Lack) {
+        let Lack { members, barred, candidates, best } = lack;
         self.candidates = candidates;
-        self.predicted = best;
+        self.predicted = best.map(|best| best.forecast.first());
+        self.best = best;
         tracing::info!(
             id = self.id(),
+            prompt = self.size.prompt,
+            answer = self.size.most,
+            body_bytes = self.body_bytes,
+            waited_ms = self.waited.as_millis() as u64,
             members,
             outside_homes = barred.outside_homes,
             in_emptied_zones = barred.in_emptied_zones,
             cold = barred.cold,
             candidates,
             asked = self.asked,
-            best_ms = best.map(|best| best.as_millis() as u64),
+            best_ms = ms(self.predicted),
+            own_ms = ms(best.map(|best| best.forecast.own)),
+            limit_ms = ms(best.map(|best| best.limit)),
             "no endpoint for a request"
         );
     }
@@ -217,11 +247,34 @@
     }
 }
 
+impl Record {
+    /// Counts the request by each of its sizes that is known.
+    fn count_by_size(&self) {
+        let outcome = self.outcome.as_str();
+        let count = |of: &'static str, class: Class| {
+            counter!(REQUESTS_BY_SIZE, "outcome" => outcome, "of" => of, "size" => class.as_str())
+                .increment(1);
+        };
+        if let Some(usual) = self.usual {
+            count("prompt", Class::of(self.size.prompt.into(), usual.prompt.into()));
+            count("answer", Class::of(self.size.most.into(), usual.most.into()));
+        }
+        if let Some(bytes) = self.body_bytes {
+            count("body", Class::of(bytes, USUAL_BODY));
+        }
+    }
+}
+
+/// A time in whole milliseconds, as logs have it.
+fn ms(time: Option<Duration>) -> Option<u64> {
+    time.map(|time| time.as_millis() as u64)
+}
+
 impl Drop for Record {
     fn drop(&mut self) {
         let outcome = self.outcome.as_str();
         counter!(REQUESTS, "outcome" => outcome).increment(1);
-        let ms = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
+        self.count_by_size();
         tracing::info!(
             id = self.id(),
             outcome,
@@ -233,12 +286,18 @@
             aim_ms = self.aim.as_millis() as u64,
             gap_ms = self.gap.as_millis() as u64,
             gap_aim_ms = ms(self.gap_aim),
+            prompt = self.size.prompt,
+            answer = self.size.most,
+            guess = self.size.guess,
+            body_bytes = self.body_bytes,
             endpoint = self.endpoint.as_ref().map(Endpoint::as_str),
             weights = self.weights.map(|version| version.0),
             weights_left_ms = ms(self.weights_left),
             candidates = self.candidates,
             asked = self.asked,
             predicted_ms = ms(self.predicted),
+            own_ms = ms(self.best.map(|best| best.forecast.own)),
+            limit_ms = ms(self.best.map(|best| best.limit)),
             first_ms = ms(self.first),
             total_ms = self.arrived.elapsed().as_millis() as u64,
             sends = self.sends,
--- a/src/cinderspoke/gateway/understand.rs
+++ b/src/cinderspoke/gateway/understand.rs
@@ -83,6 +83,8 @@
     let Destination { route, service, team, priority, residency } = destination(catalog, &call)?;
     record.version = catalog.declared().version;
     record.route = route.name.clone();
+    record.size = call.size;
+    record.goes_to(view.engine(&service));
     let deadline = call.deadline.unwrap_or(route.timeout);
     let since = context.clock.now().saturating_sub(arrived);
     let end = context.clock.after(deadline.min(route.timeout).saturating_sub(since));
@@ -91,6 +93,7 @@
     (record.aim, record.gap_aim) = (route.target, route.target_gap);
     let limits = catalog.declared().limits;
     let body = read_body(body, &limits, &end).await?;
+    record.body_bytes = Some(body.len() as u64);
     let fingerprint = OnceLock::new();
     Ok(Asked {
         call,
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -5,6 +5,9 @@
 /// Requests of callers, by outcome.
 pub const REQUESTS: &str = "cinderspoke_requests_total";
 
+/// Requests of callers, by outcome and the size of their prompt, answer or body.
+pub const REQUESTS_BY_SIZE: &str = "cinderspoke_requests_by_size_total";
+
 /// Attempts at requests, by result.
 pub const ATTEMPTS: &str = "cinderspoke_attempts_total";
 
--- a/tests/testsuite/gateway/load.rs
+++ b/tests/testsuite/gateway/load.rs
@@ -2,7 +2,7 @@
 
 use cinderspoke_core::gateway::call::Size;
 use cinderspoke_core::gateway::catalog::Engine;
-use cinderspoke_core::gateway::load::{Load, Report, first_token};
+use cinderspoke_core::gateway::load::{Load, Report, forecast};
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::gateway::tally::Outstanding;
 
@@ -41,7 +41,7 @@
     let first = |running, queued| {
         let mut load = Load::default();
         load.reported(report(running, queued), ms(0), ms(1000));
-        first_token(&engine(), &load.estimate(Some(&engine()), 7, ms(1000)), SIZE)
+        forecast(&engine(), &load.estimate(Some(&engine()), 7, ms(1000)), SIZE).first()
     };
     assert!(first(0, 0) < first(4, 0));
     assert!(first(4, 2) > first(4, 0) + ms(90), "two prompts of 50 ms are ahead");
@@ -80,7 +80,7 @@
         let others = Outstanding { requests, waiting, unread: waiting * 1000 };
         let mut load = Load::default();
         load.reported(Report { others, ..report(0, 0) }, ms(0), ms(1000));
-        first_token(&engine(), &load.estimate(Some(&engine()), 7, ms(990)), SIZE)
+        forecast(&engine(), &load.estimate(Some(&engine()), 7, ms(990)), SIZE).first()
     };
     // 1,000 tokens read in 50 ms, and 90 written in steps of 9.8 ms among 16.
     let (one, two) = (first(18, 4), first(19, 5));
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -29,6 +29,7 @@
 mod region;
 mod residency;
 mod rollout;
+mod size;
 mod subset;
 mod suspect;
 mod tally;
--- a/tests/testsuite/gateway/pick.rs
+++ b/tests/testsuite/gateway/pick.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use cinderspoke_core::gateway::load::Forecast;
 use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish, pick};
 use cinderspoke_core::swarm::Distance;
 
@@ -10,7 +11,8 @@
 
 fn candidate(number: usize, first: Duration, distance: Distance) -> Candidate {
     let (age, turn, agent) = (ms(50), ms(80), Agent::None);
-    Candidate { number, distance, first, age, turn, trial: false, agent }
+    let forecast = Forecast { wait: first, own: ms(0) };
+    Candidate { number, distance, forecast, age, turn, trial: false, agent }
 }
 
 /// A request that comes so long after its caller's first attempt.
@@ -135,7 +137,7 @@
 fn nobody_is_refused_while_any_endpoint_is_in_time() {
     let mut candidates: Vec<_> =
         (0..40).map(|number| candidate(number, ms(2000), Distance::Zone)).collect();
-    candidates[17].first = ms(50);
+    candidates[17].forecast.wait = ms(50);
     for spread in 0..100 {
         let choice = pick(&Wish { spread, ..wish(ms(0)) }, &candidates);
         assert_eq!(choice, Choice::Send { number: 17, first: ms(50) });
--- a/tests/testsuite/gateway/place.rs
+++ b/tests/testsuite/gateway/place.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cinderspoke_core::gateway::load::Forecast;
 use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish};
 use cinderspoke_core::gateway::place::{Ledger, Open, Search, Step};
 use cinderspoke_core::gateway::tally::Outstanding;
@@ -187,7 +188,8 @@
 /// An endpoint that would begin after a time.
 fn candidate(number: usize, first: Duration, agent: Agent) -> Candidate {
     let (distance, turn) = (Distance::Zone, ms(80));
-    Candidate { number, distance, first, age: ms(20), turn, trial: false, agent }
+    let forecast = Forecast { wait: first, own: ms(0) };
+    Candidate { number, distance, forecast, age: ms(20), turn, trial: false, agent }
 }
 
 fn wish() -> Wish {
