--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod residency;
 mod rollout;
 mod size;
+mod size_fairness;
 mod subset;
 mod suspect;
 mod tally;
--- a/tests/testsuite/gateway/overload/engine.rs
+++ b/tests/testsuite/gateway/overload/engine.rs
@@ -55,6 +55,8 @@
 /// An engine.
 pub(crate) struct Engine {
     slots: usize,
+    // How much slower than declared it is.
+    pace: f64,
     waiting: VecDeque<Job>,
     running: Vec<Job>,
     // How many of those that wait are read in the pass; none between two passes.
@@ -70,8 +72,8 @@
 }
 
 impl Engine {
-    pub(crate) fn new(slots: usize) -> Self {
-        Self { slots, waiting: VecDeque::new(), running: Vec::new(), read: None }
+    pub(crate) fn new(slots: usize, pace: f64) -> Self {
+        Self { slots, pace, waiting: VecDeque::new(), running: Vec::new(), read: None }
     }
 
     pub(crate) fn push(&mut self, job: Job) {
@@ -91,7 +93,7 @@
         let read = self.waiting.len().min(self.slots - self.running.len());
         let reading: f64 = self.waiting.iter().take(read).map(|job| job.prompt / READ_PER_MS).sum();
         let writing = if self.running.is_empty() { 0.0 } else { STRIDE * STEP_MS };
-        let takes = reading + writing;
+        let takes = (reading + writing) * self.pace;
         (takes > 0.0).then(|| {
             self.read = Some(read);
             Duration::from_secs_f64(takes / 1000.0)
--- a/tests/testsuite/gateway/overload/mod.rs
+++ b/tests/testsuite/gateway/overload/mod.rs
@@ -6,6 +6,8 @@
 
 mod engine;
 mod event;
+mod sizes;
+mod work;
 mod world;
 
 use yare::parameterized;
@@ -23,7 +25,7 @@
 const ONE_ENGINE: Fleet = Fleet { gateways: 2, engines: 1, slots: 16 };
 const ONE_GATEWAY: Fleet = Fleet { gateways: 1, engines: 12, slots: 16 };
 
-const NONE: Faults = Faults { loss: 0.0, unheard: 0, alone: 0, uneven: false };
+const NONE: Faults = Faults { loss: 0.0, unheard: 0, alone: 0, uneven: false, slow: (0, 1.0) };
 const LOSSY: Faults = Faults { loss: 0.02, ..NONE };
 
 /// What of an oracle's share has to be in time from full load on.
--- /dev/null
+++ b/tests/testsuite/gateway/overload/sizes.rs
@@ -0,0 +1,81 @@
+//! More demand than engines can serve, with few long prompts among many short ones: who is
+//! served by size.
+
+use super::work::Work;
+use super::world::{Faults, Fleet, Outcome, Rule, World};
+use super::{GROWN, LOADS, LOSSY, SMALL, WISHED, oracle};
+
+/// Half of the engines are slow, some of them so much that a long prompt takes most of the aim.
+const SLOW: Faults = Faults { slow: (2, 3.0), ..LOSSY };
+
+/// What is served of a part of a kind's requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Shares {
+    /// Of all of them.
+    whole: f64,
+    /// Of the largest tenth.
+    largest: f64,
+    /// Of the fifth below it.
+    below: f64,
+}
+
+impl Shares {
+    /// Of the requests of a kind.
+    fn new(outcomes: &[Outcome], kind: usize, is_good: fn(&Outcome) -> bool) -> Self {
+        let mut kind: Vec<_> = outcomes.iter().filter(|outcome| outcome.kind == kind).collect();
+        kind.sort_by(|one, other| one.prompt.total_cmp(&other.prompt));
+        let share = |outcomes: &[&Outcome]| {
+            let good = outcomes.iter().filter(|outcome| is_good(outcome)).count();
+            good as f64 / outcomes.len().max(1) as f64
+        };
+        let at = |part: f64| (part * kind.len() as f64) as usize;
+        let (below, largest) = (&kind[at(0.7)..at(0.9)], &kind[at(0.9)..]);
+        Self { whole: share(&kind), largest: share(largest), below: share(below) }
+    }
+}
+
+/// How many fleets are played, each with random numbers of its own.
+const PLAYS: u64 = 3;
+
+fn play(fleet: Fleet, faults: Faults, load: f64) -> Vec<Outcome> {
+    let world = |seed| World::new(fleet, Rule::Ours, faults).with_seed(seed);
+    let outcomes = |seed| world(seed).with_work(Work::lognormal()).outcomes(load);
+    (0..PLAYS).flat_map(outcomes).collect()
+}
+
+/// How often the largest have to be served at least, of how often their whole kind is.
+const LEAST: f64 = 0.8;
+
+// Long prompts wait as long as short ones and are read for longer: held to the same time to a
+// first token they are refused first, and again whenever they come back.
+#[test]
+fn large_requests_are_served_about_as_often_as_others() {
+    let mut missed = Vec::new();
+    for (fleet, faults) in [(SMALL, LOSSY), (GROWN, LOSSY), (SMALL, SLOW), (GROWN, SLOW)] {
+        for load in LOADS {
+            let outcomes = play(fleet, faults, load);
+            for kind in 0..Work::lognormal().kinds() {
+                let shares = Shares::new(&outcomes, kind, |outcome| outcome.is_served);
+                if shares.largest.min(shares.below) < LEAST * shares.whole {
+                    missed
+                        .push(format!("{fleet:?}, {faults:?} at {load}, kind {kind}: {shares:?}"));
+                }
+            }
+        }
+    }
+    assert!(missed.is_empty(), "{missed:#?}");
+}
+
+// Long prompts that are served come late or take the time of several short ones: what all
+// together have in time is not to fall for it.
+#[test]
+fn most_of_what_an_oracle_serves_in_time_is_served_of_all_sizes() {
+    for fleet in [SMALL, GROWN] {
+        for load in LOADS {
+            let outcomes = play(fleet, LOSSY, load);
+            let in_time = outcomes.iter().filter(|outcome| outcome.is_in_time).count();
+            let share = in_time as f64 / outcomes.len() as f64;
+            assert!(share >= WISHED * oracle(load), "{fleet:?} at {load}: {share:.3}");
+        }
+    }
+}
--- a/tests/testsuite/gateway/overload/world.rs
+++ b/tests/testsuite/gateway/overload/world.rs
@@ -8,7 +8,7 @@
 
 use cinderspoke_core::gateway::call::Size;
 use cinderspoke_core::gateway::demand::Demand;
-use cinderspoke_core::gateway::load::{Load, Report, first_token, longer_reading, turn};
+use cinderspoke_core::gateway::load::{Load, Report, forecast, longer_reading, turn};
 use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish, pick};
 use cinderspoke_core::gateway::place::{Ledger, Search, Step};
 use cinderspoke_core::gateway::rollout::Version;
@@ -21,8 +21,8 @@
 use super::super::ms;
 use super::engine::{ANSWER, Engine, Job, PROMPT, capacity, declared};
 use super::event::{Due, Event};
+use super::work::Work;
 
-const AIM: Duration = ms(400);
 const DEADLINE: Duration = ms(6000);
 /// How often an engine's agent looks, and tells the gateways whose turn it is.
 const REPORTS: Duration = ms(100);
@@ -57,6 +57,16 @@
     pub(crate) alone: usize,
     /// Every fourth gateway gets four times the requests of the others.
     pub(crate) uneven: bool,
+    /// Every so many engines one is slow, and by how much; none where it is zero.
+    pub(crate) slow: (usize, f64),
+}
+
+impl Faults {
+    /// How much slower than declared an engine is.
+    fn pace(&self, engine: usize) -> f64 {
+        let (every, pace) = self.slow;
+        if every > 0 && engine % every == 0 { pace } else { 1.0 }
+    }
 }
 
 /// How requests are sent.
@@ -74,6 +84,8 @@
 
 /// A caller's request, from its first attempt on.
 struct Caller {
+    // Its kind's place among those of the work.
+    kind: usize,
     asked: Duration,
     prompt: f64,
     answer: f64,
@@ -99,6 +111,7 @@
     fleet: Fleet,
     faults: Faults,
     rule: Rule,
+    work: Work,
     now: Duration,
     due: BinaryHeap<Reverse<Due>>,
     // Numbers events, requests and questions.
@@ -127,10 +140,11 @@
             fleet,
             faults,
             rule,
+            work: Work::uniform(),
             now: Duration::ZERO,
             due: BinaryHeap::new(),
             numbers: 0,
-            engines: (0..engines).map(|_| Engine::new(slots)).collect(),
+            engines: (0..engines).map(|number| Engine::new(slots, faults.pace(number))).collect(),
             tallies: (0..engines).map(|_| Tally::default()).collect(),
             ledgers: (0..engines).map(|_| Ledger::default()).collect(),
             loads: (0..gateways).map(|_| loads()).collect(),
@@ -141,8 +155,35 @@
         }
     }
 
+    /// The same fleet with other work.
+    pub(crate) fn with_work(self, work: Work) -> Self {
+        Self { work, ..self }
+    }
+
+    /// The same fleet with other random numbers.
+    pub(crate) fn with_seed(self, seed: u64) -> Self {
+        Self { random: ChaCha8Rng::seed_from_u64(seed), ..self }
+    }
+
     /// Plays a load, as a part of what the engines can do.
     pub(crate) fn play(mut self, load: f64) -> Figures {
+        self.run(load);
+        self.figures()
+    }
+
+    /// Plays a load; gives what became of the requests that count, each with its kind.
+    pub(crate) fn outcomes(mut self, load: f64) -> Vec<Outcome> {
+        self.run(load);
+        let outcome = |caller: &Caller| Outcome {
+            kind: caller.kind,
+            prompt: caller.prompt,
+            is_served: caller.begun.is_some(),
+            is_in_time: self.is_in_time(caller),
+        };
+        self.callers.iter().filter(|caller| counts(caller)).map(outcome).collect()
+    }
+
+    fn run(&mut self, load: f64) {
         self.arrivals(load);
         for engine in self.faults.alone..self.fleet.engines {
             let phase = REPORTS * engine as u32 / self.fleet.engines as u32;
@@ -155,7 +196,6 @@
             self.now = at;
             self.happen(event);
         }
-        self.figures()
     }
 
     fn arrivals(&mut self, load: f64) {
@@ -164,9 +204,9 @@
         while at < LENGTH {
             let gap = -self.random.random_range(1e-12..1.0_f64).ln() / rate;
             at += Duration::from_secs_f64(gap);
-            let prompt = self.random.random_range(100.0..2.0 * PROMPT - 100.0);
+            let (kind, prompt) = self.work.draw(&mut self.random);
             let answer = self.random.random_range(20.0..2.0 * ANSWER - 20.0);
-            self.callers.push(Caller { asked: at, prompt, answer, begun: None });
+            self.callers.push(Caller { kind, asked: at, prompt, answer, begun: None });
             self.push(at, Event::Attempt(self.callers.len() - 1));
         }
     }
@@ -324,7 +364,14 @@
         let others = tally.others(tally.all(self.now), address(gateway), self.now).plus(kept);
         let running = self.engines[engine].busy() as u32;
         let version = Some(Version(1));
-        Report { running, pace: 1.0, version, open: true, others, ..Report::default() }
+        Report {
+            running,
+            pace: self.faults.pace(engine) as f32,
+            version,
+            open: true,
+            others,
+            ..Report::default()
+        }
     }
 
     /// An engine's agent tells the gateways whose turn it is what it has.
@@ -343,7 +390,7 @@
         let candidate = |(number, load): (usize, &Load)| Candidate {
             number,
             distance: distance(gateway, number),
-            first: first_token(
+            forecast: forecast(
                 &engine,
                 &load.estimate(Some(&engine), self.fleet.gateways, now),
                 size,
@@ -367,9 +414,10 @@
     fn wish(&self, gateway: usize, caller: usize, spread: u64) -> Wish {
         let waited = self.now - self.callers[caller].asked;
         let others = (self.fleet.gateways - 1) as f64;
+        let aim = self.aim(caller);
         Wish {
-            aim: AIM,
-            target: AIM.saturating_sub(waited),
+            aim,
+            target: aim.saturating_sub(waited),
             deadline: DEADLINE.saturating_sub(waited),
             reading: longer_reading(&declared(self.fleet.slots), self.size(caller)),
             sent: self.rule == Rule::Everybody,
@@ -380,13 +428,17 @@
         }
     }
 
+    fn aim(&self, caller: usize) -> Duration {
+        self.work.aim(self.callers[caller].kind)
+    }
+
     fn follow(&mut self, caller: usize, gateway: usize, choice: Choice) {
         match choice {
             Choice::Send { number, first } => self.send(caller, gateway, number, first),
             Choice::Refuse { come_back, .. } => {
                 let waited = self.now - self.callers[caller].asked;
                 // Callers come back once; one that did has waited for longer than its aim.
-                if waited < AIM {
+                if waited < self.aim(caller) {
                     let back = come_back.min((DEADLINE - waited) / 3);
                     self.push(self.now + back, Event::Attempt(caller));
                 }
@@ -439,10 +491,14 @@
         self.begin_pass(engine);
     }
 
+    fn is_in_time(&self, caller: &Caller) -> bool {
+        let aim = self.work.aim(caller.kind);
+        caller.begun.is_some_and(|at| at <= caller.asked + aim)
+    }
+
     fn figures(&self) -> Figures {
-        let counted = |caller: &&Caller| caller.asked > WARM_UP && caller.asked < LENGTH - DEADLINE;
-        let callers = || self.callers.iter().filter(counted);
-        let in_time = |caller: &&Caller| caller.begun.is_some_and(|at| at <= caller.asked + AIM);
+        let callers = || self.callers.iter().filter(|caller| counts(caller));
+        let in_time = |caller: &&Caller| self.is_in_time(caller);
         let share = |large: f64| {
             let all = callers().filter(|caller| caller.prompt >= large).count() as f64;
             callers().filter(|caller| caller.prompt >= large).filter(in_time).count() as f64 / all
@@ -453,6 +509,19 @@
     }
 }
 
+/// Whether a caller asked while the fleet was in its steady state.
+fn counts(caller: &Caller) -> bool {
+    caller.asked > WARM_UP && caller.asked < LENGTH - DEADLINE
+}
+
+/// What became of a caller's request.
+pub(crate) struct Outcome {
+    pub(crate) kind: usize,
+    pub(crate) prompt: f64,
+    pub(crate) is_served: bool,
+    pub(crate) is_in_time: bool,
+}
+
 /// What the prompts of the largest tenth have at least.
 const LARGE: f64 = 2.0 * PROMPT - 100.0 - (2.0 * PROMPT - 200.0) / 10.0;
 
--- /dev/null
+++ b/tests/testsuite/gateway/size_fairness.rs
@@ -0,0 +1,151 @@
+//! Whether a request is sent or refused depends on the wait that others cause, not on its size.
+
+use std::time::Duration;
+
+use cinderspoke_core::gateway::call::Size;
+use cinderspoke_core::gateway::catalog::Engine;
+use cinderspoke_core::gateway::load::{Estimate, forecast, longer_reading, turn};
+use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish, pick};
+use cinderspoke_core::gateway::place::{Search, Step};
+use cinderspoke_core::swarm::Distance;
+use proptest::collection::vec;
+use proptest::prelude::{ProptestConfig, Strategy, any, proptest};
+use proptest::test_runner::RngSeed;
+use proptest::{prop_assert, prop_assume};
+
+use super::ms;
+
+fn engine() -> Engine {
+    Engine {
+        slots: 16,
+        capacity: 300_000,
+        step_ms: 9.0,
+        per_request_ms: 0.02,
+        per_context_ms: 0.03,
+        read_per_s: 20_000.0,
+        per_pairs_ms: 1.2,
+        chunk: 2048,
+        stride: 5,
+        usual_prompt: 900,
+        usual_answer: 90,
+        models: vec!["m".into()],
+        layers: 16,
+        chunks: 96,
+        chunk_bytes: 24_576,
+        load: ms(300),
+    }
+}
+
+/// What others have at an engine, from half of what it does at once to three times as much.
+fn estimates() -> impl Strategy<Value = Estimate> {
+    (0.5..3.0_f64, 0.0..1.0_f64, 100.0..3000.0_f64, 1.0..6.0_f64).prop_map(
+        |(load, waiting, prompt, pace)| {
+            let requests = (load * f64::from(engine().slots)).floor();
+            let waiting = (requests * waiting).floor();
+            Estimate { requests, waiting, unread: waiting * prompt, pace }
+        },
+    )
+}
+
+/// What callers ask but for the size: first attempts and later ones.
+fn wishes() -> impl Strategy<Value = Wish> {
+    let waited = (any::<bool>(), 0..4000_u64);
+    (100..1000_u64, waited, 0.0..300.0_f64, any::<u64>(), any::<bool>()).prop_map(
+        |(aim, (returns, waited), rivals, spread, sent)| {
+            let waited = if returns { waited } else { 0 };
+            Wish {
+                aim: ms(aim),
+                target: ms(aim.saturating_sub(waited)),
+                deadline: ms(6000 - waited),
+                reading: Duration::ZERO,
+                sent,
+                weightless: false,
+                rest: None,
+                rivals,
+                spread,
+            }
+        },
+    )
+}
+
+fn size(prompt: u32) -> Size {
+    Size { prompt, most: 250, guess: None }
+}
+
+fn wish_of(wish: Wish, prompt: u32) -> Wish {
+    Wish { reading: longer_reading(&engine(), size(prompt)), ..wish }
+}
+
+fn candidates(estimates: &[Estimate], prompt: u32, agent: Agent) -> Vec<Candidate> {
+    let candidate = |(number, estimate)| Candidate {
+        number,
+        distance: Distance::Zone,
+        forecast: forecast(&engine(), estimate, size(prompt)),
+        age: ms(40),
+        turn: turn(&engine()),
+        trial: false,
+        agent,
+    };
+    estimates.iter().enumerate().map(candidate).collect()
+}
+
+/// Whether a request is sent by what reports say.
+fn is_sent(wish: &Wish, estimates: &[Estimate], prompt: u32) -> bool {
+    let candidates = candidates(estimates, prompt, Agent::None);
+    matches!(pick(&wish_of(*wish, prompt), &candidates), Choice::Send { .. })
+}
+
+/// Whether a request is sent by what agents answer.
+fn is_sent_by_answers(wish: &Wish, estimates: &[Estimate], prompt: u32) -> bool {
+    let wish = wish_of(*wish, prompt);
+    let mut candidates = candidates(estimates, prompt, Agent::Askable);
+    let mut search = Search::default();
+    loop {
+        match search.next(&wish, &candidates) {
+            Step::Ask(asked) => {
+                asked.iter().for_each(|number| candidates[*number].agent = Agent::Answered);
+            }
+            Step::Done(choice) => return matches!(choice, Choice::Send { .. }),
+        }
+    }
+}
+
+/// Whether a request can begin before its caller needs no answer any more, wherever it is sent
+/// and whatever other gateways send there meanwhile.
+fn can_begin(wish: &Wish, estimates: &[Estimate], prompt: u32) -> bool {
+    let candidates = candidates(estimates, prompt, Agent::None);
+    let meanwhile =
+        |candidate: &Candidate| candidate.turn.mul_f64(wish.rivals * candidate.age.as_secs_f64());
+    candidates.iter().all(|it| it.forecast.first() + meanwhile(it) <= wish.deadline)
+}
+
+/// The same cases each time, and no file of those that failed.
+fn configuration() -> ProptestConfig {
+    ProptestConfig {
+        cases: 4000,
+        max_global_rejects: 100_000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(configuration())]
+
+    // With the same wait caused by others, a long prompt is refused where a short one is sent,
+    // although its caller waits long enough for it.
+    #[test]
+    fn no_request_is_refused_for_its_size(
+        wish in wishes(),
+        estimates in vec(estimates(), 1..8),
+        prompts in (40..4000_u32, 40..4000_u32),
+    ) {
+        let (short, long) = (prompts.0.min(prompts.1), prompts.0.max(prompts.1));
+        prop_assume!(can_begin(&wish, &estimates, long));
+        let sent = |prompt| is_sent(&wish, &estimates, prompt);
+        prop_assert!(sent(short) == sent(long), "by reports");
+        let sent = |prompt| is_sent_by_answers(&wish, &estimates, prompt);
+        prop_assert!(sent(short) == sent(long), "by answers");
+    }
+}
