Requests of all sizes are held to the wait that others cause

What callers saw: large requests are refused where smaller ones are served, and again when they come back. Cause: the limit was on a request's own time to a first token. Long prompts got an allowance that ended at 0.98 of the time left, knew no square term and not how slow an engine is; who came back had none. Class: a threshold on a quantity that holds the request's own work sheds by size. Change: the estimate is told in three parts (wait for others, own prompt, usual prompt); a request is sent where a usual prompt in its place would begin in time, and refused for its own size only where its caller would have left. Where it is sent is still decided by its own time, so large ones go to fast engines. Ruled out: another allowance (own reading on top of the floor, or of the cap) leaves the square term and the pace; small ones by their own time: 0.73 under slow engines; the wait alone: no better, see the design's table.

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -260,13 +260,6 @@
     Duration::from_secs_f64(turn_ms(engine, step).clamp(0.0, MOST_MS) / 1000.0)
 }
 
-/// By how much longer a request's prompt takes to be read than a usual one.
-#[must_use]
-pub fn longer_reading(engine: &Engine, size: Size) -> Duration {
-    let more = size.prompt.saturating_sub(engine.usual_prompt);
-    Duration::from_secs_f64(f64::from(more) / engine.read_per_s.max(1.0))
-}
-
 /// How long an engine takes to read a prompt, in milliseconds at its declared speed.
 fn reading_ms(engine: &Engine, prompt: u32) -> f64 {
     let prompt = f64::from(prompt);
@@ -281,6 +274,8 @@
     pub wait: Duration,
     /// The time that its own prompt takes to be read.
     pub own: Duration,
+    /// The time that a usual prompt would take to be read in its place.
+    pub usual: Duration,
 }
 
 impl Forecast {
@@ -289,6 +284,12 @@
     pub fn first(&self) -> Duration {
         self.wait + self.own
     }
+
+    /// The time until a request with a usual prompt would have its first token in its place.
+    #[must_use]
+    pub fn first_of_usual(&self) -> Duration {
+        self.wait + self.usual
+    }
 }
 
 /// When another request would have its first token at an engine.
@@ -312,5 +313,9 @@
     let at_pace = |ms: f64| {
         Duration::from_secs_f64((ms * estimate.pace.max(1.0)).clamp(0.0, MOST_MS) / 1000.0)
     };
-    Forecast { wait: at_pace(wait), own: at_pace(reading_ms(engine, size.prompt)) }
+    Forecast {
+        wait: at_pace(wait),
+        own: at_pace(reading_ms(engine, size.prompt)),
+        usual: at_pace(reading_ms(engine, engine.usual_prompt)),
+    }
 }
--- a/crates/core/src/gateway/pick.rs
+++ b/crates/core/src/gateway/pick.rs
@@ -16,10 +16,6 @@
 /// have been in time.
 const TOLERANCE: f64 = 0.9;
 
-/// Upper bound of that fraction for requests with long prompts. Their prefill takes a larger
-/// part of the time, so with [`TOLERANCE`] they would be refused first.
-const LARGE_TOLERANCE: f64 = 0.98;
-
 /// Upper bound on the estimated number of requests that other gateways have sent to one
 /// endpoint. Exceeds the capacity of any endpoint and keeps the duration arithmetic from
 /// overflowing.
@@ -76,6 +72,11 @@
 }
 
 impl Candidate {
+    /// The choice of this candidate.
+    pub(super) fn chosen(&self) -> Choice {
+        Choice::Send { number: self.number, first: self.first() }
+    }
+
     /// The time until it would begin to answer.
     #[must_use]
     pub fn first(&self) -> Duration {
@@ -107,8 +108,6 @@
     pub target: Duration,
     /// The time that is left until the caller needs no answer any more.
     pub deadline: Duration,
-    /// By how much longer its prompt takes to be read than a usual one.
-    pub reading: Duration,
     /// Whether it has been sent before: such a request is not refused for being late.
     pub sent: bool,
     /// Whether there are endpoints that only lack the weights to answer with.
@@ -145,8 +144,8 @@
 pub struct Best {
     /// When it would begin to answer.
     pub forecast: Forecast,
-    /// The latest time to a first token with which the request would have been sent.
-    pub limit: Duration,
+    /// The longest wait for others with which the request would have been sent there.
+    pub longest_wait: Duration,
 }
 
 /// Chooses an endpoint for a request.
@@ -154,37 +153,92 @@
 pub fn pick(wish: &Wish, candidates: &[Candidate]) -> Choice {
     let limit = limit(wish);
     let candidates = with_rivals(wish, limit, candidates);
-    let best_of = |candidates: &[Candidate]| {
-        candidates.iter().copied().min_by_key(|candidate| (cost(wish, candidate), candidate.number))
-    };
-    let near = candidates.iter().filter(|candidate| candidate.distance == Distance::Zone);
-    let near = best_of(&draw(wish.spread, &near.copied().collect::<Vec<_>>(), DRAWN));
-    let near = near.filter(|candidate| candidate.first() <= limit.mul_f64(NEAR));
-    let drawn = near.or_else(|| best_of(&draw(wish.spread, &candidates, DRAWN)));
-    let in_time = drawn.filter(|candidate| candidate.first() <= limit);
-    // A refusal needs more proof than a choice.
-    let Some(best) = in_time.or_else(|| best_of(&candidates)) else {
+    if candidates.is_empty() {
         return Choice::Refuse { come_back: spread_out(none_there(wish), wish.spread), best: None };
-    };
-    if best.first() <= limit {
-        return Choice::Send { number: best.number, first: best.first() };
     }
-    refusal(wish, Best { forecast: best.forecast, limit })
+    let sampled = sampled(wish, limit, limit, &candidates);
+    // A refusal needs more proof than a choice.
+    match sampled.or_else(|| cheapest(wish, limit, &candidates)) {
+        Some(found) => found.chosen(),
+        None => refusal(wish, limit, &candidates),
+    }
+}
+
+/// An endpoint with so much room that its report suffices, among those that are sampled for a
+/// request: it would begin within a part of the latest time.
+pub(super) fn easy(wish: &Wish, part: f64, candidates: &[Candidate]) -> Option<Candidate> {
+    let limit = limit(wish);
+    sampled(wish, limit, limit.mul_f64(part), &with_rivals(wish, limit, candidates))
+}
+
+/// The best of some near candidates where one has room, else of some of all that would begin
+/// by `latest`.
+fn sampled(
+    wish: &Wish,
+    limit: Duration,
+    latest: Duration,
+    candidates: &[Candidate],
+) -> Option<Candidate> {
+    let near = cheapest(wish, limit.mul_f64(NEAR), &draw_near(wish, candidates));
+    near.or_else(|| cheapest(wish, latest, &draw(wish.spread, candidates, DRAWN)))
+}
+
+/// Some of the candidates in the gateway's own availability zone.
+fn draw_near(wish: &Wish, candidates: &[Candidate]) -> Vec<Candidate> {
+    let near = candidates.iter().filter(|candidate| candidate.distance == Distance::Zone);
+    draw(wish.spread, &near.copied().collect::<Vec<_>>(), DRAWN)
+}
+
+/// The candidate that costs a request least, of those that are good enough.
+pub(super) fn cheapest<'a>(
+    wish: &Wish,
+    limit: Duration,
+    candidates: impl IntoIterator<Item = &'a Candidate>,
+) -> Option<Candidate> {
+    let good = candidates.into_iter().filter(|candidate| is_good(wish, limit, candidate));
+    good.copied().min_by_key(|candidate| (cost(wish, candidate), candidate.number))
+}
+
+/// Whether a candidate would begin soon enough.
+///
+/// Requests of all sizes are held to the wait that others cause: with a limit on the time to
+/// their own first token, large ones would be refused first, and each time they come back. The
+/// time that a request takes by itself counts only against its caller's deadline.
+fn is_good(wish: &Wish, limit: Duration, candidate: &Candidate) -> bool {
+    candidate.forecast.first_of_usual() <= limit && candidate.first() <= wish.deadline
 }
 
 /// What an endpoint costs a request: its time, its way, and some spread.
-pub(super) fn cost(wish: &Wish, candidate: &Candidate) -> Duration {
+fn cost(wish: &Wish, candidate: &Candidate) -> Duration {
+    candidate.first() + detour(wish, candidate)
+}
+
+/// The same for a request with a usual prompt.
+pub(super) fn cost_of_usual(wish: &Wish, candidate: &Candidate) -> Duration {
+    candidate.forecast.first_of_usual() + detour(wish, candidate)
+}
+
+/// What an endpoint costs a request besides its time.
+fn detour(wish: &Wish, candidate: &Candidate) -> Duration {
     let penalty = match candidate.distance {
         Distance::Zone => Duration::ZERO,
         Distance::Region => REGION_PENALTY,
         Distance::Far => FAR_PENALTY,
     };
-    candidate.first() + penalty + jitter(wish.spread, candidate.number)
+    penalty + jitter(wish.spread, candidate.number)
 }
 
-/// The refusal of a request that the best endpoint would begin too late.
-pub(super) fn refusal(wish: &Wish, best: Best) -> Choice {
-    Choice::Refuse { come_back: spread_out(COME_BACK, wish.spread), best: Some(best) }
+/// The refusal of a request that the best of the candidates would begin too late.
+pub(super) fn refusal<'a>(
+    wish: &Wish,
+    limit: Duration,
+    candidates: impl IntoIterator<Item = &'a Candidate>,
+) -> Choice {
+    let forecasts = candidates.into_iter().map(|candidate| candidate.forecast);
+    let best = forecasts.min_by_key(Forecast::first_of_usual);
+    let best =
+        best.map(|forecast| Best { forecast, longest_wait: limit.saturating_sub(forecast.usual) });
+    Choice::Refuse { come_back: spread_out(COME_BACK, wish.spread), best }
 }
 
 /// When a caller is to come back for whose request there is no endpoint.
@@ -204,7 +258,7 @@
 /// Without this, every gateway would send requests to the same free place under overload, and
 /// all of them would be late.
 fn with_rivals(wish: &Wish, limit: Duration, candidates: &[Candidate]) -> Vec<Candidate> {
-    let rooms = candidates.iter().filter(|candidate| candidate.first() <= limit).count().max(1);
+    let rooms = candidates.iter().filter(|it| is_good(wish, limit, it)).count().max(1);
     let sent = |age: Duration| wish.rivals * age.as_secs_f64() / rooms as f64;
     let by_now = |candidate: &Candidate| {
         let more = candidate.turn.mul_f64(sent(candidate.age).min(MOST_RIVALS));
@@ -214,13 +268,12 @@
     candidates.iter().map(by_now).collect()
 }
 
-/// The latest time to a first token with which a request is still sent.
+/// The latest time to a first token with which a request is sent whose prompt is usual.
 pub(super) fn limit(wish: &Wish) -> Duration {
     let limit = if wish.sent {
         wish.target.max(PATIENCE)
     } else {
-        let usual = wish.target.mul_f64(TOLERANCE).max(wish.aim.mul_f64(SPARE));
-        (usual + wish.reading).min(usual.max(wish.target.mul_f64(LARGE_TOLERANCE)))
+        wish.target.mul_f64(TOLERANCE).max(wish.aim.mul_f64(SPARE))
     };
     limit.min(wish.deadline)
 }
--- a/crates/core/src/gateway/place.rs
+++ b/crates/core/src/gateway/place.rs
@@ -15,7 +15,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::pick::{Agent, Best, Candidate, Choice, Wish, cost, draw, limit, pick, refusal};
+use super::pick::{
+    Agent, Candidate, Choice, Wish, cheapest, cost_of_usual, draw, easy, limit, pick, refusal,
+};
 use super::tally::Outstanding;
 
 /// How long a place is kept for a gateway that says no more: the way there and back over a
@@ -154,19 +156,12 @@
 
     /// The endpoint that has room, at first by reports and then by answers.
     fn found(&self, wish: &Wish, limit: Duration, candidates: &[Candidate]) -> Option<Choice> {
-        let best = if self.rounds == 0 {
-            match pick(wish, &heard(candidates)) {
-                Choice::Send { number, first } if first <= limit.mul_f64(EASY) => {
-                    Some((number, first))
-                }
-                _ => None,
-            }
+        let found = if self.rounds == 0 {
+            easy(wish, EASY, &heard(candidates))
         } else {
-            let answered = self.answered(candidates).filter(|candidate| candidate.first() <= limit);
-            let best = answered.min_by_key(|candidate| (cost(wish, candidate), candidate.number));
-            best.map(|best| (best.number, best.first()))
+            cheapest(wish, limit, self.answered(candidates))
         };
-        best.map(|(number, first)| Choice::Send { number, first })
+        found.map(|found| found.chosen())
     }
 
     /// Those of the endpoints asked that have answered.
@@ -182,7 +177,7 @@
         });
         let left: Vec<Candidate> = left.copied().collect();
         let mut drawn = draw(wish.spread, &left, DRAWN);
-        drawn.sort_by_key(|candidate| (cost(wish, candidate), candidate.number));
+        drawn.sort_by_key(|candidate| (cost_of_usual(wish, candidate), candidate.number));
         drawn.truncate(ASKED);
         drawn.iter().map(|candidate| candidate.number).collect()
     }
@@ -190,9 +185,10 @@
     /// What is done when no endpoint that was asked has room. Where none has answered,
     /// nothing tells that there is none.
     fn give_up(&self, wish: &Wish, candidates: &[Candidate]) -> Choice {
-        match self.answered(candidates).min_by_key(|candidate| candidate.first()) {
-            Some(best) => refusal(wish, Best { forecast: best.forecast, limit: limit(wish) }),
-            None => pick(wish, &heard(candidates)),
+        if self.answered(candidates).next().is_some() {
+            refusal(wish, limit(wish), self.answered(candidates))
+        } else {
+            pick(wish, &heard(candidates))
         }
     }
 }
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -8,7 +8,7 @@
 use cinderspoke_core::gateway::catalog::Engine;
 use cinderspoke_core::gateway::cold::Bound;
 use cinderspoke_core::gateway::health;
-use cinderspoke_core::gateway::load::{self, Forecast, Load, forecast, longer_reading};
+use cinderspoke_core::gateway::load::{self, Forecast, Load, forecast};
 use cinderspoke_core::gateway::name::Endpoint;
 use cinderspoke_core::gateway::pick::{Agent, Best, Candidate, Choice, Wish};
 use cinderspoke_core::gateway::place::{Search, Step};
@@ -160,8 +160,7 @@
         reach: Reach,
     ) -> (Vec<Prospect>, Wish) {
         let survey = self.survey(context, asked, view, reach);
-        let (engine, members, size) =
-            (survey.engine, view.members(&asked.service), asked.call.size);
+        let members = view.members(&asked.service);
         let mut options = survey.options(members, Avoided::LeftOut);
         if options.is_empty() {
             // Better one that failed lately than none.
@@ -174,9 +173,8 @@
             options = survey.options(members, Avoided::Included);
         }
         let wish = Wish {
-            weightless: engine.is_some() && members.iter().any(|one| survey.is_allowed(one)),
+            weightless: survey.engine.is_some() && members.iter().any(|one| survey.is_allowed(one)),
             rest: survey.rest_left(members),
-            reading: engine.map_or(Duration::ZERO, |engine| longer_reading(engine, size)),
             rivals: context.rivals(&asked.service, view.gateways),
             ..self.wish(context, asked)
         };
@@ -211,7 +209,6 @@
             aim: asked.route.target,
             target: asked.route.target.saturating_sub(waited),
             deadline: asked.end.left(),
-            reading: Duration::ZERO,
             sent: self.history.sends() > 0,
             weightless: false,
             rest: None,
@@ -445,7 +442,7 @@
             Some(engine) => forecast(engine, &estimate, self.asked.call.size),
             None => {
                 let wait = PLAIN_TURN.saturating_mul(load.own() as u32);
-                Forecast { wait, own: Duration::ZERO }
+                Forecast { wait, ..Forecast::default() }
             }
         }
     }
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -180,7 +180,8 @@
             asked = self.asked,
             best_ms = ms(self.predicted),
             own_ms = ms(best.map(|best| best.forecast.own)),
-            limit_ms = ms(best.map(|best| best.limit)),
+            wait_ms = ms(best.map(|best| best.forecast.wait)),
+            limit_ms = ms(best.map(|best| best.longest_wait)),
             "no endpoint for a request"
         );
     }
@@ -297,7 +298,8 @@
             asked = self.asked,
             predicted_ms = ms(self.predicted),
             own_ms = ms(self.best.map(|best| best.forecast.own)),
-            limit_ms = ms(self.best.map(|best| best.limit)),
+            wait_ms = ms(self.best.map(|best| best.forecast.wait)),
+            limit_ms = ms(self.best.map(|best| best.longest_wait)),
             first_ms = ms(self.first),
             total_ms = self.arrived.elapsed().as_millis() as u64,
             sends = self.sends,
--- a/tests/testsuite/gateway/load.rs
+++ b/tests/testsuite/gateway/load.rs
@@ -2,7 +2,7 @@
 
 use cinderspoke_core::gateway::call::Size;
 use cinderspoke_core::gateway::catalog::Engine;
-use cinderspoke_core::gateway::load::{Load, Report, forecast};
+use cinderspoke_core::gateway::load::{Estimate, Load, Report, forecast};
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::gateway::tally::Outstanding;
 
@@ -48,6 +48,23 @@
     assert!(first(16, 4) > first(11, 4) + ms(100), "no slot is free");
 }
 
+// Load pattern: engines that are slower than declared. An allowance for long prompts that leaves
+// out how slow they are, or what long prompts cost beyond their tokens, refuses these first.
+#[test]
+fn what_a_prompt_takes_by_itself_is_told_apart_from_what_others_cause() {
+    let forecast = |prompt, pace| {
+        let estimate = Estimate { requests: 8.0, waiting: 2.0, unread: 2000.0, pace };
+        forecast(&engine(), &estimate, Size { prompt, ..SIZE })
+    };
+    let (usual, large) = (forecast(1000, 1.0), forecast(4000, 1.0));
+    assert_eq!((large.wait, large.usual), (usual.wait, usual.usual));
+    assert_eq!(usual.first(), usual.first_of_usual());
+    // 3,000 tokens more at 20 a millisecond, and 8 million pairs less half a million at 1.2 ms.
+    assert_eq!(large.own - usual.own, ms(150) + ms(9));
+    let slow = forecast(4000, 3.0);
+    assert_eq!((slow.own, slow.usual), (large.own * 3, large.usual * 3));
+}
+
 #[test]
 fn what_was_sent_since_the_report_counts() {
     let mut load = Load::default();
--- a/tests/testsuite/gateway/overload/world.rs
+++ b/tests/testsuite/gateway/overload/world.rs
@@ -8,7 +8,7 @@
 
 use cinderspoke_core::gateway::call::Size;
 use cinderspoke_core::gateway::demand::Demand;
-use cinderspoke_core::gateway::load::{Load, Report, forecast, longer_reading, turn};
+use cinderspoke_core::gateway::load::{Load, Report, forecast, turn};
 use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish, pick};
 use cinderspoke_core::gateway::place::{Ledger, Search, Step};
 use cinderspoke_core::gateway::rollout::Version;
@@ -65,7 +65,7 @@
     /// How much slower than declared an engine is.
     fn pace(&self, engine: usize) -> f64 {
         let (every, pace) = self.slow;
-        if every > 0 && engine % every == 0 { pace } else { 1.0 }
+        if every > 0 && engine.is_multiple_of(every) { pace } else { 1.0 }
     }
 }
 
@@ -419,7 +419,6 @@
             aim,
             target: aim.saturating_sub(waited),
             deadline: DEADLINE.saturating_sub(waited),
-            reading: longer_reading(&declared(self.fleet.slots), self.size(caller)),
             sent: self.rule == Rule::Everybody,
             rest: None,
             weightless: false,
--- a/tests/testsuite/gateway/pick.rs
+++ b/tests/testsuite/gateway/pick.rs
@@ -11,7 +11,7 @@
 
 fn candidate(number: usize, first: Duration, distance: Distance) -> Candidate {
     let (age, turn, agent) = (ms(50), ms(80), Agent::None);
-    let forecast = Forecast { wait: first, own: ms(0) };
+    let forecast = Forecast { wait: first, ..Forecast::default() };
     Candidate { number, distance, forecast, age, turn, trial: false, agent }
 }
 
@@ -24,7 +24,6 @@
         aim,
         target,
         deadline,
-        reading: ms(0),
         sent: false,
         weightless: false,
         rest: None,
@@ -81,6 +80,26 @@
     }
 }
 
+// A request that begins when its caller has left takes an engine's time from others in vain.
+#[test]
+fn who_cannot_begin_before_its_caller_leaves_is_refused() {
+    let is_sent = |own: u64| {
+        let forecast = Forecast { wait: ms(100), own: ms(own), usual: ms(50) };
+        let only = [Candidate { forecast, ..candidate(0, ms(0), Distance::Zone) }];
+        matches!(pick(&wish(ms(0)), &only), Choice::Send { .. })
+    };
+    assert!(is_sent(5900));
+    assert!(!is_sent(5901), "its caller waits for 6 s");
+}
+
+// A caller that is refused for its size once is refused each time that it comes back.
+#[test]
+fn who_comes_back_with_a_long_prompt_finds_an_endpoint_that_is_free() {
+    let forecast = Forecast { wait: ms(20), own: ms(800), usual: ms(50) };
+    let free = [Candidate { forecast, ..candidate(0, ms(0), Distance::Zone) }];
+    assert!(matches!(pick(&wish(ms(1500)), &free), Choice::Send { .. }));
+}
+
 #[test]
 fn who_comes_back_has_only_what_is_left_of_the_aim() {
     assert!(is_sent(&wish(ms(100)), ms(190)));
--- a/tests/testsuite/gateway/place.rs
+++ b/tests/testsuite/gateway/place.rs
@@ -188,7 +188,7 @@
 /// An endpoint that would begin after a time.
 fn candidate(number: usize, first: Duration, agent: Agent) -> Candidate {
     let (distance, turn) = (Distance::Zone, ms(80));
-    let forecast = Forecast { wait: first, own: ms(0) };
+    let forecast = Forecast { wait: first, ..Forecast::default() };
     Candidate { number, distance, forecast, age: ms(20), turn, trial: false, agent }
 }
 
@@ -197,7 +197,6 @@
         aim: ms(400),
         target: ms(400),
         deadline: ms(6000),
-        reading: ms(0),
         sent: false,
         weightless: false,
         rest: None,
--- a/tests/testsuite/gateway/size_fairness.rs
+++ b/tests/testsuite/gateway/size_fairness.rs
@@ -1,10 +1,8 @@
 //! Whether a request is sent or refused depends on the wait that others cause, not on its size.
 
-use std::time::Duration;
-
 use cinderspoke_core::gateway::call::Size;
 use cinderspoke_core::gateway::catalog::Engine;
-use cinderspoke_core::gateway::load::{Estimate, forecast, longer_reading, turn};
+use cinderspoke_core::gateway::load::{Estimate, forecast, turn};
 use cinderspoke_core::gateway::pick::{Agent, Candidate, Choice, Wish, pick};
 use cinderspoke_core::gateway::place::{Search, Step};
 use cinderspoke_core::swarm::Distance;
@@ -57,7 +55,6 @@
                 aim: ms(aim),
                 target: ms(aim.saturating_sub(waited)),
                 deadline: ms(6000 - waited),
-                reading: Duration::ZERO,
                 sent,
                 weightless: false,
                 rest: None,
@@ -72,10 +69,6 @@
     Size { prompt, most: 250, guess: None }
 }
 
-fn wish_of(wish: Wish, prompt: u32) -> Wish {
-    Wish { reading: longer_reading(&engine(), size(prompt)), ..wish }
-}
-
 fn candidates(estimates: &[Estimate], prompt: u32, agent: Agent) -> Vec<Candidate> {
     let candidate = |(number, estimate)| Candidate {
         number,
@@ -92,16 +85,15 @@
 /// Whether a request is sent by what reports say.
 fn is_sent(wish: &Wish, estimates: &[Estimate], prompt: u32) -> bool {
     let candidates = candidates(estimates, prompt, Agent::None);
-    matches!(pick(&wish_of(*wish, prompt), &candidates), Choice::Send { .. })
+    matches!(pick(wish, &candidates), Choice::Send { .. })
 }
 
 /// Whether a request is sent by what agents answer.
 fn is_sent_by_answers(wish: &Wish, estimates: &[Estimate], prompt: u32) -> bool {
-    let wish = wish_of(*wish, prompt);
     let mut candidates = candidates(estimates, prompt, Agent::Askable);
     let mut search = Search::default();
     loop {
-        match search.next(&wish, &candidates) {
+        match search.next(wish, &candidates) {
             Step::Ask(asked) => {
                 asked.iter().for_each(|number| candidates[*number].agent = Agent::Answered);
             }
