A resumed stream may take as long to begin as its prompt takes to be read again

What callers saw: a stream with a long prompt whose engine broke off ended there, although another engine was idle. Cause: the engine that went on had 1.1 s for its first event whatever the size; it has to read the whole prompt first. Change: it may take twice what is expected of it and that slack, as the first send may; both by one function. Ruled out: a longer fixed time, under which a short one at an engine that stands still would wait longer.

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -18,7 +18,7 @@
 use super::understand::Asked;
 use crate::util::clock::Deadline;
 
-/// How much longer than expected a stream's first event may take at least.
+/// How much longer than twice what is expected a stream's first event may take.
 const FIRST_SILENCE: Duration = Duration::from_millis(1300);
 
 /// What became of one send.
@@ -39,11 +39,11 @@
     chosen: &Chosen,
     record: &mut Record,
 ) -> Attempt {
-    let patience = match asked.route.kind {
-        Kind::Stream { resumable: true } => chosen.first * 2 + FIRST_SILENCE,
+    let slack = match asked.route.kind {
+        Kind::Stream { resumable: true } => FIRST_SILENCE,
         _ => Duration::MAX,
     };
-    let until = begins_until(context, asked, chosen, patience);
+    let until = begins_until(context, asked, chosen, slack);
     let answer = match send(context, asked, chosen, None, &until).await {
         Ok(answer) => answer,
         Err(fate) => return Attempt::Failed(fate, None),
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -179,13 +179,15 @@
     request
 }
 
-/// Until when a request has to have begun, so that it is not tried elsewhere.
+/// Until when a request has to have begun, so that it is not tried elsewhere: it may take twice
+/// what is expected of it, which is longer the larger it is, and some slack.
 pub fn begins_until(
     context: &Context,
     asked: &Asked,
     chosen: &Chosen,
-    patience: Duration,
+    slack: Duration,
 ) -> Deadline {
+    let patience = slack.saturating_add(chosen.first * 2);
     // What has not begun by then may not begin on the old version any more.
     let version_ends = chosen.version_left.map_or(Duration::MAX, |left| left + BEGIN_MARGIN);
     let patience = patience.min(version_ends);
