A chunk may be on its way for as long as its size takes over a slow link

A chunk that is larger than what a link carries in the time that suffices for small ones (1 s on the platform, 20 s on own deployments) would be fetched from peers in vain again and again. Cause: a time-out on a whole transfer, whatever its size. Change: that time or what 100 kB a second take, whichever is longer; the platform's chunks of 24,576 bytes keep their 1 s. Evidence: chunk_times fails without it (the time would be 1 s for 16 MiB). Ruled out: a time-out on pauses alone, under which a peer that trickles holds a draw for ever. Conclusion: nothing changes for chunks below 100 kB on the platform and below 2 MB elsewhere.

--- a/src/cinderspoke/agent/fetch.rs
+++ b/src/cinderspoke/agent/fetch.rs
@@ -21,10 +21,13 @@
 /// How long a peer is asked to wait for a chunk that it does not hold yet.
 const AWAIT: Duration = Duration::from_secs(5);
 
+/// The slowest link over which a chunk is waited for, in bytes a second.
+const SLOWEST: u64 = 100_000;
+
 /// How long peers may take to answer.
 #[derive(Debug, Clone, Copy)]
 pub struct Times {
-    /// To give a chunk that they hold.
+    /// To give a chunk that they hold, however small it is.
     pub chunk: Duration,
     /// To have a chunk that they do not hold yet.
     pub wait: Duration,
@@ -37,6 +40,16 @@
     }
 }
 
+impl Times {
+    /// How long a peer may take to give a chunk of a length: a large one is on its way for
+    /// longer, and would never be whole by the time that suffices for a small one.
+    #[must_use]
+    pub fn to_give(&self, length: size::Bytes) -> Duration {
+        let carried = length.as_u64().saturating_mul(1000) / SLOWEST;
+        self.chunk.max(Duration::from_millis(carried))
+    }
+}
+
 /// A chunk that was asked for, and what came.
 pub(super) struct Drawn {
     /// The chunk.
@@ -143,7 +156,7 @@
     let wait = if awaited { context.times.wait } else { Duration::ZERO };
     let query = if awaited { format!("?wait_ms={}", wait.as_millis()) } else { String::new() };
     let call = Call::get(address, format!("/v1/chunks/{digest}{query}"));
-    let call = call.limit(usize::MAX).timeout(wait + context.times.chunk);
+    let call = call.limit(usize::MAX).timeout(wait + context.times.to_give(length(&range)));
     let bytes = context.client.fetch(call).await?;
     if awaited {
         // When it would come was not known before.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod addresses;
 mod apply;
 mod awaited;
+mod chunk_times;
 mod clock;
 mod commands;
 mod decisions;
