The soak asks for more than engines do, in requests of all sizes, and promises 'sizes'

Cause: the soak's prompts were all alike and engines took their time by path, so that it could not see who is refused for its size. The largest tenth and the fifth below it have to be served at least half as often as all (the users' bound); callers whom a fault broke off are left out.

--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use cinderspoke_stand_ins::request::{
-    READY, answered, is_of_leaving, question, signed_by, without_versions,
+    READY, TOKENS, answered, come_back, is_of_leaving, question, signed_by, without_versions,
 };
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind};
 use cinderspoke_test_support::oracle::judge::{LATE, MARGIN};
@@ -46,6 +46,8 @@
     pub(crate) former_keys: Vec<String>,
     // How many of the routes are always there.
     pub(crate) usual: usize,
+    // The route for requests of all sizes, if they are played.
+    pub(crate) sized: Option<(String, Kind)>,
 }
 
 /// What all callers share.
@@ -66,7 +68,7 @@
 /// In how many cases a caller takes a route or key that is new or was taken away.
 const UNUSUAL: f64 = 0.15;
 
-type Connection = SendRequest<Full<Bytes>>;
+pub(crate) type Connection = SendRequest<Full<Bytes>>;
 
 /// The body of a request.
 pub(crate) fn body(id: &str) -> String {
@@ -131,21 +133,58 @@
     let Some(key) = pick(&offer.keys, &offer.former_keys, 1, random) else { return true };
     let slow = random.random_bool(SLOW);
     let leaves = slow && random.random_bool(LEAVES);
-    let id = format!("r{}", shared.next.fetch_add(1, Ordering::Relaxed));
-    let path = format!("{route}{}", if slow { "slow" } else { "quick" });
-    let Ok(request) = request(&id, &path, key) else { return true };
-    if connection.ready().await.is_err() {
-        return false;
+    let leaves = leaves.then(|| Duration::from_millis(random.random_range(60..900)));
+    let (route, key, kind) = (route.clone(), key.clone(), *kind);
+    let question = Question {
+        route,
+        kind,
+        key,
+        pace: if slow { "slow" } else { "quick" },
+        size: TOKENS,
+        leaves,
+    };
+    match send(shared, gateway, connection, question).await {
+        Some(ended) => matches!(ended.end, End::Answered { .. }),
+        None => false,
     }
+}
+
+/// What is asked in one attempt.
+pub(crate) struct Question {
+    pub(crate) route: String,
+    pub(crate) kind: Kind,
+    pub(crate) key: String,
+    /// The end of its path, by which endpoints take their time.
+    pub(crate) pace: &'static str,
+    /// Tokens of the prompt, and the most of the answer.
+    pub(crate) size: (u32, u32),
+    /// After how long its caller leaves, if it does.
+    pub(crate) leaves: Option<Duration>,
+}
+
+/// How an attempt ended, and when its caller is told to come back.
+pub(crate) struct Ended {
+    pub(crate) end: End,
+    pub(crate) come_back: Option<Duration>,
+}
+
+/// Sends one request and tells the oracle of it; none where it was not sent.
+pub(crate) async fn send(
+    shared: &Shared,
+    gateway: usize,
+    connection: &mut Connection,
+    question: Question,
+) -> Option<Ended> {
+    let Question { route, kind, key, pace, size, leaves } = question;
+    let id = format!("r{}", shared.next.fetch_add(1, Ordering::Relaxed));
+    let path = format!("{route}{pace}");
+    let request = request(&id, &path, &key, size).ok()?;
+    connection.ready().await.ok()?;
     let sent = shared.oracle.now();
-    let (route, key, kind) = (route.clone(), key.clone(), *kind);
     let (runs, end) = (Vec::new(), None);
     shared.oracle.sent(Attempt { id: id.clone(), gateway, kind, route, key, sent, runs, end });
-    let patience = if leaves {
-        Duration::from_millis(random.random_range(60..900))
-    } else {
-        TIMEOUT + LATE + MARGIN
-    };
+    let patience = leaves.unwrap_or(TIMEOUT + LATE + MARGIN);
+    let mut told = None;
     let exchange = async {
         let (head, body) = connection.send_request(request).await?.into_parts();
         Ok::<_, hyper::Error>((head.status.as_u16(), head.headers, collect(body).await))
@@ -155,25 +194,30 @@
             if let Some(endpoint) = signed_by(&headers).filter(|_| is_of_leaving(&headers)) {
                 shared.oracle.says_that_it_leaves(endpoint, gateway);
             }
+            told = come_back(&headers);
             checked(&id, &path, status, &headers, &body)
         }
         Ok(Ok((_, _, None))) => End::Cut,
         Ok(Err(error)) if error.is_canceled() => {
             shared.oracle.withdrawn(&id);
-            return false;
+            return None;
         }
         Ok(Err(_)) => End::Cut,
-        Err(_) if leaves => End::Left,
+        Err(_) if leaves.is_some() => End::Left,
         Err(_) => End::Silent,
     };
-    let good = matches!(end, End::Answered { .. });
-    shared.oracle.over(&id, end);
-    good
+    shared.oracle.over(&id, end.clone());
+    Some(Ended { end, come_back: told })
 }
 
-fn request(id: &str, path: &str, key: &str) -> http::Result<Request<Full<Bytes>>> {
+fn request(
+    id: &str,
+    path: &str,
+    key: &str,
+    size: (u32, u32),
+) -> http::Result<Request<Full<Bytes>>> {
     let head = Request::post(path).header(HOST_HEADER, HOST);
-    question(head, id, TIMEOUT, key, MODEL).body(Full::from(body(id)))
+    question(head, id, TIMEOUT, key, (MODEL, size)).body(Full::from(body(id)))
 }
 
 /// The whole body; none if it did not come whole.
--- a/crates/bench/src/soak/configuration.rs
+++ b/crates/bench/src/soak/configuration.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cinderspoke_stand_ins::request::TOKENS;
 use cinderspoke_stand_ins::spec::{self, Engines, Repeat, Route};
 use cinderspoke_test_support::address::shared_port;
 use cinderspoke_test_support::oracle::attempt::Kind;
@@ -12,6 +13,7 @@
 use super::caller::Offer;
 use super::engine::{MODEL, WARM};
 use super::origin::{CHUNK_BYTES, CHUNKS};
+use super::sized;
 
 /// The service of plain endpoints.
 pub(crate) const PLAIN: &str = "plain";
@@ -28,6 +30,12 @@
 /// How long callers wait for an answer, and the time of each route.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The time to a first byte or event that keeps an answer's full worth, of most routes.
+const AIM: Duration = Duration::from_secs(4);
+
+/// The same of the route for requests of all sizes.
+const SIZED_AIM: Duration = Duration::from_millis(400);
+
 /// How long a program that is told to stop may take.
 pub(crate) const GRACE: Duration = Duration::from_secs(8);
 
@@ -40,8 +48,8 @@
     loss_slack: Duration::from_millis(200),
 };
 
-/// What is offered before anything changes.
-pub(crate) fn offer(engines: bool) -> Offer {
+/// What is offered before anything changes, to all and to callers of all sizes.
+pub(crate) fn offer(engines: bool, sizes: bool) -> Offer {
     let plain = [
         ("/safe/", Kind::Safe),
         ("/once/", Kind::Unsafe),
@@ -51,7 +59,9 @@
     let models = [("/model/", Kind::Resumable), ("/model-once/", Kind::Stream)];
     let routes = plain.iter().chain(models.iter().filter(|_| engines));
     let routes: Vec<_> = routes.map(|(route, kind)| ((*route).to_owned(), *kind)).collect();
-    Offer { usual: routes.len(), routes, keys: vec!["key-0".to_owned()], ..Offer::default() }
+    let sized = (engines && sizes).then(|| (sized::ROUTE.to_owned(), Kind::Resumable));
+    let keys = vec!["key-0".to_owned()];
+    Offer { usual: routes.len(), routes, keys, sized, ..Offer::default() }
 }
 
 fn route((prefix, kind): &(String, Kind)) -> Route<'_> {
@@ -62,12 +72,14 @@
         Kind::Stream => Repeat::Stream,
     };
     let service = if prefix.starts_with("/model") { ENGINES } else { PLAIN };
-    Route { host: HOST, prefix, service, repeat, timeout: TIMEOUT }
+    let aim = if prefix == sized::ROUTE { SIZED_AIM } else { AIM };
+    Route { host: HOST, prefix, service, repeat, timeout: TIMEOUT, aim }
 }
 
 /// The configuration of a version, with what is in force.
 pub(crate) fn declared(version: u64, offer: &Offer, origin: SocketAddr) -> Value {
-    let routes: Vec<_> = offer.routes.iter().map(route).collect();
+    let routes: Vec<_> = offer.routes.iter().chain(&offer.sized).map(route).collect();
+    let usual_prompt = if offer.sized.is_some() { sized::USUAL_PROMPT } else { TOKENS.0 };
     let engines = Engines {
         service: ENGINES,
         model: MODEL,
@@ -75,6 +87,7 @@
         chunks: CHUNKS,
         chunk_bytes: CHUNK_BYTES,
         origin,
+        usual_prompt,
     };
     spec::configuration(version, &routes, PLAIN, engines, &offer.keys)
 }
--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -29,6 +29,7 @@
 use super::engine::Engine;
 use super::fatal;
 use super::oracle::{Oracle, Work};
+use super::sized;
 
 /// How many events a stream has.
 pub(crate) const EVENTS: u64 = 12;
@@ -282,7 +283,15 @@
     }
     let path = head.uri.path();
     let pace = Pace::of(path);
-    let worked = place.work(pace.first).await;
+    let engine = shared.engine.as_ref().filter(|_| path.ends_with(sized::PACE));
+    let worked = match engine {
+        Some(engine) => {
+            // Prompts are read one after the other.
+            let _reader = engine.reader().await;
+            place.work(engine.reading(arrival.prompt)).await
+        }
+        None => place.work(pace.first).await,
+    };
     let signed = request::sign(answered, &shared.name);
     if let Err(error) = worked {
         // An error before the first byte closes the connection without a whole answer.
--- a/crates/bench/src/soak/engine.rs
+++ b/crates/bench/src/soak/engine.rs
@@ -50,11 +50,21 @@
     entry: Mutex<Option<Value>>,
     // How often it was told to break off what runs.
     cuts: watch::Sender<u64>,
+    // Held while a prompt is read.
+    reader: tokio::sync::Mutex<()>,
+    // How much slower than declared it is.
+    pace: f64,
 }
 
 impl Engine {
-    /// An engine with a version of the model.
-    pub(crate) fn new(name: &str, version: u64, oracle: &Oracle, store: &store::Store) -> Self {
+    /// An engine with a version of the model, so much slower than it is declared.
+    pub(crate) fn new(
+        name: &str,
+        version: u64,
+        pace: f64,
+        oracle: &Oracle,
+        store: &store::Store,
+    ) -> Self {
         Self {
             name: name.to_owned(),
             oracle: oracle.clone(),
@@ -62,6 +72,8 @@
             inner: Mutex::new(Inner { version, ..Inner::default() }),
             entry: Mutex::default(),
             cuts: watch::Sender::new(0),
+            reader: tokio::sync::Mutex::default(),
+            pace,
         }
     }
 
@@ -89,6 +101,16 @@
         self.cuts.subscribe()
     }
 
+    /// Waits until no other prompt is read.
+    pub(crate) async fn reader(&self) -> tokio::sync::MutexGuard<'_, ()> {
+        self.reader.lock().await
+    }
+
+    /// How long it takes to read a prompt of so many tokens.
+    pub(crate) fn reading(&self, prompt: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(prompt) / spec::READ_PER_S * self.pace)
+    }
+
     /// Begins a request, unless it takes nothing new.
     pub(crate) fn begin(&self) -> bool {
         let mut inner = self.lock();
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -4,8 +4,9 @@
 //! - [`plan`] lays out faults by a seed, [`player`] plays them upon a [`world`] of
 //!   [`program`]s, links, a store, an [`origin`], and [`endpoint`]s, of which some
 //!   are an [`engine`]; the operators' [`configuration`] is declared to the store.
-//! - [`caller`]s send requests, one of them [`fatal`] to endpoints if it is asked for. What they and endpoints see of each goes to the
-//!   [`oracle`], which has it judged and keeps what is broken.
+//! - [`caller`]s send requests; if it is asked for, one of them is [`fatal`] to endpoints, and many
+//!   more are [`sized`]. What they and endpoints see of each goes to the [`oracle`], which has it
+//!   judged and keeps what is broken.
 
 mod caller;
 mod configuration;
@@ -17,6 +18,7 @@
 mod plan;
 mod player;
 mod program;
+mod sized;
 mod world;
 
 use std::collections::BTreeMap;
@@ -26,6 +28,7 @@
 
 use anyhow::{Context, Result};
 use cinderspoke_test_support::oracle::judge::{Breach, Promise};
+use cinderspoke_test_support::oracle::size;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -65,6 +68,8 @@
     pub(crate) fatal: bool,
     // Whether endpoints ask for rest, and say that they leave before the store knows it.
     pub(crate) notices: bool,
+    // Whether more is asked than engines can do, in requests of all sizes.
+    pub(crate) sizes: bool,
     pub(crate) programs: PathBuf,
     pub(crate) out: PathBuf,
 }
@@ -123,7 +128,8 @@
         random.set_stream(CALLERS + 2);
         steps.extend(plan::notices(&mut random, options.length));
     }
-    let mut world = World::spawn(programs, out, options.gateways, options.engines).await?;
+    let mut world =
+        World::spawn(programs, out, options.gateways, options.engines, options.sizes).await?;
     let start = world.oracle.now();
     let mut others = JoinSet::new();
     for (number, gateway) in world.gateways.iter().enumerate() {
@@ -140,6 +146,13 @@
         random.set_stream(CALLERS + 1);
         callers.spawn(fatal::run(Arc::clone(&world.callers), random));
     }
+    if options.sizes {
+        for caller in 0..sized::CALLERS * options.engines as u64 {
+            let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+            random.set_stream(CALLERS + 3 + caller);
+            callers.spawn(sized::run(Arc::clone(&world.callers), random));
+        }
+    }
     let mut player = Player::new(steps, start);
     let mut tally = Tally::new(console);
     let mut looks = 0;
@@ -168,7 +181,16 @@
     world.check_ends();
     tally.take(world.oracle.settle(true));
     tally.take(Vec::from_iter(world.oracle.held_back(fatal::RUN)));
+    let sizes = world.oracle.sizes();
+    tally.take(sizes.judge(world.oracle.now()));
     tally.tell();
+    if options.sizes {
+        let size::Shares { callers, all, largest, below } = sizes;
+        console.say(&format!(
+            "of {callers} callers with requests of all sizes {all:.2} were served, of the largest \
+             tenth {largest:.2}, of the fifth below it {below:.2}"
+        ));
+    }
     let (requests, served) = world.oracle.requests();
     console.say(&format!("{served} of {requests} requests served; logs in {}", out.display()));
     Ok(Summary {
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -9,6 +9,7 @@
 use cinderspoke_test_support::oracle::fatal;
 use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
 use cinderspoke_test_support::oracle::notice::{Arrival, Notices};
+use cinderspoke_test_support::oracle::size;
 use tokio::time::Instant;
 
 /// How long an attempt that is over is kept: what comes of it later is seen until then.
@@ -20,6 +21,8 @@
     facts: Facts,
     // Arrivals of the request that ends endpoints.
     fatal: Vec<fatal::Arrival>,
+    // Callers with requests of all sizes.
+    sized: Vec<size::Caller>,
     notices: Notices,
     breaches: Vec<Breach>,
     requests: u64,
@@ -156,6 +159,16 @@
         fatal::judge(&state.fatal, run, &state.facts, &self.bounds)
     }
 
+    /// A caller with a request of a size has been served, or has given up.
+    pub(crate) fn sized(&self, caller: size::Caller) {
+        self.lock().sized.push(caller);
+    }
+
+    /// How often requests were served by their sizes.
+    pub(crate) fn sizes(&self) -> size::Shares {
+        size::Shares::new(&self.lock().sized)
+    }
+
     /// The store took that an endpoint leaves.
     pub(crate) fn leaves(&self, endpoint: &str) {
         let now = self.now();
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -34,6 +34,9 @@
 const BALANCE: Duration = Duration::from_secs(1);
 const MISSES: u32 = 2;
 
+/// How much slower than declared engines are, by turns; nothing tells the system of it.
+const SLOWNESS: [f64; 2] = [1.0, 2.5];
+
 /// A gateway and its links.
 pub(crate) struct Gateway {
     pub(crate) program: Program,
@@ -69,11 +72,12 @@
         out: &Path,
         gateways: usize,
         engines: usize,
+        sizes: bool,
     ) -> Result<Self> {
         let oracle = Oracle::new(BOUNDS);
         let store_address = address::free()?;
         let store = Store::spawn(store_address).await?;
-        let (offer, offered) = watch::channel(configuration::offer(engines > 0));
+        let (offer, offered) = watch::channel(configuration::offer(engines > 0, sizes));
         let shared = caller::Shared {
             oracle: oracle.clone(),
             doors: Vec::new(),
@@ -154,7 +158,9 @@
     /// Starts a model engine and its agent.
     async fn add_engine(&mut self) -> Result<()> {
         let name = self.name("engine");
-        let engine = Arc::new(Engine::new(&name, self.named, &self.oracle, &self.store));
+        let pace = SLOWNESS[self.agents.len() % SLOWNESS.len()];
+        let engine = Engine::new(&name, self.named, pace, &self.oracle, &self.store);
+        let engine = Arc::new(engine);
         let endpoint = Endpoint::spawn(name.clone(), ENGINES, Some(engine), &self.oracle).await?;
         let (own, name) = (endpoint.address(), name.replace("engine", "agent"));
         let mut settings = configuration::settings(&name, own, self.store_address, &self.seeds);
@@ -180,7 +186,7 @@
         let offer = self.offer.borrow().clone();
         let declared = configuration::declared(self.declared, &offer, self.origin);
         self.store.put(spec::CONFIGURATION, spec::NEWEST, declared);
-        let routes = offer.routes.into_iter().map(|(route, _)| route);
+        let routes = offer.routes.into_iter().chain(offer.sized).map(|(route, _)| route);
         self.oracle.declared(&routes.chain(offer.keys).collect::<Vec<_>>());
     }
 
--- a/crates/bench/tests/testsuite/judge.rs
+++ b/crates/bench/tests/testsuite/judge.rs
@@ -7,6 +7,7 @@
 use cinderspoke_test_support::oracle::fatal::{self, Arrival};
 use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
 use cinderspoke_test_support::oracle::notice::{self, Notices};
+use cinderspoke_test_support::oracle::size;
 
 const BOUNDS: Bounds = Bounds {
     contact: Duration::from_secs(3),
@@ -310,3 +311,37 @@
     let store = struck(Fault::Store, Whom::All, 9.0, Some(20.0));
     assert_eq!(after_notice(&[5.0], &[store]), [(Promise::Noticed, false)]);
 }
+
+/// Callers with prompts of 1 to 1,000 tokens, of which those are served that a rule picks.
+fn sized(is_served: impl Fn(u32) -> bool) -> Vec<size::Caller> {
+    let caller =
+        |prompt| size::Caller { prompt, is_served: is_served(prompt), is_broken_off: false };
+    (1..=1000).map(caller).collect()
+}
+
+fn unfair(callers: &[size::Caller]) -> Vec<String> {
+    let breaches = size::Shares::new(callers).judge(at(10.0));
+    assert!(breaches.iter().all(|breach| breach.promise == Promise::Sizes && !breach.excused));
+    breaches.into_iter().map(|breach| breach.what).collect()
+}
+
+// The largest tenth and the fifth below it are held to half of what all have, each by itself.
+#[test]
+fn the_largest_requests_are_served_at_least_half_as_often_as_all() {
+    assert!(unfair(&sized(|prompt| prompt % 2 == 0)).is_empty());
+    assert!(unfair(&sized(|prompt| prompt <= 900 || prompt % 2 == 0)).is_empty());
+    let largest = unfair(&sized(|prompt| prompt <= 900 || prompt % 3 == 0));
+    assert_eq!(largest, ["of the largest tenth 0.33 were served, of all 0.93"]);
+    let below = unfair(&sized(|prompt| prompt <= 700 || prompt > 900));
+    assert_eq!(below, ["of the fifth below it 0.00 were served, of all 0.80"]);
+}
+
+// Whose connection a fault ended tells nothing of sizes; a few callers tell nothing either.
+#[test]
+fn callers_that_a_fault_broke_off_and_small_numbers_are_left_out() {
+    let mut callers = sized(|prompt| prompt <= 900);
+    callers.iter_mut().filter(|caller| !caller.is_served).for_each(|it| it.is_broken_off = true);
+    assert!(unfair(&callers).is_empty());
+    assert!(!unfair(&sized(|prompt| prompt <= 900)).is_empty());
+    assert!(unfair(&sized(|prompt| prompt <= 900)[800..]).is_empty());
+}
--- a/crates/bench/tests/testsuite/soak.rs
+++ b/crates/bench/tests/testsuite/soak.rs
@@ -110,6 +110,17 @@
     assert!(summary["requests"].as_u64().unwrap() > 0, "{summary}");
 }
 
+// More is asked than engines can do; held to the time to their own first token, the largest
+// tenth of requests is served a third as often as all.
+#[test]
+fn large_requests_are_served_about_as_often_as_others_while_things_go_wrong() {
+    let (output, summary) = played(command("1", "20").arg("--sizes"));
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(summary["unexplained"], 0, "{summary}\n{told}");
+    assert!(told.contains("callers with requests of all sizes"), "{told}");
+    assert!(summary["requests"].as_u64().unwrap() > 0, "{summary}");
+}
+
 #[test]
 fn an_interrupted_soak_leaves_no_process() {
     let out = TempDir::new().unwrap();
--- a/crates/test-support/src/oracle/judge.rs
+++ b/crates/test-support/src/oracle/judge.rs
@@ -50,6 +50,8 @@
     Noticed,
     /// An endpoint that asks a gateway for rest gets it.
     Rest,
+    /// Large requests are served about as often as others.
+    Sizes,
 }
 
 /// A promise that was not kept.
--- a/crates/test-support/src/oracle/mod.rs
+++ b/crates/test-support/src/oracle/mod.rs
@@ -3,11 +3,12 @@
 //! - [`attempt`]: a request as its caller and endpoints have seen it.
 //! - [`disturbance`]: what a fault suspends, decided once for each kind of fault.
 //! - [`judge`]: what is broken by an attempt; [`fatal`] by a request that ends endpoints,
-//!   [`notice`] by those that pass over what endpoints say. Pure, so that tests need no
-//!   processes.
+//!   [`notice`] by those that pass over what endpoints say, [`size`] by all callers together.
+//!   Pure, so that tests need no processes.
 
 pub mod attempt;
 pub mod disturbance;
 pub mod fatal;
 pub mod judge;
 pub mod notice;
+pub mod size;
