The time that a request's body takes to come does not count as a wait

What callers saw: nothing yet; found by reading for the class. A large body over a narrow link used up the aim by itself, so that its request was held to the limit of those who come back, and refused where one with a small body was served. Cause: the time left of the aim counted from the arrival of the head, and holds the request's own work on the link. Change: limits on the wait count from when the request has come whole; its deadline still counts from its arrival. Evidence: sizes::a_body_that_takes_long_to_come_is_not_refused_for_it was refused before (503) and is served now. Ruled out: refusing before the body has come, which would need a choice of endpoint that is old by the time it is used. Conclusion: kept; answers to such requests still come late by what their bodies took.

--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -204,7 +204,7 @@
 
     /// What the request asks of an endpoint now.
     fn wish(&self, context: &Context, asked: &Asked) -> Wish {
-        let waited = asked.waited + context.clock.now().saturating_sub(asked.arrived);
+        let waited = asked.waited + context.clock.now().saturating_sub(asked.came);
         Wish {
             aim: asked.route.target,
             target: asked.route.target.saturating_sub(waited),
--- a/src/cinderspoke/gateway/understand.rs
+++ b/src/cinderspoke/gateway/understand.rs
@@ -37,8 +37,9 @@
     pub priority: u8,
     /// Where it may be served, by the configuration under which it was read.
     pub residency: Residency,
-    /// When it arrived, by the gateway's clock.
-    pub arrived: Duration,
+    /// When it had come whole, by the gateway's clock. What its body took on the way is its own
+    /// time: limits on the wait for others count from here.
+    pub came: Duration,
     /// When its caller needs no answer any more.
     pub end: Deadline,
     /// How long its caller had waited before this attempt.
@@ -94,6 +95,7 @@
     let limits = catalog.declared().limits;
     let body = read_body(body, &limits, &end).await?;
     record.body_bytes = Some(body.len() as u64);
+    let came = context.clock.now();
     let fingerprint = OnceLock::new();
     Ok(Asked {
         call,
@@ -104,7 +106,7 @@
         team,
         priority,
         residency,
-        arrived,
+        came,
         end,
         waited,
         fingerprint,
