--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use cinderspoke_stand_ins::request::{
-    READY, TOKENS, answered, come_back, is_of_leaving, question, signed_by, without_versions,
+    Question, READY, Size, answered, come_back, is_of_leaving, question, signed_by,
+    without_versions,
 };
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind};
 use cinderspoke_test_support::oracle::judge::{LATE, MARGIN};
@@ -135,29 +136,28 @@
     let leaves = slow && random.random_bool(LEAVES);
     let leaves = leaves.then(|| Duration::from_millis(random.random_range(60..900)));
     let (route, key, kind) = (route.clone(), key.clone(), *kind);
-    let question = Question {
+    let wanted = Wanted {
         route,
         kind,
         key,
         pace: if slow { "slow" } else { "quick" },
-        size: TOKENS,
+        size: Size::SMALL,
         leaves,
     };
-    match send(shared, gateway, connection, question).await {
+    match send(shared, gateway, connection, wanted).await {
         Some(ended) => matches!(ended.end, End::Answered { .. }),
         None => false,
     }
 }
 
 /// What is asked in one attempt.
-pub(crate) struct Question {
+pub(crate) struct Wanted {
     pub(crate) route: String,
     pub(crate) kind: Kind,
     pub(crate) key: String,
     /// The end of its path, by which endpoints take their time.
     pub(crate) pace: &'static str,
-    /// Tokens of the prompt, and the most of the answer.
-    pub(crate) size: (u32, u32),
+    pub(crate) size: Size,
     /// After how long its caller leaves, if it does.
     pub(crate) leaves: Option<Duration>,
 }
@@ -173,9 +173,9 @@
     shared: &Shared,
     gateway: usize,
     connection: &mut Connection,
-    question: Question,
+    wanted: Wanted,
 ) -> Option<Ended> {
-    let Question { route, kind, key, pace, size, leaves } = question;
+    let Wanted { route, kind, key, pace, size, leaves } = wanted;
     let id = format!("r{}", shared.next.fetch_add(1, Ordering::Relaxed));
     let path = format!("{route}{pace}");
     let request = request(&id, &path, &key, size).ok()?;
@@ -210,14 +210,10 @@
     Some(Ended { end, come_back: told })
 }
 
-fn request(
-    id: &str,
-    path: &str,
-    key: &str,
-    size: (u32, u32),
-) -> http::Result<Request<Full<Bytes>>> {
+fn request(id: &str, path: &str, key: &str, size: Size) -> http::Result<Request<Full<Bytes>>> {
     let head = Request::post(path).header(HOST_HEADER, HOST);
-    question(head, id, TIMEOUT, key, (MODEL, size)).body(Full::from(body(id)))
+    let asked = Question { id, wait: TIMEOUT, key, model: MODEL, size };
+    question(head, &asked).body(Full::from(body(id)))
 }
 
 /// The whole body; none if it did not come whole.
--- a/crates/bench/src/soak/configuration.rs
+++ b/crates/bench/src/soak/configuration.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cinderspoke_stand_ins::request::TOKENS;
+use cinderspoke_stand_ins::request::Size;
 use cinderspoke_stand_ins::spec::{self, Engines, Repeat, Route};
 use cinderspoke_test_support::address::shared_port;
 use cinderspoke_test_support::oracle::attempt::Kind;
@@ -79,7 +79,7 @@
 /// The configuration of a version, with what is in force.
 pub(crate) fn declared(version: u64, offer: &Offer, origin: SocketAddr) -> Value {
     let routes: Vec<_> = offer.routes.iter().chain(&offer.sized).map(route).collect();
-    let usual_prompt = if offer.sized.is_some() { sized::USUAL_PROMPT } else { TOKENS.0 };
+    let usual_prompt = if offer.sized.is_some() { sized::USUAL_PROMPT } else { Size::SMALL.prompt };
     let engines = Engines {
         service: ENGINES,
         model: MODEL,
--- a/crates/bench/src/soak/fatal.rs
+++ b/crates/bench/src/soak/fatal.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cinderspoke_stand_ins::request::{TOKENS, question};
+use cinderspoke_stand_ins::request::{Question, Size, question};
 use cinderspoke_test_support::oracle::fatal::Arrival;
 use http::Request;
 use http::header::HOST as HOST_HEADER;
@@ -40,7 +40,9 @@
         let sent = shared.oracle.now().as_millis();
         let id = format!("{ID}-{gateway}-{sent}-{number}");
         let head = Request::post("/safe/quick").header(HOST_HEADER, HOST);
-        let request = question(head, &id, TIMEOUT, "key-0", (MODEL, TOKENS)).body(Full::from(BODY));
+        let key = "key-0";
+        let asked = Question { id: &id, wait: TIMEOUT, key, model: MODEL, size: Size::SMALL };
+        let request = question(head, &asked).body(Full::from(BODY));
         let Ok(request) = request else { return };
         let exchange = async {
             let answer = connection.send_request(request).await.ok()?;
--- a/crates/bench/src/soak/sized.rs
+++ b/crates/bench/src/soak/sized.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cinderspoke_stand_ins::request::Size;
 use cinderspoke_test_support::oracle::attempt::{End, Kind};
 use cinderspoke_test_support::oracle::size::Caller;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
-use super::caller::{self, Connection, Ended, Question, Shared, open};
+use super::caller::{self, Connection, Ended, Shared, Wanted, open};
 
 /// The route of these requests.
 pub(crate) const ROUTE: &str = "/model-sized/";
@@ -68,16 +69,16 @@
             *kept = open(shared, random).await;
         }
         let (gateway, connection) = kept.as_mut()?;
-        let question = Question {
+        let wanted = Wanted {
             route: ROUTE.to_owned(),
             kind: Kind::Resumable,
             key: "key-0".to_owned(),
             pace: PACE,
-            size: (prompt, ANSWER),
+            size: Size { prompt, most: ANSWER },
             leaves: None,
         };
         let Some(Ended { end, come_back }) =
-            caller::send(shared, *gateway, connection, question).await
+            caller::send(shared, *gateway, connection, wanted).await
         else {
             *kept = None;
             return None;
