--- a/tests/testsuite/gateway/overload/mod.rs
+++ b/tests/testsuite/gateway/overload/mod.rs
@@ -6,13 +6,17 @@
 
 mod engine;
 mod event;
+mod figures;
+mod fleet;
 mod sizes;
 mod work;
 mod world;
 
 use yare::parameterized;
 
-use self::world::{Faults, Figures, Fleet, Rule, World};
+use self::figures::Figures;
+use self::fleet::{Faults, Fleet, Rule};
+use self::world::World;
 
 /// Few enough gateways for each to be told at each report: reports are 0.1 s old.
 const SMALL: Fleet = Fleet { gateways: 9, engines: 12, slots: 16 };
--- a/tests/testsuite/gateway/overload/sizes.rs
+++ b/tests/testsuite/gateway/overload/sizes.rs
@@ -1,8 +1,10 @@
 //! More demand than engines can serve, with few long prompts among many short ones: who is
 //! served by size.
 
+use super::figures::Outcome;
+use super::fleet::{Faults, Fleet, Rule};
 use super::work::Work;
-use super::world::{Faults, Fleet, Outcome, Rule, World};
+use super::world::World;
 use super::{GROWN, LOADS, LOSSY, SMALL, WISHED, oracle};
 
 /// Half of the engines are slow, some of them so much that a long prompt takes most of the aim.
--- a/tests/testsuite/gateway/overload/world.rs
+++ b/tests/testsuite/gateway/overload/world.rs
@@ -19,8 +19,10 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::super::ms;
-use super::engine::{ANSWER, Engine, Job, PROMPT, capacity, declared};
+use super::engine::{ANSWER, Engine, Job, capacity, declared};
 use super::event::{Due, Event};
+use super::figures::{Figures, Outcome};
+use super::fleet::{Faults, Fleet, Rule};
 use super::work::Work;
 
 const DEADLINE: Duration = ms(6000);
@@ -38,50 +40,6 @@
 const LENGTH: Duration = Duration::from_secs(20);
 const WARM_UP: Duration = Duration::from_secs(4);
 
-/// A fleet: how many gateways send to how many engines, and how many slots each has.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Fleet {
-    pub(crate) gateways: usize,
-    pub(crate) engines: usize,
-    pub(crate) slots: usize,
-}
-
-/// What goes wrong in it.
-#[derive(Clone, Copy, Default, Debug)]
-pub(crate) struct Faults {
-    /// The part of datagrams that are lost.
-    pub(crate) loss: f64,
-    /// So many gateways are heard by no agent.
-    pub(crate) unheard: usize,
-    /// So many engines have no agent.
-    pub(crate) alone: usize,
-    /// Every fourth gateway gets four times the requests of the others.
-    pub(crate) uneven: bool,
-    /// Every so many engines one is slow, and by how much; none where it is zero.
-    pub(crate) slow: (usize, f64),
-}
-
-impl Faults {
-    /// How much slower than declared an engine is.
-    fn pace(&self, engine: usize) -> f64 {
-        let (every, pace) = self.slow;
-        if every > 0 && engine.is_multiple_of(every) { pace } else { 1.0 }
-    }
-}
-
-/// How requests are sent.
-#[derive(Clone, Copy, PartialEq, Debug)]
-pub(crate) enum Rule {
-    /// As the gateway decides: agents are asked under load.
-    Ours,
-    /// By reports alone.
-    Reports,
-    /// Everybody to any engine.
-    Anyone,
-    /// Everybody, to the engine that should begin first.
-    Everybody,
-}
-
 /// A caller's request, from its first attempt on.
 struct Caller {
     // Its kind's place among those of the work.
@@ -166,9 +124,8 @@
     }
 
     /// Plays a load, as a part of what the engines can do.
-    pub(crate) fn play(mut self, load: f64) -> Figures {
-        self.run(load);
-        self.figures()
+    pub(crate) fn play(self, load: f64) -> Figures {
+        Figures::new(&self.outcomes(load), LENGTH - WARM_UP - DEADLINE)
     }
 
     /// Plays a load; gives what became of the requests that count, each with its kind.
@@ -494,18 +451,6 @@
         let aim = self.work.aim(caller.kind);
         caller.begun.is_some_and(|at| at <= caller.asked + aim)
     }
-
-    fn figures(&self) -> Figures {
-        let callers = || self.callers.iter().filter(|caller| counts(caller));
-        let in_time = |caller: &&Caller| self.is_in_time(caller);
-        let share = |large: f64| {
-            let all = callers().filter(|caller| caller.prompt >= large).count() as f64;
-            callers().filter(|caller| caller.prompt >= large).filter(in_time).count() as f64 / all
-        };
-        let seconds = (LENGTH - WARM_UP - DEADLINE).as_secs_f64();
-        let goodput = callers().filter(in_time).count() as f64 / seconds;
-        Figures { share: share(0.0), large: share(LARGE), goodput }
-    }
 }
 
 /// Whether a caller asked while the fleet was in its steady state.
@@ -513,26 +458,6 @@
     caller.asked > WARM_UP && caller.asked < LENGTH - DEADLINE
 }
 
-/// What became of a caller's request.
-pub(crate) struct Outcome {
-    pub(crate) kind: usize,
-    pub(crate) prompt: f64,
-    pub(crate) is_served: bool,
-    pub(crate) is_in_time: bool,
-}
-
-/// What the prompts of the largest tenth have at least.
-const LARGE: f64 = 2.0 * PROMPT - 100.0 - (2.0 * PROMPT - 200.0) / 10.0;
-
-/// What was served in time: the share of those who asked, that of the largest tenth of
-/// prompts, and so many a second.
-#[derive(Debug)]
-pub(crate) struct Figures {
-    pub(crate) share: f64,
-    pub(crate) large: f64,
-    pub(crate) goodput: f64,
-}
-
 /// Gateways and engines are dealt out to the availability zones by their numbers.
 fn distance(gateway: usize, engine: usize) -> Distance {
     if gateway % ZONES == engine % ZONES { Distance::Zone } else { Distance::Far }
