Limits that endpoints name are read, logged and gossiped; nothing is decided by them yet

The adapter reads the header once, from the head of every answer; what is no decimal number, or differs between several headers, is one log line and changes nothing. `limit::Table` keeps the last statement of each run by the time of its answer; changes by a tenth or more, the first and the end are gossiped at once, all others with each digest (24 in one, in turn where there are more).

Digests are packed by position. Statements follow after the packed digest, where a build that does not know them stops reading; a digest that ends there has none (digests::a_digest_is_understood_by_builds_with_and_without_its_supplement).

Logs: an endpoint named its limit, changed its limit, its limit ended, cannot be read. Gauge: cinderspoke_limits_in_force. Ruled out: a field in the summary or in reports of agents, which an old build could not unpack.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -27,7 +27,8 @@
 //! - Retries: [`attempt`] records the outcome of each send of a request, and [`budget`] limits
 //!   the sends beyond the first. Each gateway has a share of that budget, and [`gossip`] counts
 //!   the gateways.
-//! - [`notice`] stores what endpoints announce in their answers: that they drain or back off.
+//! - [`notice`] stores what endpoints announce in their answers: that they drain or back off, and
+//!   [`limit`] how many requests a second they accept from all gateways together.
 //! - [`suspect`] tracks requests during which endpoints ended, by [`fingerprint`].
 //! - [`event`] splits a stream into whole events, so that another endpoint can resume it.
 
@@ -48,6 +49,7 @@
 pub mod gossip;
 pub mod health;
 pub mod lag;
+pub mod limit;
 pub mod link;
 pub mod listing;
 pub mod load;
--- a/crates/ports/src/gateway/dialect.rs
+++ b/crates/ports/src/gateway/dialect.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cinderspoke_core::gateway::call::Call;
+use cinderspoke_core::gateway::limit::Named;
 use cinderspoke_core::gateway::name::{Endpoint, Request, Team};
 use cinderspoke_core::gateway::rollout::Version;
 use displaydoc::Display;
@@ -53,6 +54,8 @@
     pub backoff: Option<Duration>,
     /// How long the endpoint's warm-up still takes, if the endpoint states it.
     pub cold: Option<Duration>,
+    /// How many requests a second the endpoint accepts from all gateways together.
+    pub limit: Named,
 }
 
 /// The names and formats of requests and answers on the wire.
--- a/src/cinderspoke/gateway/inner.rs
+++ b/src/cinderspoke/gateway/inner.rs
@@ -10,6 +10,7 @@
 use cinderspoke_core::gateway::evacuation;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::lag::Lag;
+use cinderspoke_core::gateway::limit;
 use cinderspoke_core::gateway::name::{Endpoint, Service};
 use cinderspoke_core::gateway::notice::{self, Run};
 use cinderspoke_core::gateway::outage::Outage;
@@ -59,6 +60,8 @@
     pub directory_hash: u64,
     /// The drains and back-offs that endpoints announced.
     pub notices: notice::Table,
+    /// The limits that endpoints named.
+    pub limits: limit::Table,
     /// Endpoints by name.
     pub targets: HashMap<Endpoint, Arc<Target>>,
     /// Endpoints by service and address. The address alone is not unique: anyone may write an
@@ -96,7 +99,7 @@
     /// Creates and removes targets so that there is one for each endpoint of the list.
     pub fn sync_targets(&mut self, now: Duration) {
         self.directory_hash = hash(self.tracker.directory());
-        let Self { tracker, targets, by_address, notices, .. } = self;
+        let Self { tracker, targets, by_address, notices, limits, .. } = self;
         let entries = &tracker.directory().entries;
         targets.retain(|name, target| {
             let kept = entries.get(name).is_some_and(|entry| target.matches(entry));
@@ -106,7 +109,7 @@
             kept
         });
         for (name, entry) in entries {
-            let new = || Arc::new(Target::new(name.clone(), entry, notices));
+            let new = || Arc::new(Target::new(name.clone(), entry, notices, limits));
             let target = targets.entry(name.clone()).or_insert_with(new);
             target.set_listed_cold(entry.cold, now);
         }
@@ -117,6 +120,7 @@
         *by_address = addressed.collect();
         let listed: BTreeSet<Run> = targets.values().map(|target| target.run).collect();
         notices.expire(|run| listed.contains(&run), now);
+        limits.expire(|run| listed.contains(&run), now);
     }
 
     /// The endpoints that are ready according to the list.
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -1,8 +1,8 @@
 //! Messages between the system's processes, and their datagrams.
 //!
 //! Datagrams may be lost, duplicated or delayed; their content is sent again or can be fetched
-//! over HTTP. All messages are encoded with `postcard`, so both sides have to run the same
-//! build.
+//! over HTTP. All messages are encoded with `postcard`, by position: what a build does not know may
+//! only follow after a message ([`Supplement`]).
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -12,6 +12,7 @@
 use cinderspoke_core::gateway::difference::Difference;
 use cinderspoke_core::gateway::directory::Directory;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::limit;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Region, Service, Zone};
 use cinderspoke_core::gateway::notice;
@@ -219,6 +220,35 @@
     }
 }
 
+/// What follows a packed [`Datagram::Digest`] in its datagram. A build that does not know it stops
+/// reading before it, and a datagram without it has none of this.
+// Invariant: new fields are added at the end, and only read where bytes are left.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Supplement {
+    /// What endpoints said of their limits.
+    pub limits: Vec<limit::Update>,
+}
+
+/// Packs a digest with its supplement.
+#[must_use]
+pub fn pack_digest(digest: &Datagram, supplement: &Supplement) -> Vec<u8> {
+    let mut packed = pack(digest);
+    packed.extend(pack(supplement));
+    packed
+}
+
+/// Unpacks a datagram and its supplement.
+///
+/// # Errors
+///
+/// When the bytes are no datagram of this build.
+pub fn unpack(bytes: &[u8]) -> Result<(Datagram, Supplement), postcard::Error> {
+    let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+    let supplement =
+        if rest.is_empty() { Supplement::default() } else { postcard::from_bytes(rest)? };
+    Ok((datagram, supplement))
+}
+
 /// Packs a message.
 pub fn pack<T: Serialize>(message: &T) -> Vec<u8> {
     postcard::to_stdvec(message).unwrap_or_else(|error| {
@@ -237,9 +267,17 @@
 
 /// Receives the next datagram that can be decoded.
 pub async fn receive(socket: &UdpSocket, buffer: &mut [u8]) -> Datagram {
+    receive_with_supplement(socket, buffer).await.0
+}
+
+/// Receives the next datagram that can be decoded, with its supplement.
+pub async fn receive_with_supplement(
+    socket: &UdpSocket,
+    buffer: &mut [u8],
+) -> (Datagram, Supplement) {
     loop {
         let received = match socket.recv_from(buffer).await {
-            Ok((length, _)) => postcard::from_bytes(&buffer[..length]),
+            Ok((length, _)) => unpack(&buffer[..length]),
             Err(error) => {
                 tracing::debug!(%error, "receiving a datagram failed");
                 sleep(RECEIVE_BACKOFF).await;
@@ -247,7 +285,7 @@
             }
         };
         match received {
-            Ok(datagram) => return datagram,
+            Ok(received) => return received,
             Err(error) => tracing::debug!(%error, "a datagram cannot be decoded"),
         }
     }
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -42,6 +42,7 @@
 pub mod forward;
 pub mod head;
 pub mod inner;
+pub mod limits;
 pub mod message;
 pub mod notices;
 pub mod options;
--- a/src/cinderspoke/gateway/notices.rs
+++ b/src/cinderspoke/gateway/notices.rs
@@ -1,4 +1,4 @@
-//! Applies what endpoints announce in their answers: drains, back-offs and cold starts.
+//! Applies what endpoints announce in their answers: drains, back-offs, cold starts and limits.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +31,7 @@
         if let Some(cold) = announced.cold {
             target.extend_cold(self.clock.now() + cold);
         }
+        self.observe_limit(parsed, target, &announced.limit);
         if let Some(backoff) = announced.backoff {
             self.state.record_backoff(target, backoff);
         }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -29,7 +29,10 @@
 
 use super::agents::Agents;
 use super::facts::{self, Awaited, has_newer};
-use super::message::{Datagram, GatewayInfo, Summary, buffer, pack, receive, send};
+use super::message::{
+    Datagram, GatewayInfo, Summary, Supplement, buffer, pack, pack_digest, receive_with_supplement,
+    send,
+};
 use super::outstanding;
 use super::plan::Planner;
 use super::state;
@@ -115,9 +118,10 @@
     async fn receive(self: Arc<Self>) {
         let mut buffer = buffer();
         loop {
-            match receive(&self.socket, &mut buffer).await {
+            let (datagram, supplement) = receive_with_supplement(&self.socket, &mut buffer).await;
+            match datagram {
                 Datagram::Digest { from, summary, gateways } => {
-                    self.on_digest(from, summary, gateways).await;
+                    self.on_digest(from, summary, gateways, supplement).await;
                 }
                 Datagram::Report {
                     from,
@@ -160,6 +164,7 @@
         from: SocketAddr,
         summary: Summary,
         others: Vec<GatewayInfo>,
+        supplement: Supplement,
     ) {
         if from == self.own {
             return;
@@ -171,6 +176,7 @@
         self.state.merge_versions(&summary.ages, summary.rollout_revision);
         self.state.merge_suspects(&summary.suspects);
         self.state.merge_drains(&summary.draining);
+        self.state.merge_limits(&supplement.limits);
         self.state.merge_store_answers(&summary.store_answers);
         if let Some(evacuated) = summary.evacuated.clone() {
             self.state.apply_evacuations(evacuated, "gateway");
@@ -343,7 +349,8 @@
         let count = others.len().min(MAX_NAMED_GATEWAYS);
         let sampled = rand::seq::index::sample(&mut rand::rng(), others.len(), count);
         let gateways = self.state.gateway_infos(sampled.into_iter().map(|number| others[number]));
-        pack(&Datagram::Digest { from: self.own, summary: self.state.summary(), gateways })
+        let digest = Datagram::Digest { from: self.own, summary: self.state.summary(), gateways };
+        pack_digest(&digest, &Supplement { limits: self.state.limit_updates() })
     }
 }
 
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -9,6 +9,7 @@
 use cinderspoke_core::gateway::cold;
 use cinderspoke_core::gateway::directory::{Entry, Start};
 use cinderspoke_core::gateway::health::{Health, Observation};
+use cinderspoke_core::gateway::limit;
 use cinderspoke_core::gateway::load::Load;
 use cinderspoke_core::gateway::name::Endpoint;
 use cinderspoke_core::gateway::notice::{self, Run};
@@ -54,6 +55,9 @@
     // entry last listed, both in milliseconds.
     cold_until_ms: AtomicU64,
     listed_cold_ms: AtomicU64,
+    // Whether it named a limit, and whether its last statement of one could not be read.
+    limited: AtomicBool,
+    limit_invalid: AtomicBool,
     // Whether its agent was asked to report to this gateway.
     reports_here: AtomicBool,
     tracking: Mutex<Tracking>,
@@ -63,10 +67,16 @@
     /// Creates a target from its entry in the directory and from what the endpoint announced
     /// before its entry was removed and added again.
     #[must_use]
-    pub fn new(name: Endpoint, entry: &Entry, notices: &notice::Table) -> Self {
+    pub fn new(
+        name: Endpoint,
+        entry: &Entry,
+        notices: &notice::Table,
+        limits: &limit::Table,
+    ) -> Self {
         let (pool, start, run) = (Pool::new(entry.address), entry.start, Run::of(&name, entry));
         let draining = AtomicBool::new(notices.is_draining(run));
         let backoff_until_ms = AtomicU64::new(whole_millis(notices.backoff_until(run)));
+        let limit = limits.get(run).and_then(|statement| statement.limit);
         Self {
             name,
             pool,
@@ -76,6 +86,8 @@
             backoff_until_ms,
             cold_until_ms: AtomicU64::default(),
             listed_cold_ms: AtomicU64::default(),
+            limited: AtomicBool::new(limit.is_some()),
+            limit_invalid: AtomicBool::default(),
             reports_here: AtomicBool::new(true),
             tracking: Mutex::default(),
         }
@@ -125,6 +137,23 @@
         self.backoff_until_ms.fetch_max(whole_millis(until), Ordering::Relaxed);
     }
 
+    /// Sets whether the endpoint has a limit.
+    pub fn set_limited(&self, limited: bool) {
+        self.limited.store(limited, Ordering::Relaxed);
+    }
+
+    /// Returns whether the endpoint has a limit.
+    #[must_use]
+    pub fn is_limited(&self) -> bool {
+        self.limited.load(Ordering::Relaxed)
+    }
+
+    /// Records whether the endpoint's statement of its limit can be read; returns whether it is the
+    /// first after one that could be read.
+    pub fn record_limit_invalid(&self, invalid: bool) -> bool {
+        !self.limit_invalid.swap(invalid, Ordering::Relaxed) && invalid
+    }
+
     /// Sets whether its agent was asked to report to this gateway.
     pub fn set_reports_here(&self, reports: bool) {
         self.reports_here.store(reports, Ordering::Relaxed);
--- /dev/null
+++ b/tests/testsuite/digests.rs
@@ -0,0 +1,43 @@
+//! Digests between gateways of different builds.
+
+use cinderspoke::gateway::message::{Datagram, Summary, Supplement, pack, pack_digest, unpack};
+use cinderspoke_core::gateway::directory::{Entry, State};
+use cinderspoke_core::gateway::limit::Update;
+use cinderspoke_core::gateway::notice::Run;
+
+fn digest() -> Datagram {
+    let from = "10.0.0.1:7700".parse().unwrap();
+    let summary = Summary { configuration: 7, directory_hash: 9, ..Summary::default() };
+    Datagram::Digest { from, summary, gateways: Vec::new() }
+}
+
+fn supplement() -> Supplement {
+    let entry = Entry {
+        service: "svc".into(),
+        address: "10.0.0.2:80".parse().unwrap(),
+        zone: "a".into(),
+        slots: 4,
+        state: State::Ready,
+        cold: std::time::Duration::ZERO,
+        models: Vec::new(),
+        reports_models: false,
+        start: None,
+    };
+    let run = Run::of(&"e".into(), &entry);
+    let ago = std::time::Duration::from_millis(20).into();
+    Supplement { limits: vec![Update { run, limit: Some("1.5".parse().unwrap()), ago }] }
+}
+
+// Guards against gateways that cannot read each other's digests while a new build replaces an
+// old one. Digests are packed by position; a build without supplements reads the bytes before
+// them and leaves the rest.
+#[test]
+fn a_digest_is_understood_by_builds_with_and_without_its_supplement() {
+    let packed = pack_digest(&digest(), &supplement());
+    let by_old: Datagram = postcard::from_bytes(&packed).unwrap();
+    assert_eq!(format!("{by_old:?}"), format!("{:?}", digest()));
+    let (by_new, known) = unpack(&packed).unwrap();
+    assert_eq!((format!("{by_new:?}"), known), (format!("{:?}", digest()), supplement()));
+    let (_, none) = unpack(&pack(&digest())).unwrap();
+    assert_eq!(none, Supplement::default(), "an old build sends no supplement");
+}
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod health;
 mod lag;
 mod late_updates;
+mod limit;
 mod link;
 mod listing;
 mod load;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod commands;
 mod decisions;
+mod digests;
 mod examples;
 mod files;
 mod follow;
