Soak: endpoints that name, change and end limits, judged by what they get

`--limits` lays out limits of 0 to 200 a second at random endpoints; the stand-in's answers name them, and a new judge counts arrivals by gateway (Promise::Limit).

--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -52,6 +52,8 @@
 pub(crate) struct Notice {
     leaves: AtomicBool,
     rest: Mutex<Option<Duration>>,
+    // Requests a second that it accepts, if it says so.
+    limit: Mutex<Option<f64>>,
 }
 
 impl Notice {
@@ -65,6 +67,15 @@
         *self.rest.lock().unwrap_or_else(PoisonError::into_inner) = rest;
     }
 
+    /// Names a limit in all answers from now on; none with none.
+    pub(crate) fn set_limit(&self, per_s: Option<f64>) {
+        *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = per_s;
+    }
+
+    fn limit(&self) -> Option<f64> {
+        *self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn rest(&self) -> Option<Duration> {
         *self.rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -233,6 +244,9 @@
     if notice.leaves.load(Ordering::SeqCst) {
         request::set_draining(answer.headers_mut());
     }
+    if let Some(per_s) = notice.limit() {
+        request::set_limit(answer.headers_mut(), per_s);
+    }
     answer
 }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -43,6 +43,9 @@
 /// How many callers there are.
 const CALLERS: u64 = 12;
 
+/// The stream of random numbers from which limits are drawn, beyond those of all callers.
+const LIMITS_STREAM: u64 = 1 << 32;
+
 /// How often the player looks at what is due, and how often attempts are judged.
 const LOOK: Duration = Duration::from_millis(20);
 const LOOKS_TO_SETTLE: u32 = 50;
@@ -68,6 +71,8 @@
     pub(crate) fatal: bool,
     // Whether endpoints ask for rest, and say that they leave before the store knows it.
     pub(crate) notices: bool,
+    // Whether endpoints name limits of what they accept from all gateways together.
+    pub(crate) limits: bool,
     // Whether more is asked than engines can do, in requests of all sizes.
     pub(crate) sizes: bool,
     pub(crate) programs: PathBuf,
@@ -128,6 +133,10 @@
         random.set_stream(CALLERS + 2);
         steps.extend(plan::notices(&mut random, options.length));
     }
+    if options.limits {
+        random.set_stream(LIMITS_STREAM);
+        steps.extend(plan::limits(&mut random, options.length));
+    }
     let mut world =
         World::spawn(programs, out, options.gateways, options.engines, options.sizes).await?;
     let start = world.oracle.now();
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -8,6 +8,7 @@
 use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind, Whom};
 use cinderspoke_test_support::oracle::fatal;
 use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
+use cinderspoke_test_support::oracle::limit::Limits;
 use cinderspoke_test_support::oracle::notice::{Arrival, Notices};
 use cinderspoke_test_support::oracle::size;
 use tokio::time::Instant;
@@ -24,6 +25,7 @@
     // Callers with requests of all sizes.
     sized: Vec<size::Caller>,
     notices: Notices,
+    limits: Limits,
     breaches: Vec<Breach>,
     requests: u64,
     succeeded: u64,
@@ -121,6 +123,7 @@
                     Arrival { endpoint, gateway: attempt.gateway, sent: attempt.sent, came };
                 let disturbances = &state.facts.disturbances;
                 state.breaches.extend(state.notices.judge(arrival, &self.bounds, disturbances));
+                state.breaches.extend(state.limits.judge(arrival, &self.bounds, disturbances));
                 attempt.runs.push(run);
             }
             None => {
@@ -148,6 +151,18 @@
         self.lock().notices.leaves(endpoint, gateway, now);
     }
 
+    /// An endpoint names a limit from now on; none with none.
+    pub(crate) fn names_limit(&self, endpoint: &str, per_s: Option<f64>) {
+        let now = self.now();
+        self.lock().limits.names(endpoint, now, per_s);
+    }
+
+    /// A gateway has passed on an answer that names its endpoint's limit.
+    pub(crate) fn tells_limit(&self, endpoint: &str, gateway: usize) {
+        let now = self.now();
+        self.lock().limits.tells(endpoint, gateway, now);
+    }
+
     /// The request that ends endpoints reaches one.
     pub(crate) fn fatal(&self, arrival: fatal::Arrival) {
         self.lock().fatal.push(arrival);
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -37,7 +37,7 @@
 }
 
 /// Something that is done to the system.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Fault {
     /// Open connections on all links go silent for good.
     Silence(Links),
@@ -61,6 +61,8 @@
     Reload,
     /// An endpoint turns requests away for a time, and asks for so long a rest.
     Rest(Duration, Duration),
+    /// An endpoint names a limit in its answers for a time, in requests a second.
+    Limit(Duration, f64),
     News(News),
 }
 
@@ -100,6 +102,27 @@
 /// Milliseconds of a rest that an endpoint asks for.
 const REST: Range<u64> = 800..5000;
 
+/// Milliseconds between two limits that endpoints name, and for how long they do: often one names
+/// another before the first is over.
+const LIMITS: Range<u64> = 1500..6000;
+const LIMITED: Range<u64> = 5000..16_000;
+
+/// The limits that endpoints name, in requests a second: next to nothing up to more than they get.
+const PER_S: [f64; 6] = [0.0, 0.4, 1.5, 1.6, 5.0, 200.0];
+
+/// Lays out the limits that endpoints name during a soak.
+pub(crate) fn limits(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = FIRST;
+    while at < length {
+        let lasts = Duration::from_millis(random.random_range(LIMITED));
+        let per_s = PER_S[random.random_range(0..PER_S.len())];
+        steps.push(Step { at, fault: Fault::Limit(lasts, per_s), seed: random.random() });
+        at += Duration::from_millis(random.random_range(LIMITS));
+    }
+    steps
+}
+
 /// Lays out what endpoints say in their answers during a soak.
 pub(crate) fn notices(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
     let mut steps = Vec::new();
--- a/crates/bench/src/soak/player.rs
+++ b/crates/bench/src/soak/player.rs
@@ -1,6 +1,6 @@
 //! Plays the plan: each fault begins at its time, and what it needs later is due then.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,6 +46,8 @@
     Tell(Box<Endpoint>),
     /// An endpoint takes requests again.
     Rested(Arc<Notice>),
+    /// An endpoint names no limit any more, unless it has named another one since.
+    Unlimited(String, Arc<Notice>, usize),
     /// A link is well again.
     Mend(Arc<Proxy>, usize),
     /// The store is well again.
@@ -68,6 +70,8 @@
     due: Vec<(Duration, Due)>,
     // Programs at which something is done.
     struck: HashSet<usize>,
+    // The number of the fault with which each endpoint last named a limit.
+    limited: HashMap<String, usize>,
     // Whether the store misbehaves.
     moody: bool,
     pub(crate) faults: usize,
@@ -80,7 +84,14 @@
             .into_iter()
             .map(|Step { at, fault, seed }| (start + at, Due::Strike(fault, seed)));
         let random = ChaCha8Rng::seed_from_u64(0);
-        Self { random, due: due.collect(), struck: HashSet::new(), moody: false, faults: 0 }
+        Self {
+            random,
+            due: due.collect(),
+            struck: HashSet::new(),
+            limited: HashMap::new(),
+            moody: false,
+            faults: 0,
+        }
     }
 
     /// Does what is due; tells what was struck.
@@ -117,6 +128,12 @@
             Due::End(endpoint) => endpoint.end(),
             Due::Tell(endpoint) => self.tell_of(world, endpoint),
             Due::Rested(notice) => notice.set_rest(None),
+            Due::Unlimited(name, notice, number) => {
+                if self.limited.get(&name) == Some(&number) {
+                    notice.set_limit(None);
+                    world.oracle.names_limit(&name, None);
+                }
+            }
             Due::Mend(link, number) => {
                 link.delay(Duration::ZERO);
                 link.cut(None);
@@ -196,6 +213,16 @@
                 self.later(world, length, Due::Rested(notice));
                 return Ok(Some(name));
             }
+            Fault::Limit(length, per_s) => {
+                let number = self.random.random_range(0..world.endpoints.len());
+                let endpoint = &world.endpoints[number];
+                let (name, notice) = (endpoint.name.clone(), Arc::clone(&endpoint.notice));
+                notice.set_limit(Some(per_s));
+                world.oracle.names_limit(&name, Some(per_s));
+                self.limited.insert(name.clone(), self.faults);
+                self.later(world, length, Due::Unlimited(name.clone(), notice, self.faults));
+                return Ok(Some(name));
+            }
             Fault::News(news) => return self.tell(world, news).await.map(Some),
         }
         Ok(Some(all))
--- a/crates/bench/tests/testsuite/judge.rs
+++ b/crates/bench/tests/testsuite/judge.rs
@@ -6,6 +6,7 @@
 use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind as Fault, Whom};
 use cinderspoke_test_support::oracle::fatal::{self, Arrival};
 use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
+use cinderspoke_test_support::oracle::limit::Limits;
 use cinderspoke_test_support::oracle::notice::{self, Notices};
 use cinderspoke_test_support::oracle::size;
 
@@ -345,3 +346,54 @@
     assert!(!unfair(&sized(|prompt| prompt <= 900)).is_empty());
     assert!(unfair(&sized(|prompt| prompt <= 900)[800..]).is_empty());
 }
+
+/// What is broken by requests of two gateways in turn at an endpoint that names a limit at 10 s
+/// and tells both at 10.1 s.
+fn beside_limit(
+    per_s: &[(f64, Option<f64>)],
+    came: impl IntoIterator<Item = f64>,
+    disturbances: &[Disturbance],
+) -> Vec<bool> {
+    let mut limits = Limits::default();
+    for (from, per_s) in per_s {
+        limits.names("e1", at(*from), *per_s);
+    }
+    [0, 1].iter().for_each(|gateway| limits.tells("e1", *gateway, at(10.1)));
+    let arrival = |(number, came): (usize, f64)| notice::Arrival {
+        endpoint: "e1",
+        gateway: number % 2,
+        sent: at(came),
+        came: at(came),
+    };
+    let arrivals = came.into_iter().enumerate().map(arrival);
+    let judged = arrivals.filter_map(|arrival| limits.judge(arrival, &BOUNDS, disturbances));
+    judged.map(|breach| breach.excused).collect()
+}
+
+/// Times every so often, from a time on.
+fn every(interval: f64, from: f64, count: usize) -> impl Iterator<Item = f64> {
+    (0..count).map(move |number| from + interval * number as f64)
+}
+
+#[test]
+fn an_endpoint_gets_no_more_than_it_accepts_from_all_gateways_together() {
+    let limit = [(10.0, Some(1.5))];
+    assert!(beside_limit(&limit, every(0.1, 5.0, 70), &[]).is_empty(), "it has to be known first");
+    assert!(beside_limit(&limit, every(0.3, 14.0, 50), &[]).is_empty(), "14 in 4 s are allowed");
+    assert_eq!(beside_limit(&limit, every(0.1, 14.0, 15), &[]), [false]);
+    assert_eq!(beside_limit(&limit, every(0.1, 14.0, 100), &[]).len(), 3, "one in each window");
+    let killed = struck(Fault::Kill, Whom::Gateway(1), 9.0, Some(10.0));
+    assert_eq!(beside_limit(&limit, every(0.1, 14.0, 15), &[killed]), [true]);
+    let killed = struck(Fault::Kill, Whom::Gateway(1), 2.0, Some(3.0));
+    assert_eq!(beside_limit(&limit, every(0.1, 14.0, 15), &[killed]), [false]);
+}
+
+#[test]
+fn a_limit_holds_until_it_ends_and_the_higher_one_while_it_changes() {
+    let ended = [(10.0, Some(1.5)), (20.0, None)];
+    assert_eq!(beside_limit(&ended, every(0.1, 16.0, 20), &[]), [false]);
+    assert!(beside_limit(&ended, every(0.1, 20.0, 50), &[]).is_empty());
+    let lowered = [(10.0, Some(5.0)), (20.0, Some(0.0))];
+    assert!(beside_limit(&lowered, every(0.12, 17.0, 30), &[]).is_empty(), "35 were allowed");
+    assert_eq!(beside_limit(&lowered, every(0.12, 26.0, 30), &[]), [false], "5 are now");
+}
--- a/crates/bench/tests/testsuite/soak.rs
+++ b/crates/bench/tests/testsuite/soak.rs
@@ -137,3 +137,14 @@
     assert!(!soak.wait().unwrap().success());
     until(|| TcpStream::connect(ready.unwrap()).is_err());
 }
+
+// Endpoints name how many requests a second they accept from all gateways together; where nothing
+// heeds that, they get too many 12 to 15 times in 40 s.
+#[test]
+fn the_limits_that_endpoints_name_are_kept_while_things_go_wrong() {
+    let (output, summary) = played(command("1", "20").args(["--limits", "--gateways", "4"]));
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(summary["unexplained"], 0, "{summary}\n{told}");
+    assert!(told.contains("Limit("), "{told}");
+    assert!(summary["requests"].as_u64().unwrap() > 0, "{summary}");
+}
--- a/crates/test-support/src/oracle/judge.rs
+++ b/crates/test-support/src/oracle/judge.rs
@@ -52,6 +52,8 @@
     Rest,
     /// Large requests are served about as often as others.
     Sizes,
+    /// An endpoint gets no more from all gateways together than it says it accepts.
+    Limit,
 }
 
 /// A promise that was not kept.
--- a/crates/test-support/src/oracle/mod.rs
+++ b/crates/test-support/src/oracle/mod.rs
@@ -3,12 +3,14 @@
 //! - [`attempt`]: a request as its caller and endpoints have seen it.
 //! - [`disturbance`]: what a fault suspends, decided once for each kind of fault.
 //! - [`judge`]: what is broken by an attempt; [`fatal`] by a request that ends endpoints,
-//!   [`notice`] by those that pass over what endpoints say, [`size`] by all callers together.
+//!   [`notice`] by those that pass over what endpoints say, [`limit`] by all gateways together that
+//!   exceed what an endpoint accepts, [`size`] by all callers together.
 //!   Pure, so that tests need no processes.
 
 pub mod attempt;
 pub mod disturbance;
 pub mod fatal;
 pub mod judge;
+pub mod limit;
 pub mod notice;
 pub mod size;
