Large configurations: the processor time of each stage is measured

Histogram cinderspoke_configuration_stage_seconds by stage, of the thread's own processor time, so that a busy machine does not show as work. The page test searches the sources of the ports as well, which write this metric. No decision changes.

--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 pub mod gateway;
 pub mod http;
+pub mod work;
 
 use std::ops::Range;
 use std::time::Duration;
--- a/src/cinderspoke/gateway/region.rs
+++ b/src/cinderspoke/gateway/region.rs
@@ -10,6 +10,8 @@
 use cinderspoke_core::gateway::name::Region;
 use cinderspoke_core::gateway::region::{Announcement, Role, Step, Table, Tag};
 
+use cinderspoke_ports::work::{Stage, measured};
+
 use super::message::{Configuration, GatewayInfo, Summary};
 use super::state::State;
 
@@ -177,10 +179,10 @@
         let revision = inner.configuration.revision;
         let before = inner.replaced.iter().find(|replaced| replaced.hash() == base).cloned();
         drop(inner);
-        let update = match before {
+        let update = measured(Stage::Pack, || match before {
             Some(before) => Configuration::Changed(Difference::between(&before, &catalog)),
             None => Configuration::Whole(catalog.declared().clone()),
-        };
+        });
         Some(Fact::new(revision, update))
     }
 
@@ -192,11 +194,11 @@
     pub fn apply_configuration_update(&self, fact: Fact<Configuration>) -> Result<(), ApplyError> {
         let Fact { revision, value } = fact;
         let catalog = match value {
-            Configuration::Whole(declared) => Catalog::from(declared),
+            Configuration::Whole(declared) => measured(Stage::Apply, || Catalog::from(declared)),
             Configuration::Changed(difference) => {
                 let before =
                     self.lock().configuration.value.clone().ok_or(ApplyError::BaseMismatch)?;
-                difference.apply(&before)?
+                measured(Stage::Apply, || difference.apply(&before))?
             }
         };
         self.apply_catalog(Fact::new(revision, catalog), "gateway");
--- a/src/cinderspoke/gateway/state.rs
+++ b/src/cinderspoke/gateway/state.rs
@@ -19,6 +19,7 @@
 use cinderspoke_core::gateway::region;
 use cinderspoke_core::rendezvous::Key;
 use cinderspoke_core::swarm::Distance;
+use cinderspoke_ports::work::{Stage, measured};
 use cinderspoke_schema::settings;
 
 use super::inner::Inner;
@@ -200,7 +201,8 @@
         if !self.lock().is_newer(fact.value.version) {
             return false;
         }
-        self.apply_catalog(Fact::new(fact.revision, fact.value.into()), from)
+        let catalog = measured(Stage::Index, || fact.value.into());
+        self.apply_catalog(Fact::new(fact.revision, catalog), from)
     }
 
     /// Applies an indexed configuration, if it is newer than the one in force.
--- a/tests/testsuite/operations.rs
+++ b/tests/testsuite/operations.rs
@@ -26,7 +26,8 @@
     // The names of the size classes in the request log.
     let size_classes =
         std::fs::read_to_string(root.join("crates/core/src/gateway/size.rs")).unwrap();
-    let written = sources(&root.join("src")) + &sources(&root.join("platform/src")) + &size_classes;
+    let written = ["src", "platform/src", "crates/ports/src"].map(|part| sources(&root.join(part)));
+    let written = written.concat() + &size_classes;
     let quoted = quoted(&page);
     assert!(quoted.len() > 60, "the page was read");
     for part in quoted {
