Reading the change as a newcomer: constants first, and a request's own send is not counted as held back

The field and counter of endpoints that a limit left out were taken after the request had used up the share itself, so that each send to a limited endpoint counted as held back too. Taken before now. Otherwise order and comments.

--- a/crates/core/src/gateway/quota.rs
+++ b/crates/core/src/gateway/quota.rs
@@ -27,11 +27,16 @@
 /// as well when the budget has to hold for the first time, some three seconds later.
 const PAUSE: Duration = Duration::from_secs(3);
 
-/// A share of so many times what was sent before within a window is no restriction, and begins
-/// full; and the least requests of such a share.
+/// A share is no restriction, and begins full, if it exceeds this many times what the gateway sent
+/// before within a window, by [`AMPLE_LEAST`] requests at least.
 const AMPLE_FACTOR: f64 = 2.0;
+
+/// See [`AMPLE_FACTOR`], in requests within a window.
 const AMPLE_LEAST: f64 = 4.0;
 
+/// How long sends are remembered: as long as the longest window of a bound.
+const SENDS_KEPT: Duration = Duration::from_secs(4);
+
 /// Part of a request's worth that less urgent requests leave in a bucket.
 pub const URGENT_RESERVE: f64 = 0.25;
 
@@ -130,9 +135,6 @@
 #[derive(Debug, Default)]
 pub struct Sends(VecDeque<Duration>);
 
-/// How long sends are remembered: as long as the longest window of a bound.
-const SENDS_KEPT: Duration = Duration::from_secs(4);
-
 impl Sends {
     /// Records a request sent now.
     pub fn add(&mut self, now: Duration) {
@@ -161,7 +163,7 @@
 }
 
 /// What a gateway has saved up of its share.
-// Invariant: `tokens` is at most the burst of `share` and `URGENT_RESERVE`.
+// Invariant: `tokens` is at most the burst of `share` plus `URGENT_RESERVE`.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Bucket {
     tokens: f64,
--- a/crates/ports/src/work.rs
+++ b/crates/ports/src/work.rs
@@ -11,6 +11,10 @@
 /// Histogram: processor time of a stage of the work on configurations, in seconds.
 pub const CONFIGURATION_STAGE: &str = "cinderspoke_configuration_stage_seconds";
 
+/// The size of data, in bytes, from which on work on it does not run on the thread of the caller:
+/// about a millisecond of work.
+const LARGE: usize = 16 << 10;
+
 /// A stage of the work on configurations.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -53,10 +57,6 @@
     done
 }
 
-/// The size of data, in bytes, from which on work on it does not run on the thread of the caller:
-/// about a millisecond of work.
-const LARGE: usize = 16 << 10;
-
 /// Does work on data of a size in bytes, away from the thread that serves requests if the data is
 /// large: everything on that thread would stand still meanwhile.
 ///
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -122,6 +122,7 @@
             };
             record.set_queried(search.queried());
             let selector = self.selector(context, parsed, &view, scope);
+            let limited = selector.count_limited(members);
             return match choice {
                 Choice::Send { number, .. } if !selector.claim(&members[number]) => {
                     // Another request has just used up what the endpoint may be sent.
@@ -129,7 +130,7 @@
                 }
                 Choice::Send { number, ttft } => {
                     let target = Arc::clone(&members[number].target);
-                    record.add_limited(selector.count_limited(members));
+                    record.add_limited(limited);
                     let reservation = release_others(reservations, Some(&target), context);
                     let member = eligible.iter().find(|member| member.candidate.number == number);
                     let version = member.and_then(|member| member.version);
@@ -153,7 +154,7 @@
                 Choice::Refuse { retry_after, best } => {
                     release_others(reservations, None, context);
                     let excluded = selector.excluded(members);
-                    record.add_limited(excluded.limited);
+                    record.add_limited(limited);
                     record.no_endpoint(Unavailable {
                         members: members.len(),
                         excluded,
