--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -195,7 +195,7 @@
                 shared.oracle.says_that_it_leaves(endpoint, gateway);
             }
             if let Some(endpoint) = signed_by(&headers).filter(|_| names_limit(&headers)) {
-                shared.oracle.tells_limit(endpoint, gateway);
+                shared.oracle.informs_of_limit(endpoint, gateway);
             }
             told = retry_after(&headers);
             checked(&id, &path, status, &headers, &body)
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -158,9 +158,9 @@
     }
 
     /// A gateway has passed on an answer that names its endpoint's limit.
-    pub(crate) fn tells_limit(&self, endpoint: &str, gateway: usize) {
+    pub(crate) fn informs_of_limit(&self, endpoint: &str, gateway: usize) {
         let now = self.now();
-        self.lock().limits.tells(endpoint, gateway, now);
+        self.lock().limits.informs(endpoint, gateway, now);
     }
 
     /// The request that ends endpoints reaches one.
--- a/crates/bench/tests/testsuite/judge.rs
+++ b/crates/bench/tests/testsuite/judge.rs
@@ -348,7 +348,7 @@
 }
 
 /// What is broken by requests of two gateways in turn at an endpoint that names a limit at 10 s
-/// and tells both at 10.1 s.
+/// and has informed both at 10.1 s.
 fn beside_limit(
     per_s: &[(f64, Option<f64>)],
     came: impl IntoIterator<Item = f64>,
@@ -358,7 +358,7 @@
     for (from, per_s) in per_s {
         limits.names("e1", at(*from), *per_s);
     }
-    [0, 1].iter().for_each(|gateway| limits.tells("e1", *gateway, at(10.1)));
+    [0, 1].iter().for_each(|gateway| limits.informs("e1", *gateway, at(10.1)));
     let arrival = |(number, came): (usize, f64)| notice::Arrival {
         endpoint: "e1",
         gateway: number % 2,
--- a/crates/test-support/src/oracle/limit.rs
+++ b/crates/test-support/src/oracle/limit.rs
@@ -40,9 +40,9 @@
 struct Endpoint {
     named: Vec<Named>,
     // Since when each gateway has passed on answers that name the present limits.
-    told: HashMap<usize, Duration>,
+    informed: HashMap<usize, Duration>,
     came: Vec<Came>,
-    // When it last got too many: a breach is told once in a window.
+    // When it last got too many: a breach is reported once in a window.
     last: Option<Duration>,
 }
 
@@ -56,15 +56,15 @@
         let endpoint = self.0.entry(endpoint.to_owned()).or_default();
         let had = endpoint.named.last().is_some_and(|named| named.per_s.is_some());
         if !had {
-            endpoint.told.clear();
+            endpoint.informed.clear();
         }
         endpoint.named.push(Named { at, per_s });
     }
 
     /// A gateway has passed on an answer that names its endpoint's limit.
-    pub fn tells(&mut self, endpoint: &str, gateway: usize, at: Duration) {
+    pub fn informs(&mut self, endpoint: &str, gateway: usize, at: Duration) {
         if let Some(endpoint) = self.0.get_mut(endpoint) {
-            endpoint.told.entry(gateway).or_insert(at);
+            endpoint.informed.entry(gateway).or_insert(at);
         }
     }
 
@@ -83,11 +83,14 @@
         if endpoint.last.is_some_and(|last| last + COUNTED > came) {
             return None;
         }
-        let told = |gateway: usize| {
-            endpoint.told.get(&gateway).is_some_and(|told| *told + PASSED_ON <= came)
+        let is_informed = |gateway: usize| {
+            endpoint.informed.get(&gateway).is_some_and(|since| *since + PASSED_ON <= came)
         };
-        let counted: Vec<_> =
-            endpoint.came.iter().filter(|one| one.at >= since && told(one.gateway)).collect();
+        let counted: Vec<_> = endpoint
+            .came
+            .iter()
+            .filter(|one| one.at >= since && is_informed(one.gateway))
+            .collect();
         if counted.len() <= allowed {
             return None;
         }
@@ -99,7 +102,7 @@
         let undisturbed = counted.iter().filter(|one| !excused(one)).count();
         endpoint.last = Some(came);
         let what = format!(
-            "{name} got {} requests in 4 s from gateways that it had told its limit, {undisturbed} of \
+            "{name} got {} requests in 4 s from gateways that knew its limit, {undisturbed} of \
              them from undisturbed ones; allowed {allowed}",
             counted.len()
         );
--- a/src/cinderspoke/gateway/state.rs
+++ b/src/cinderspoke/gateway/state.rs
@@ -383,7 +383,7 @@
         !known
     }
 
-    /// Whether this gateway knows what others know: it has heard from one of them, or there is
+    /// Whether this gateway knows what others know: it has received a message of one of them, or there is
     /// presumably none.
     #[must_use]
     pub fn is_informed(&self) -> bool {
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -144,7 +144,7 @@
         self.backoff_until_ms.fetch_max(whole_millis(until), Ordering::Relaxed);
     }
 
-    /// Applies what an answer said of the endpoint's limit. `is_settled` tells whether gateways
+    /// Applies what an answer said of the endpoint's limit. `is_settled` is whether gateways
     /// have known each other for a while.
     pub fn apply_limit(&self, statement: Statement, is_settled: bool, now: Duration) {
         let mut tracking = self.tracking();
