Which members may get a request is a module of its own; one rule of rank, one record of sends

The rank of a gateway and the recent sends stood twice, for cold engines and in `quota`.

Tests of cold, quota (9) and of limits, reservations and zones on real gateways (23) pass as before. No decision changes: the window of cold engines still counts the sends of 1.1 s, of a record of 4 s.

Conclusion: moved and joined, for the reader only. Ruled out: an adapter that decides; its sizes only say what is offloaded, the threshold is in the ports.

--- a/crates/core/src/gateway/cold.rs
+++ b/crates/core/src/gateway/cold.rs
@@ -7,10 +7,10 @@
 //! more until the remainder is used up. If a gateway counts others that no longer live, the
 //! shares are too small, which does no harm.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::rendezvous::{Key, weight};
+use super::quota::Fleet;
+use crate::rendezvous::Key;
 
 /// Fraction of the limit that is shared out. Requests sent within one second may arrive within
 /// less than a second, which could exceed the full limit at the endpoint.
@@ -18,7 +18,7 @@
 
 /// Window over which the requests to an endpoint are counted: slightly longer than the one
 /// second of the limit, since transit times differ between requests.
-const WINDOW: Duration = Duration::from_millis(1100);
+pub const WINDOW: Duration = Duration::from_millis(1100);
 
 /// The limit of requests that all gateways together may send to one cold endpoint within a
 /// second.
@@ -48,33 +48,7 @@
     #[must_use]
     pub fn share(self, endpoint: Key, own: Key, others: &[Key]) -> usize {
         let (all, count) = ((self.0 * SHARED_FRACTION).max(0.0) as usize, others.len() + 1);
-        let rank = |gateway: Key| (weight(endpoint, gateway), gateway);
-        let before = || others.iter().filter(|other| rank(**other) > rank(own)).count();
-        all / count + usize::from(!all.is_multiple_of(count) && before() < all % count)
-    }
-}
-
-/// The recent requests from this gateway to one endpoint, by the time at which they were sent.
-// Invariant: sorted by time, oldest first.
-#[derive(Debug, Default)]
-pub struct Sends(VecDeque<Duration>);
-
-impl Sends {
-    /// Records a request sent now.
-    pub fn add(&mut self, now: Duration) {
-        self.forget(now);
-        self.0.push_back(now);
-    }
-
-    /// The number of requests sent within the window that ends now.
-    #[must_use]
-    pub fn count(&self, now: Duration) -> usize {
-        self.0.iter().filter(|sent| **sent + WINDOW > now).count()
-    }
-
-    fn forget(&mut self, now: Duration) {
-        while self.0.front().is_some_and(|sent| *sent + WINDOW <= now) {
-            self.0.pop_front();
-        }
+        let rank = || Fleet::new(endpoint, own, others).rank;
+        all / count + usize::from(!all.is_multiple_of(count) && rank() < all % count)
     }
 }
--- a/crates/core/src/gateway/quota.rs
+++ b/crates/core/src/gateway/quota.rs
@@ -34,7 +34,7 @@
 /// See [`AMPLE_FACTOR`], in requests within a window.
 const AMPLE_LEAST: f64 = 4.0;
 
-/// How long sends are remembered: as long as the longest window of a bound.
+/// How long sends are remembered: as long as the longest window in which any are counted.
 const SENDS_KEPT: Duration = Duration::from_secs(4);
 
 /// Part of a request's worth that less urgent requests leave in a bucket.
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod choose;
 pub mod context;
 pub mod crash;
+pub mod eligible;
 pub mod facts;
 pub mod fetch_log;
 pub mod follow;
--- a/src/cinderspoke/gateway/target.rs
+++ b/src/cinderspoke/gateway/target.rs
@@ -6,7 +6,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cinderspoke_core::gateway::cold;
 use cinderspoke_core::gateway::directory::{Entry, Start};
 use cinderspoke_core::gateway::health::{Health, Observation};
 use cinderspoke_core::gateway::limit::{self, Statement};
@@ -32,10 +31,8 @@
     pub health: Health,
     /// Until when it gets no requests after it refused one, by the gateway's clock.
     pub paused_until: Duration,
-    /// The recent sends, counted against the limit of a cold endpoint.
-    pub sends: cold::Sends,
-    /// The recent sends, counted when a limit begins.
-    pub recent: quota::Sends,
+    /// The recent sends, counted against the limit of a cold endpoint and when a limit begins.
+    pub sends: quota::Sends,
     /// What may be sent by the limit that the endpoint named.
     pub limit: limit::Budget,
 }
@@ -148,7 +145,7 @@
     /// have known each other for a while.
     pub fn apply_limit(&self, statement: Statement, is_settled: bool, now: Duration) {
         let mut tracking = self.tracking();
-        let sent = tracking.recent.count(limit::WINDOW, now);
+        let sent = tracking.sends.count(limit::WINDOW, now);
         tracking.limit.apply(statement, quota::Start { at: now, sent, is_settled });
         self.limited.store(tracking.limit.is_limited(), Ordering::Relaxed);
     }
--- a/tests/testsuite/gateway/cold.rs
+++ b/tests/testsuite/gateway/cold.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cinderspoke_core::gateway::cold::{Bound, Options, Sends};
+use cinderspoke_core::gateway::cold::{Bound, Options, WINDOW};
+use cinderspoke_core::gateway::quota::Sends;
 use cinderspoke_core::rendezvous::Key;
 use yare::parameterized;
 
@@ -58,7 +59,7 @@
     let mut arrived: Vec<Duration> = Vec::new();
     for now in (0..5000).map(ms) {
         for (sends, share) in sends.iter_mut().zip(&shares) {
-            if sends.count(now) < *share {
+            if sends.count(WINDOW, now) < *share {
                 sends.add(now);
                 arrived.push(now + ms(now.as_millis() as u64 % 7));
             }
