--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -13,16 +13,16 @@
 //!   agents need to know of their service, and [`outstanding`] sends agents the changes of the
 //!   outstanding requests at their engines.
 //! - [`versions`] records which model versions are named and since when, [`zones`] which
-//!   availability zones are evacuated and which endpoints are cold, and [`notices`] what
-//!   endpoints announce in their answers.
+//!   availability zones are evacuated and which endpoints are cold, [`notices`] what endpoints
+//!   announce in their answers, and [`limits`] what they accept from all gateways together.
 //!
 //! Requests:
 //!
 //! - [`serve`] accepts requests and reads each [`head`] within a time limit, and [`forward`]
-//!   sends them to endpoints: [`parse`] reads the request, [`choose`] selects an endpoint, under
-//!   load after a [`query`] to the agents, [`send`] sends over the connections of a [`pool`],
-//!   each a [`socket`], and [`answer`] reads the response. A request that no endpoint answers
-//!   gets a [`refusal`].
+//!   sends them to endpoints: [`parse`] reads the request, [`choose`] selects one of the
+//!   [`eligible`] endpoints, under load after a [`query`] to the agents, [`send`] sends over the
+//!   connections of a [`pool`], each a [`socket`], and [`answer`] reads the response. A request
+//!   that no endpoint answers gets a [`refusal`].
 //! - [`stream`] reads an answer that consists of events; [`passthrough`] passes it on and lets
 //!   another endpoint resume it.
 //! - [`crash`] detects that an endpoint ended during a request, [`suspects`] tracks the requests
