Parts of prompts that crash endpoints are quarantined by all gateways

Cause: a quarantine knew whole requests only; requests with one fatal part and nothing else alike were each judged by themselves.

Now one table of suspects knows both: the request, and each part of its prompt but the last. Evidence is a chain of three ends, each request sent after the end before it, without a whole answer since at any gateway; an end that a quarantined part explains counts for no other. Ends and answers are gossiped behind the digest, which an old build leaves unread; the store keeps parts beside requests. A request is checked again at the moment of its send, after it has waited for an endpoint and a connection.

--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -5,7 +5,7 @@
 
 use cinderspoke_core::gateway::fingerprint::{Fingerprint, Identity};
 use cinderspoke_core::gateway::name::Request;
-use cinderspoke_core::gateway::suspect::{Change, Crash};
+use cinderspoke_core::gateway::suspect::{Crash, Subject};
 
 use super::context::Context;
 use super::parse::Parsed;
@@ -18,6 +18,13 @@
         *self.fingerprint.get_or_init(|| self.to_fingerprint())
     }
 
+    /// Returns what a crash of an endpoint that runs the request may be attributed to: the request,
+    /// and the parts of its prompt that others may share.
+    #[must_use]
+    pub fn subjects(&self) -> Vec<Subject> {
+        Subject::of(self.fingerprint(), &self.call)
+    }
+
     fn to_fingerprint(&self) -> Fingerprint {
         let key = self.call.key.as_deref().unwrap_or_default();
         Fingerprint::of(&Identity {
@@ -41,6 +48,7 @@
     target: Arc<Target>,
     request: Request,
     fingerprint: Fingerprint,
+    subjects: Vec<Subject>,
     // When the request was sent and the connection broke off, by the gateway's clock.
     sent: Duration,
     disconnected: Duration,
@@ -62,10 +70,11 @@
         target: Arc::clone(target),
         request: parsed.call.id.clone(),
         fingerprint: parsed.fingerprint(),
+        subjects: parsed.subjects(),
         sent,
         disconnected: context.clock.now(),
     };
-    let is_suspected = context.state.suspects().is_suspected(broken.fingerprint);
+    let is_suspected = context.state.suspects().is_suspected(&broken.subjects);
     let investigation = tokio::spawn(async move {
         if broken.has_crashed().await {
             broken.record_crash();
@@ -95,13 +104,16 @@
             sent: self.sent,
             disconnected: self.disconnected,
         };
-        let change = self.context.state.record_crash(self.fingerprint, &crash);
+        let changes = self.context.state.record_crash(&self.subjects, &crash);
+        let parts = self.subjects.iter().filter_map(|subject| subject.part());
+        let parts: Vec<_> = parts.map(|part| part.to_string()).collect();
         tracing::info!(
             id = %self.request,
             endpoint = %self.target.name,
             fingerprint = %self.fingerprint,
             after_ms = self.disconnected.saturating_sub(self.sent).as_millis() as u64,
-            held = change == Change::Quarantined,
+            parts = parts.join(","),
+            held = !changes.quarantined.is_empty(),
             "endpoint crashed while it ran a request"
         );
     }
--- a/src/cinderspoke/gateway/facts.rs
+++ b/src/cinderspoke/gateway/facts.rs
@@ -197,7 +197,7 @@
             fetch_log::completed("gateway", &from.to_string(), version, &progress);
         }
         self.discover(facts.gateways.clone()).await;
-        self.state.merge_suspects(&facts.suspects);
+        self.state.merge_suspects(&facts.suspects, &[]);
         Ok(facts)
     }
 
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -5,6 +5,7 @@
 
 use cinderspoke_core::gateway::attempt::{Guarantee, Next, Outcome};
 use cinderspoke_core::gateway::name::Request as Id;
+use cinderspoke_core::gateway::suspect::Subject;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -17,6 +18,7 @@
 use super::passthrough;
 use super::record::Record;
 use super::refusal::{Body, RETRY_AFTER, Refusal, full};
+use super::suspects::Quarantined;
 
 /// Minimum remaining time for another attempt: an endpoint can do nothing in less.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(25);
@@ -66,9 +68,9 @@
     context.record_demand(&parsed.service, parsed.priority);
     let mut attempts = Attempts::default();
     let (stopped, retry_after) = loop {
-        if let Some(left) = context.quarantine_left(&parsed) {
-            record.quarantined(parsed.fingerprint());
-            break (Stopped::Quarantined, left);
+        if let Some(Quarantined { subject, left }) = context.quarantine(&parsed) {
+            record.quarantined(subject, parsed.fingerprint());
+            break (Stopped::Quarantined(subject), left);
         }
         let selected = match attempts.choose(context, &parsed, &mut record).await {
             Ok(selected) => selected,
@@ -118,15 +120,20 @@
 enum Stopped {
     /// No endpoint can take it, or it may not be sent again.
     NoEndpoint,
-    /// It is quarantined because endpoints crashed while they ran it.
-    Quarantined,
+    /// It, or a part of its prompt, is quarantined because endpoints crashed while they ran it.
+    Quarantined(Subject),
 }
 
 impl Stopped {
     const fn as_str(self) -> &'static str {
         match self {
             Self::NoEndpoint => "no endpoint can take the request now",
-            Self::Quarantined => "endpoints ended when they began this request",
+            Self::Quarantined(Subject::Request(_)) => {
+                "endpoints ended when they began this request"
+            }
+            Self::Quarantined(Subject::Part(_)) => {
+                "endpoints ended when they began requests with a part of this prompt"
+            }
         }
     }
 }
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -12,6 +12,7 @@
 use cinderspoke_core::gateway::difference::Difference;
 use cinderspoke_core::gateway::directory::Directory;
 use cinderspoke_core::gateway::fact::{Fact, Revision};
+use cinderspoke_core::gateway::fingerprint::Fingerprint;
 use cinderspoke_core::gateway::limit;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Region, Service, Zone};
@@ -19,10 +20,11 @@
 use cinderspoke_core::gateway::outage::Ago;
 use cinderspoke_core::gateway::region::{self, Announcement};
 use cinderspoke_core::gateway::rollout::Rollout;
-use cinderspoke_core::gateway::suspect::Update;
+use cinderspoke_core::gateway::suspect::{Part, Update};
 use cinderspoke_core::gateway::tally::Outstanding;
 use cinderspoke_core::gateway::timeline::Ages;
 use cinderspoke_core::rendezvous::Key;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -55,7 +57,7 @@
     /// How long ago the store is known to have answered any gateway, newest answer first.
     pub store_answers: Vec<Ago>,
     /// Updates on requests during which endpoints ended.
-    pub suspects: Vec<Update>,
+    pub suspects: Vec<Update<Fingerprint>>,
     /// Endpoints that announced that they are draining.
     pub draining: Vec<notice::Update>,
 }
@@ -189,7 +191,7 @@
     /// Other gateways.
     pub gateways: Vec<GatewayInfo>,
     /// Updates on requests during which endpoints ended.
-    pub suspects: Vec<Update>,
+    pub suspects: Vec<Update<Fingerprint>>,
 }
 
 /// An engine of a service, as agents see it.
@@ -232,10 +234,28 @@
 /// What follows a packed [`Datagram::Digest`] in its datagram. A build that does not know it stops
 /// reading before it, and a datagram without it has none of this.
 // Invariant: new fields are added at the end, and only read where bytes are left.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Supplement {
     /// What endpoints said of their limits.
     pub limits: Vec<limit::Update>,
+    /// Updates on parts of prompts during which endpoints ended.
+    pub parts: Vec<Update<Part>>,
+}
+
+impl Supplement {
+    /// Unpacks a supplement, which may be that of a build which knows fewer fields.
+    fn unpack(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (limits, rest) = unpack_field(bytes)?;
+        let (parts, _) = unpack_field(rest)?;
+        Ok(Self { limits, parts })
+    }
+}
+
+/// Unpacks a field and returns what follows it; the default where no bytes are left.
+fn unpack_field<T: Default + DeserializeOwned>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), postcard::Error> {
+    if bytes.is_empty() { Ok((T::default(), bytes)) } else { postcard::take_from_bytes(bytes) }
 }
 
 /// Packs a digest with its supplement.
@@ -253,9 +273,7 @@
 /// When the bytes are no datagram of this build.
 pub fn unpack(bytes: &[u8]) -> Result<(Datagram, Supplement), postcard::Error> {
     let (datagram, rest) = postcard::take_from_bytes(bytes)?;
-    let supplement =
-        if rest.is_empty() { Supplement::default() } else { postcard::from_bytes(rest)? };
-    Ok((datagram, supplement))
+    Ok((datagram, Supplement::unpack(rest)?))
 }
 
 /// Packs a message.
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -150,7 +150,7 @@
             let resumable = self.parsed.route.kind.repeatable();
             let time_left = !self.parsed.deadline.is_over();
             let next = self.attempts.history.next(resumable, self.parsed.route.attempts, time_left);
-            if next != Next::Retry || self.context.quarantine_left(&self.parsed).is_some() {
+            if next != Next::Retry || self.context.quarantine(&self.parsed).is_some() {
                 return;
             }
             let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
--- a/src/cinderspoke/gateway/quarantine.rs
+++ b/src/cinderspoke/gateway/quarantine.rs
@@ -1,4 +1,4 @@
-//! Synchronizes the set of quarantined requests with the platform's store.
+//! Synchronizes the set of quarantined requests and parts of prompts with the platform's store.
 //!
 //! Gateways send the set to each other, but it is lost when the last of them ends, and a gateway
 //! that is partitioned from all others receives nothing while the store may still answer it.
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cinderspoke_core::gateway::fingerprint::Fingerprint;
+use cinderspoke_core::gateway::suspect::Subject;
 use cinderspoke_ports::Error;
 use cinderspoke_ports::gateway::Quarantine;
 use tokio::sync::Notify;
@@ -26,7 +26,7 @@
 /// end at once for another reason.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Maximum number of quarantined requests in the store. Nothing releases a request that is no
+/// Maximum number of quarantined requests and parts in the store. Nothing releases what is no
 /// longer sent, so the oldest are removed.
 const MAX_STORED: usize = 64;
 
@@ -39,8 +39,8 @@
 
 #[derive(Debug, Default)]
 struct Calls {
-    // Whether each request is quarantined.
-    writes: BTreeMap<Fingerprint, bool>,
+    // Whether each request or part of prompts is quarantined.
+    writes: BTreeMap<Subject, bool>,
     read: bool,
 }
 
@@ -49,13 +49,13 @@
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Schedules a write of whether a request is quarantined.
-    pub fn set(&self, request: Fingerprint, quarantined: bool) {
-        self.lock().writes.insert(request, quarantined);
+    /// Schedules a write of whether a request or part of prompts is quarantined.
+    pub fn set(&self, subject: Subject, quarantined: bool) {
+        self.lock().writes.insert(subject, quarantined);
         self.added.notify_one();
     }
 
-    /// Schedules a read of the quarantined requests.
+    /// Schedules a read of what is quarantined.
     pub fn request_read(&self) {
         self.lock().read = true;
         self.added.notify_one();
@@ -66,7 +66,7 @@
     }
 }
 
-/// Reads quarantined requests from the store and writes pending changes to it; retries after
+/// Reads what is quarantined from the store and writes pending changes to it; retries after
 /// failures and never returns.
 pub async fn synchronize(state: Arc<State>, store: Arc<dyn Quarantine>) {
     let pending = state.suspects().pending();
@@ -88,16 +88,16 @@
         if read {
             read_at = read_at.or(Some(last_read + READ_INTERVAL));
         }
-        for (request, quarantined) in writes {
-            if let Err(error) = write(&*store, request, quarantined).await {
+        for (subject, quarantined) in writes {
+            if let Err(error) = write(&*store, subject, quarantined).await {
                 tracing::info!(
-                    %request,
+                    %subject,
                     held = quarantined,
                     %error,
                     "cannot write a quarantined request to the store"
                 );
                 sleep(BACKOFF).await;
-                pending.lock().writes.entry(request).or_insert(quarantined);
+                pending.lock().writes.entry(subject).or_insert(quarantined);
                 pending.added.notify_one();
             }
         }
@@ -111,21 +111,17 @@
     Some(Instant::now() + BACKOFF)
 }
 
-async fn write(
-    store: &dyn Quarantine,
-    request: Fingerprint,
-    quarantined: bool,
-) -> Result<(), Error> {
-    if quarantined { store.quarantine(request).await } else { store.release(request).await }
+async fn write(store: &dyn Quarantine, subject: Subject, quarantined: bool) -> Result<(), Error> {
+    if quarantined { store.quarantine(subject).await } else { store.release(subject).await }
 }
 
-/// Reads the quarantined requests and removes all but the newest [`MAX_STORED`] from the store.
+/// Reads what is quarantined and removes all but the newest [`MAX_STORED`] from the store.
 async fn read(state: &State, store: &dyn Quarantine) -> Result<(), Error> {
     let stored = store.quarantined().await?;
     let (old, kept) = stored.split_at(stored.len().saturating_sub(MAX_STORED));
     state.apply_stored_quarantine(kept);
-    for request in old {
-        store.release(*request).await?;
+    for subject in old {
+        store.release(*subject).await?;
     }
     Ok(())
 }
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -10,6 +10,7 @@
 use cinderspoke_core::gateway::pick::BestCandidate;
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::gateway::size::Class;
+use cinderspoke_core::gateway::suspect::{Part, Subject};
 use cinderspoke_ports::gateway::Invalid;
 use http::StatusCode;
 use metrics::{counter, histogram};
@@ -17,7 +18,10 @@
 
 use super::choose::{Selected, Unavailable};
 use super::context::InProgress;
-use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, HELD_BACK, REQUESTS, REQUESTS_BY_SIZE};
+use super::suspects::kind;
+use crate::util::metrics::{
+    ATTEMPTS, FIRST_BYTE, HELD_BACK, QUARANTINE_REFUSALS, REQUESTS, REQUESTS_BY_SIZE,
+};
 
 /// Usual size of a body, in bytes: a few kilobytes take no longer than the shortest body.
 const USUAL_BODY_BYTES: u64 = 4096;
@@ -82,8 +86,9 @@
     limited: usize,
     sends: u32,
     resumes: u32,
-    // The fingerprint, if the request was quarantined.
+    // The fingerprint, if the request was quarantined, and the part of its prompt for which it was.
     quarantined: Option<Fingerprint>,
+    quarantined_part: Option<Part>,
     first: Option<Duration>,
     // When the last events were forwarded, and the longest pause between events.
     last_events: Option<Instant>,
@@ -120,6 +125,7 @@
             sends: 0,
             resumes: 0,
             quarantined: None,
+            quarantined_part: None,
             first: None,
             last_events: None,
             gap: Duration::ZERO,
@@ -164,9 +170,12 @@
         counter!(HELD_BACK).increment(endpoints as u64);
     }
 
-    /// Records that the request is quarantined because endpoints crashed while they ran it.
-    pub fn quarantined(&mut self, fingerprint: Fingerprint) {
+    /// Records that the request, or a part of its prompt, is quarantined because endpoints crashed
+    /// while they ran it.
+    pub fn quarantined(&mut self, subject: Subject, fingerprint: Fingerprint) {
         self.quarantined = Some(fingerprint);
+        self.quarantined_part = subject.part();
+        counter!(QUARANTINE_REFUSALS, "of" => kind(subject)).increment(1);
     }
 
     /// Records and logs that no endpoint was selected.
@@ -316,6 +325,7 @@
             sends = self.sends,
             resumes = self.resumes,
             fingerprint = self.quarantined.map(|fingerprint| fingerprint.to_string()),
+            part = self.quarantined_part.map(|part| part.to_string()),
             "request"
         );
     }
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -174,7 +174,7 @@
         self.discover(others).await;
         let own = self.state.summary();
         self.state.merge_versions(&summary.ages, summary.rollout_revision);
-        self.state.merge_suspects(&summary.suspects);
+        self.state.merge_suspects(&summary.suspects, &supplement.parts);
         self.state.merge_drains(&summary.draining);
         self.state.merge_limits(&supplement.limits);
         self.state.merge_store_answers(&summary.store_answers);
@@ -350,7 +350,7 @@
         let sampled = rand::seq::index::sample(&mut rand::rng(), others.len(), count);
         let gateways = self.state.gateway_infos(sampled.into_iter().map(|number| others[number]));
         let digest = Datagram::Digest { from: self.own, summary: self.state.summary(), gateways };
-        pack_digest(&digest, &Supplement { limits: self.state.limit_updates() })
+        pack_digest(&digest, &self.state.supplement())
     }
 }
 
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -120,6 +120,12 @@
             return Err(Outcome::NotSent);
         }
     };
+    if !context.admits(parsed) {
+        // What is wrong with it became known while it waited for an endpoint or a connection.
+        target.pool.check_in(connection, None);
+        selected.reservation.iter().for_each(|number| release(target, *number, &context.state));
+        return Err(Outcome::NotSent);
+    }
     let sent = Sent::new(context, parsed, selected);
     let request = request(context, parsed, selected, after);
     let stale = stale_after(parsed, selected).filter(|_| reused);
--- a/src/cinderspoke/gateway/state.rs
+++ b/src/cinderspoke/gateway/state.rs
@@ -23,7 +23,7 @@
 use cinderspoke_schema::settings;
 
 use super::inner::Inner;
-use super::message::Summary;
+use super::message::{Summary, Supplement};
 use super::options::Options;
 use super::outstanding;
 use super::query::Queries;
@@ -411,6 +411,13 @@
         Summary { suspects, announcement, ..self.lock().summary(now) }
     }
 
+    /// What follows a summary in a digest.
+    #[must_use]
+    pub fn supplement(&self) -> Supplement {
+        let parts = self.suspects.part_updates(self.clock.now());
+        Supplement { limits: self.limit_updates(), parts }
+    }
+
     /// The list of endpoints.
     #[must_use]
     pub fn directory(&self) -> Fact<Directory> {
--- a/src/cinderspoke/gateway/suspects.rs
+++ b/src/cinderspoke/gateway/suspects.rs
@@ -1,19 +1,22 @@
-//! Quarantines requests during which endpoints ended, shared among all gateways.
+//! Quarantines requests and parts of prompts during which endpoints ended, shared among all gateways.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use cinderspoke_core::gateway::fingerprint::Fingerprint;
-use cinderspoke_core::gateway::suspect::{Admission, Change, Crash, Merged, Table, Update};
+use cinderspoke_core::gateway::name::Request;
+use cinderspoke_core::gateway::suspect::{Admission, Changes, Crash, Part, Subject, Table, Update};
 use cinderspoke_core::rendezvous::Key;
+use metrics::gauge;
 
 use super::context::Context;
 use super::parse::Parsed;
 use super::quarantine::Pending;
 use super::state::State;
+use crate::util::metrics::QUARANTINED;
 
-/// The requests during which endpoints ended, as known to a gateway.
+/// The requests and parts of prompts during which endpoints ended, as known to a gateway.
 #[derive(Debug)]
 pub struct Suspects {
     table: Mutex<Table>,
@@ -57,130 +60,173 @@
         self.any.load(Ordering::Relaxed)
     }
 
-    /// Whether endpoints ended before they answered a request with this fingerprint.
+    /// Whether endpoints ended under any of these subjects since it was answered.
     #[must_use]
-    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
-        self.any() && self.with_table(|table| table.is_suspected(fingerprint))
+    pub fn is_suspected(&self, subjects: &[Subject]) -> bool {
+        let is_suspected =
+            |table: &mut Table| subjects.iter().any(|subject| table.is_suspected(*subject));
+        self.any() && self.with_table(is_suspected)
     }
 
-    /// Records that an endpoint ended before it answered a request.
-    pub fn record_crash(&self, fingerprint: Fingerprint, crash: &Crash, now: Duration) -> Change {
-        self.with_table(|table| table.record_crash(fingerprint, crash, now))
-    }
-
-    /// Records that a request was answered.
-    pub fn record_answer(&self, fingerprint: Fingerprint, now: Duration) -> Change {
-        self.with_table(|table| table.record_answer(fingerprint, now))
-    }
-
-    /// Decides whether a request may be sent.
-    pub fn admit(&self, fingerprint: Fingerprint, now: Duration) -> Admission {
-        self.with_table(|table| table.admit(fingerprint, self.key, rand::random(), now))
+    /// What forbids to send a request now, and for how much longer.
+    fn forbids(&self, subjects: &[Subject], now: Duration) -> Option<(Subject, Duration)> {
+        self.with_table(|table| table.forbids(subjects, self.key, now))
     }
 
-    /// Merges the updates of another gateway.
-    pub fn merge(&self, updates: &[Update], now: Duration) -> Merged {
-        self.with_table(|table| table.merge(updates, now))
+    /// Decides whether a request may be sent now.
+    fn admit(&self, subjects: &[Subject], now: Duration) -> Admission {
+        self.with_table(|table| table.admit(subjects, self.key, rand::random(), now))
     }
 
-    /// All updates, for a gateway that requests them.
+    /// All updates on requests, for a gateway that requests them.
     #[must_use]
-    pub fn all_updates(&self, now: Duration) -> Vec<Update> {
+    pub fn all_updates(&self, now: Duration) -> Vec<Update<Fingerprint>> {
         if self.any() { self.with_table(|table| table.all_updates(now)) } else { Vec::new() }
     }
 
-    /// The updates to be sent to other gateways.
+    /// The updates on requests to be sent to other gateways.
     #[must_use]
-    pub fn updates(&self, now: Duration) -> Vec<Update> {
+    pub fn updates(&self, now: Duration) -> Vec<Update<Fingerprint>> {
         if self.any() { self.with_table(|table| table.updates(now)) } else { Vec::new() }
     }
+
+    /// The updates on parts of prompts to be sent to other gateways.
+    #[must_use]
+    pub fn part_updates(&self, now: Duration) -> Vec<Update<Part>> {
+        if self.any() { self.with_table(|table| table.part_updates(now)) } else { Vec::new() }
+    }
+}
+
+/// A quarantine that forbids to send a request now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Quarantined {
+    /// What is quarantined.
+    pub subject: Subject,
+    /// For how much longer.
+    pub left: Duration,
 }
 
 impl Context {
-    /// How long a request is still quarantined, if it may not be sent now.
-    pub fn quarantine_left(&self, parsed: &Parsed) -> Option<Duration> {
+    /// The quarantine that forbids to send a request now, if there is one.
+    pub fn quarantine(&self, parsed: &Parsed) -> Option<Quarantined> {
         if !self.state.suspects().any() {
             return None;
         }
-        self.state.admit(parsed.fingerprint())
+        let now = self.clock.now();
+        let (subject, left) = self.state.suspects().forbids(&parsed.subjects(), now)?;
+        Some(Quarantined { subject, left })
+    }
+
+    /// Whether a request may be sent at this moment. A probe that may be sent is recorded, and other
+    /// gateways are informed.
+    pub fn admits(&self, parsed: &Parsed) -> bool {
+        !self.state.suspects().any() || self.state.admits(&parsed.subjects())
     }
 
-    /// Records that an endpoint served a request, which shows that the request does not end
-    /// endpoints. A failed answer does not show that, since some endpoints fail every request.
+    /// Records that an endpoint served a request, which shows that neither the request nor a part
+    /// of its prompt ends endpoints. A failed answer does not show that, since some endpoints fail
+    /// every request.
     pub fn record_served(&self, parsed: &Parsed) {
         if self.state.suspects().any() {
-            self.state.record_served(parsed.fingerprint());
+            self.state.record_served(&parsed.subjects(), &parsed.call.id);
         }
     }
 }
 
 impl State {
     /// Records that an endpoint ended before it answered a request.
-    pub(super) fn record_crash(&self, fingerprint: Fingerprint, crash: &Crash) -> Change {
-        let change = self.suspects().record_crash(fingerprint, crash, self.clock().now());
-        match change {
-            Change::Quarantined => self.suspects().pending.set(fingerprint, true),
+    pub(super) fn record_crash(&self, subjects: &[Subject], crash: &Crash) -> Changes {
+        let now = self.clock().now();
+        let changes = self.suspects().with_table(|table| table.record_crash(subjects, crash, now));
+        if changes.updated && changes.quarantined.is_empty() {
             // Other gateways may know more of it and be unreachable, so the store is read.
-            Change::Updated => self.suspects().pending.request_read(),
-            Change::Released | Change::None => {}
-        }
-        if change != Change::None {
-            self.publish();
+            self.suspects().pending.request_read();
         }
-        change
+        self.apply_changes(&changes, "crash");
+        changes
     }
 
     /// Records that a request was served.
-    fn record_served(&self, fingerprint: Fingerprint) {
-        let change = self.suspects().record_answer(fingerprint, self.clock().now());
-        if change == Change::Released {
-            self.suspects().pending.set(fingerprint, false);
-        }
-        if change != Change::None {
-            tracing::info!(%fingerprint, "a suspect request was served");
-            self.publish();
+    fn record_served(&self, subjects: &[Subject], id: &Request) {
+        let now = self.clock().now();
+        let changes = self.suspects().with_table(|table| table.record_answer(subjects, now));
+        for subject in &changes.released {
+            self.suspects().pending.set(*subject, false);
+            tracing::info!(%subject, %id, "a quarantined suspect was served");
         }
+        self.apply_changes(&changes, "answer");
     }
 
-    /// How long a request is still quarantined, if it may not be sent now.
-    fn admit(&self, fingerprint: Fingerprint) -> Option<Duration> {
-        match self.suspects().admit(fingerprint, self.clock().now()) {
-            Admission::Pass => None,
-            Admission::Probe => {
-                tracing::info!(%fingerprint, "a quarantined request is sent as a probe");
+    /// Whether a request may be sent at this moment.
+    fn admits(&self, subjects: &[Subject]) -> bool {
+        match self.suspects().admit(subjects, self.clock().now()) {
+            Admission::Pass => true,
+            Admission::Probe(subject) => {
+                tracing::info!(%subject, "a quarantined request is sent as a probe");
                 self.publish();
-                None
+                true
             }
-            Admission::Quarantined(left) => Some(left),
+            Admission::Quarantined(..) => false,
         }
     }
 
-    /// Applies the quarantined requests that were read from the store.
-    pub fn apply_stored_quarantine(&self, requests: &[Fingerprint]) {
+    /// Applies the quarantines that were read from the store.
+    pub fn apply_stored_quarantine(&self, subjects: &[Subject]) {
         let now = self.clock().now();
-        let is_new = |request: &&Fingerprint| {
-            self.suspects().with_table(|table| table.restore_quarantine(**request, now))
+        let is_new = |subject: &&Subject| {
+            self.suspects().with_table(|table| table.restore_quarantine(**subject, now))
         };
-        let found: Vec<_> = requests.iter().filter(is_new).collect();
-        for fingerprint in &found {
-            tracing::info!(%fingerprint, "a request is quarantined according to the store");
+        let found: Vec<_> = subjects.iter().filter(is_new).collect();
+        for subject in &found {
+            tracing::info!(%subject, from = "store", "quarantined");
         }
         if !found.is_empty() {
+            self.count_quarantined();
             self.publish();
         }
     }
 
-    /// Merges the updates on suspect requests of another gateway.
-    pub fn merge_suspects(&self, updates: &[Update]) {
-        let merged = self.suspects().merge(updates, self.clock().now());
-        for fingerprint in &merged.quarantined {
-            tracing::info!(%fingerprint, "a request is quarantined according to other gateways");
+    /// Merges the updates on suspects of another gateway.
+    pub fn merge_suspects(&self, requests: &[Update<Fingerprint>], parts: &[Update<Part>]) {
+        if requests.is_empty() && parts.is_empty() {
+            return;
+        }
+        let now = self.clock().now();
+        let changes = self.suspects().with_table(|table| table.merge(requests, parts, now));
+        self.apply_changes(&changes, "gateway");
+    }
+
+    /// Logs, stores and publishes changes of suspects.
+    fn apply_changes(&self, changes: &Changes, from: &'static str) {
+        for subject in &changes.quarantined {
+            let witnessed = changes.witnessed.contains(subject);
+            tracing::info!(%subject, from, witnessed, "quarantined");
         }
-        for fingerprint in &merged.witnessed {
-            self.suspects().pending.set(*fingerprint, true);
+        for subject in &changes.released {
+            tracing::info!(%subject, from, "no longer quarantined");
         }
-        if merged.changed {
+        for subject in &changes.witnessed {
+            self.suspects().pending.set(*subject, true);
+        }
+        if !changes.quarantined.is_empty() || !changes.released.is_empty() {
+            self.count_quarantined();
+        }
+        if changes.updated {
             self.publish();
         }
     }
+
+    fn count_quarantined(&self) {
+        let (requests, parts) = self.suspects().with_table(|table| table.count_quarantined());
+        gauge!(QUARANTINED, "of" => "request").set(requests as f64);
+        gauge!(QUARANTINED, "of" => "part").set(parts as f64);
+    }
+}
+
+/// The kind of an subject, as metrics name it.
+pub(super) const fn kind(subject: Subject) -> &'static str {
+    match subject {
+        Subject::Request(_) => "request",
+        Subject::Part(_) => "part",
+    }
 }
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -17,6 +17,12 @@
 /// Endpoints whose limit of requests per second is in force.
 pub const LIMITS: &str = "cinderspoke_limits_in_force";
 
+/// Requests and parts of prompts that are quarantined here.
+pub const QUARANTINED: &str = "cinderspoke_quarantined";
+
+/// Requests refused because they, or a part of their prompt, are quarantined.
+pub const QUARANTINE_REFUSALS: &str = "cinderspoke_quarantine_refusals_total";
+
 /// Time from a request's arrival to the head of its answer, in seconds.
 pub const FIRST_BYTE: &str = "cinderspoke_first_byte_seconds";
 
--- a/tests/testsuite/digests.rs
+++ b/tests/testsuite/digests.rs
@@ -4,6 +4,7 @@
 use cinderspoke_core::gateway::directory::{Entry, State};
 use cinderspoke_core::gateway::limit::Update;
 use cinderspoke_core::gateway::notice::Run;
+use cinderspoke_core::gateway::suspect::{self, Crash, Part, Subject};
 
 fn digest() -> Datagram {
     let from = "10.0.0.1:7700".parse().unwrap();
@@ -25,7 +26,14 @@
     };
     let run = Run::of(&"e".into(), &entry);
     let ago = std::time::Duration::from_millis(20).into();
-    Supplement { limits: vec![Update { run, limit: Some("1.5".parse().unwrap()), ago }] }
+    let mut suspects = suspect::Table::default();
+    let now = std::time::Duration::from_secs(9);
+    let crash = Crash { id: 1, endpoint: "e".into(), sent: now, disconnected: now };
+    suspects.record_crash(&[Subject::Part(Part::new(7))], &crash, now);
+    Supplement {
+        limits: vec![Update { run, limit: Some("1.5".parse().unwrap()), ago }],
+        parts: suspects.part_updates(now),
+    }
 }
 
 // Guards against gateways that cannot read each other's digests while a new build replaces an
@@ -41,3 +49,15 @@
     let (_, none) = unpack(&pack(&digest())).unwrap();
     assert_eq!(none, Supplement::default(), "an old build sends no supplement");
 }
+
+// The same between a build that knows limits only and one that knows parts of prompts too.
+#[test]
+fn a_supplement_is_understood_by_builds_that_know_fewer_fields() {
+    let Supplement { limits, parts } = supplement();
+    assert!(!parts.is_empty());
+    let by_old: Vec<Update> = postcard::from_bytes(&pack(&supplement())).unwrap();
+    assert_eq!(by_old, limits);
+    let from_old = [pack(&digest()), pack(&limits)].concat();
+    let (_, known) = unpack(&from_old).unwrap();
+    assert_eq!(known, Supplement { limits, parts: Vec::new() });
+}
