--- a/tests/testsuite/reload.rs
+++ b/tests/testsuite/reload.rs
@@ -4,11 +4,9 @@
 //! ends a process at once, with exit code 129 (128 + SIGHUP) and without a log line. Requests in
 //! progress got no answer, and their callers' connections were closed.
 
-use std::io::{BufRead, BufReader, Read};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
 use axum::Router;
@@ -18,7 +16,6 @@
 use cinderspoke::util::reload::File;
 use cinderspoke::util::unix::Signals;
 use cinderspoke_schema::settings::{EndpointKind, Node};
-use cinderspoke_test_support::address;
 use cinderspoke_test_support::caller::{Answer, Caller};
 use cinderspoke_test_support::fleet::{Fleet, Options};
 use cinderspoke_test_support::samples::small;
@@ -29,93 +26,7 @@
 use tokio::time::timeout;
 use yare::parameterized;
 
-/// The timeout of waiting for a program's log line or change; long, since machines may be busy.
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-const ENTRY: &str = env!("CARGO_BIN_EXE_cinderspoke-entry");
-const AGENT: &str = env!("CARGO_BIN_EXE_cinderspoke-agent");
-
-/// A program whose output lines are read; it is killed when the test ends.
-struct Program {
-    child: Child,
-    lines: Receiver<String>,
-}
-
-impl Program {
-    fn spawn(program: &str, arguments: &[&str], settings: &Path) -> Self {
-        let mut command = Command::new(program);
-        command.args(arguments).arg(settings).stdout(Stdio::piped()).stderr(Stdio::piped());
-        let mut child = command.spawn().unwrap();
-        let (sender, lines) = channel();
-        let outputs: [Box<dyn Read + Send>; 2] =
-            [Box::new(child.stdout.take().unwrap()), Box::new(child.stderr.take().unwrap())];
-        for output in outputs {
-            let sender = sender.clone();
-            std::thread::spawn(move || {
-                let lines = BufReader::new(output).lines();
-                lines.map_while(Result::ok).all(|line| sender.send(line).is_ok())
-            });
-        }
-        Self { child, lines }
-    }
-
-    /// Returns the next output line that contains a text; fails if the program ends before.
-    fn wait_line(&self, text: &str) -> String {
-        loop {
-            let line = self.lines.recv_timeout(TIMEOUT);
-            let line = line.unwrap_or_else(|error| panic!("no line contains {text:?}: {error}"));
-            if line.contains(text) {
-                return line;
-            }
-        }
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
-    }
-
-    /// Sends SIGTERM, waits for the process to end and returns its exit code.
-    fn stop(mut self) -> Option<i32> {
-        self.signal("-TERM");
-        self.child.wait().unwrap().code()
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        // Both fail if the process has already ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Returns the settings of a process on a platform whose store is never reachable.
-fn node(filter: &str) -> serde_json::Value {
-    let [inner, callers, ready, control, store, engine] =
-        [(); 6].map(|()| address::free().unwrap());
-    json!({
-        "instance": "n", "zone": "a", "region": "r", "regions": { "a": "r" },
-        "address": inner.ip(), "ports": { "first": inner.port(), "last": inner.port() },
-        "store": store, "seeds": [],
-        "listen": { "callers": callers, "ready": ready, "control": control },
-        "beside": { "address": engine, "service": "svc" },
-        "limits": { "link_mbps": 1000.0, "descriptors": 4000, "memory_mb": 200 },
-        "bounds": {
-            "drain_ms": 2000, "grace_s": 1.0, "config_apply_ms": 2000,
-            "rollback_slack_ms": 250, "max_skew_ms": 5000, "contact_ms": 3000,
-            "retry_budget_ratio": 0.2, "budget_window_s": 10.0, "budget_slack": 100.0,
-            "version_ms": 8000, "pass_ms": 120, "loss_slack_ms": 200,
-        },
-        "log": { "format": "json", "filter": filter },
-    })
-}
-
-fn write<T: serde::Serialize>(directory: &TempDir, name: &str, settings: &T) -> PathBuf {
-    let path = directory.path().join(name);
-    std::fs::write(&path, toml::to_string(settings).unwrap()).unwrap();
-    path
-}
+use crate::program::{AGENT, ENTRY, Program, TIMEOUT, node, write};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn no_program_ends_on_a_reload() {
