Programs handle the signals of planned work from the first statement of main

Cause: see the failing test. The handlers were installed within the runtime, since Tokio's need one.

The functions that run a program take it by value, so that no runtime starts and no settings are read without it. `Handlers::listen` installs Tokio's and reads the flags afterwards: what came before counts as a request, and what comes meanwhile counts twice rather than not at all.

It takes SIGBUS's handler in place of the ignored SIGPIPE for the sign that `main` comes next, which is later and thus stricter.

What is left is before `main`. System calls (strace): SIGHUP's handler follows Rust's own for SIGBUS with nothing between; Rust reads /proc/self/maps from ignoring SIGPIPE until then.

--- a/crates/bench/src/commands/serve.rs
+++ b/crates/bench/src/commands/serve.rs
@@ -1,7 +1,7 @@
 //! `cinderspoke-bench serve`: stand-ins and a fleet to try the command line against.
 
 use anyhow::{Context, Result};
-use cinderspoke::util::unix::Signals;
+use cinderspoke::util::unix::Handlers;
 use cinderspoke_test_support::fleet::{Fleet, Options};
 use clap::{ArgMatches, Command};
 
@@ -18,7 +18,7 @@
 }
 
 pub(crate) async fn exec(matches: &ArgMatches) -> Result<()> {
-    let mut signals = Signals::open()?;
+    let mut signals = Handlers::open()?.listen()?;
     let sample = sample_of(matches);
     let fleet = Fleet::spawn(&sample.files(), &Options::default()).await?;
     let first = fleet.entries.first().context("the sample has no availability zone")?;
--- a/src/bin/agent/main.rs
+++ b/src/bin/agent/main.rs
@@ -13,24 +13,32 @@
 use cinderspoke::util::program::{
     Running, cli, exit, run_on_platform, run_standalone, runs_on_platform,
 };
+use cinderspoke::util::unix::Handlers;
 use cinderspoke_core::transfer::Policy;
 use cinderspoke_platform::engine::LocalEngine;
 use cinderspoke_platform::origin::RemoteOrigin;
 use cinderspoke_schema::settings::{Agent as Settings, EndpointKind};
 
 fn main() -> ExitCode {
+    // First, since a signal without a handler ends the process.
+    let handlers = Handlers::open();
     let about =
         "Exchanges weights with peers, sends orders to its endpoint and forwards requests to it";
-    exit(run(&cli("cinderspoke-agent", about).get_matches()))
+    let matches = cli("cinderspoke-agent", about).get_matches();
+    exit(handlers.context("handling signals").and_then(|handlers| run(&matches, handlers)))
 }
 
-fn run(matches: &clap::ArgMatches) -> Result<()> {
-    if runs_on_platform(matches) { on_platform(matches) } else { standalone(matches) }
+fn run(matches: &clap::ArgMatches, handlers: Handlers) -> Result<()> {
+    if runs_on_platform(matches) {
+        on_platform(matches, handlers)
+    } else {
+        standalone(matches, handlers)
+    }
 }
 
 /// Runs next to a model engine, on a platform that sets the version to serve.
-fn on_platform(matches: &clap::ArgMatches) -> Result<()> {
-    run_on_platform(matches, async |mut running| {
+fn on_platform(matches: &clap::ArgMatches, handlers: Handlers) -> Result<()> {
+    run_on_platform(matches, handlers, async |mut running| {
         let settings = running.settings();
         let client = Client::new();
         let beside =
@@ -52,9 +60,9 @@
 }
 
 /// Runs with orders from entry instances, without the platform adapter.
-fn standalone(matches: &clap::ArgMatches) -> Result<()> {
+fn standalone(matches: &clap::ArgMatches, handlers: Handlers) -> Result<()> {
     let threads = |settings: &Settings| settings.traffic_threads;
-    run_standalone(matches, threads, async |mut running: Running<Settings>, control| {
+    run_standalone(matches, handlers, threads, async |mut running: Running<Settings>, control| {
         let settings = running.settings();
         let metrics = Some(metrics::open()?);
         let client = Client::new();
--- a/src/cinderspoke/util/program.rs
+++ b/src/cinderspoke/util/program.rs
@@ -14,7 +14,7 @@
 use super::log;
 use super::reload::File;
 use super::settings::{self, Settings};
-use super::unix::{Signals, Stop};
+use super::unix::{Handlers, Signals, Stop};
 
 /// The exit code for invalid settings.
 pub const EXIT_SETTINGS: u8 = 2;
@@ -96,13 +96,17 @@
 ///
 /// If the settings are invalid, the runtime cannot be started, the signals cannot be received, or a
 /// global log subscriber is already installed; otherwise the error of the task.
-pub fn run_on_platform<T>(matches: &ArgMatches, main: impl FnOnce(Running<Node>) -> T) -> Result<()>
+pub fn run_on_platform<T>(
+    matches: &ArgMatches,
+    handlers: Handlers,
+    main: impl FnOnce(Running<Node>) -> T,
+) -> Result<()>
 where
     T: Future<Output = Result<()>>,
 {
     let runtime = Builder::new_current_thread().enable_all().build();
     runtime.context("starting the runtime")?.block_on(async {
-        let signals = Signals::open().context("listening to signals")?;
+        let signals = handlers.listen().context("listening to signals")?;
         let file: File<Node> = File::open(settings_path(matches))?;
         if matches.get_flag("check") {
             return Ok(());
@@ -121,6 +125,7 @@
 /// As [`run_on_platform`].
 pub fn run_standalone<S: Settings, T>(
     matches: &ArgMatches,
+    handlers: Handlers,
     traffic_threads: impl FnOnce(&S) -> NonZeroU32,
     main: impl FnOnce(Running<S>, Handle) -> T,
 ) -> Result<()>
@@ -129,7 +134,7 @@
 {
     let control = start_runtime("control", 1)?;
     let _control = control.enter();
-    let signals = Signals::open().context("listening to signals")?;
+    let signals = handlers.listen().context("listening to signals")?;
     let file: File<S> = File::open(settings_path(matches))?;
     if matches.get_flag("check") {
         return Ok(());
--- a/tests/testsuite/reload.rs
+++ b/tests/testsuite/reload.rs
@@ -14,7 +14,7 @@
 use cinderspoke::gateway::options;
 use cinderspoke::util::log;
 use cinderspoke::util::reload::File;
-use cinderspoke::util::unix::Signals;
+use cinderspoke::util::unix::Handlers;
 use cinderspoke_schema::settings::{EndpointKind, Node};
 use cinderspoke_test_support::caller::{Answer, Caller};
 use cinderspoke_test_support::fleet::{Fleet, Options};
@@ -291,7 +291,7 @@
     std::fs::write(&path, text("1000.0\n")).unwrap();
     let file: File<Node> = File::open(path.clone()).unwrap();
     let filter = log::open(&file.settings().log).unwrap();
-    let mut in_force = file.spawn(Signals::open().unwrap().reload, filter);
+    let mut in_force = file.spawn(Handlers::open().unwrap().listen().unwrap().reload, filter);
     // The first part of "500.0".
     std::fs::write(&path, text("50")).unwrap();
     let own = std::process::id().to_string();
@@ -313,7 +313,7 @@
 
 #[tokio::test]
 async fn signals_that_arrive_before_they_are_awaited_are_kept() {
-    let mut signals = Signals::open().unwrap();
+    let mut signals = Handlers::open().unwrap().listen().unwrap();
     let own = std::process::id().to_string();
     for name in ["-HUP", "-TERM"] {
         assert!(Command::new("kill").args([name, &own]).status().unwrap().success());
--- a/tests/testsuite/signals.rs
+++ b/tests/testsuite/signals.rs
@@ -13,11 +13,13 @@
 use std::process::{Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
+use cinderspoke::util::unix::Handlers;
 use cinderspoke_test_support::fleet::{Fleet, Options};
 use cinderspoke_test_support::samples::small;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tempfile::TempDir;
+use tokio::time::timeout;
 use yare::parameterized;
 
 use crate::program::{AGENT, ENTRY, Program, TIMEOUT, node, write};
@@ -25,8 +27,8 @@
 /// The signals of planned work, by the names and numbers of Linux.
 const PLANNED: [(&str, u32); 3] = [("-HUP", 1), ("-INT", 2), ("-TERM", 15)];
 
-/// SIGPIPE, which Rust's runtime ignores shortly before `main`.
-const PIPE: u32 = 13;
+/// SIGBUS, whose handler is the last thing that Rust's runtime installs before `main`.
+const BUS: u32 = 7;
 
 /// How often a process is looked at while a test waits for it.
 const POLL: Duration = Duration::from_millis(1);
@@ -56,7 +58,7 @@
 
     /// Whether Rust's runtime has prepared the process for `main`.
     fn is_prepared(&self) -> bool {
-        self.contains("SigIgn", PIPE)
+        self.contains("SigCgt", BUS)
     }
 
     fn is_asleep(&self) -> bool {
@@ -275,3 +277,15 @@
         }
     });
 }
+
+// Guards against signals that the early handlers keep and nobody acts on.
+#[tokio::test]
+async fn signals_from_before_the_runtime_listens_are_requests() {
+    let handlers = Handlers::open().unwrap();
+    for name in ["-HUP", "-TERM"] {
+        signal(std::process::id(), name);
+    }
+    let mut signals = handlers.listen().unwrap();
+    timeout(TIMEOUT, signals.reload.requested()).await.unwrap();
+    timeout(TIMEOUT, signals.stop.requested()).await.unwrap();
+}
