A caller's connection has the newest idle timeout

Cause: the limits were read when a connection was accepted. Callers reuse connections for up to four fifths of the newest idle_timeout_ms, so that after a longer one the gateway closed kept connections while callers still used them, and a request could cross the close. The time-out of heads was as old.

Change: the connection's own reader counts both, by the configuration in force when they end, and only after it found nothing to read. The idle time counts from the last byte sent. hyper's timeout stays, out of reach: without one it does not look for the next request after a response.

Left: the size limit of heads is still that of the time of the accept (hyper takes it once); a raised one takes effect on new connections.

--- a/src/cinderspoke/gateway/head.rs
+++ b/src/cinderspoke/gateway/head.rs
@@ -1,9 +1,11 @@
-//! Timeout for receiving the head of a request on a caller's connection.
+//! Timeouts of a caller's connection while no request is in progress: for receiving a head, and
+//! for the rest between requests.
 //!
-//! hyper has one timeout for receiving a head and for an idle connection, counted from the end
-//! of the last response, and the idle timeout is long. Without a timeout of their own, slow heads
-//! would hold connections, and file descriptors of the instance, for that long. A head that
-//! begins while a response is still being written has the longer timeout.
+//! hyper has one timeout for both, which is fixed when a connection is accepted. Here slow heads
+//! have a shorter one, so that they do not hold connections, and file descriptors of the instance,
+//! for as long as idle connections may. Both are those of the configuration in force: callers
+//! reuse idle connections by the newest one. A head that begins while a response is still being
+//! written has the longer timeout.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -17,6 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::context::Context as Gateway;
+
 /// Whether a connection has a request in progress whose head has been received.
 #[derive(Debug, Clone, Default)]
 pub struct Progress(Arc<AtomicBool>);
@@ -72,35 +76,86 @@
     }
 }
 
-/// A caller's connection; reading fails if a head is not received within the timeout.
-#[derive(Debug)]
+/// Added to the idle timeout of callers, so that the caller closes an idle connection first.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// What a connection without a request in progress waits for, and since when.
+#[derive(Debug, Clone, Copy)]
+enum Phase {
+    /// For a request, since the last byte was sent or since the connection was accepted.
+    Rest(Instant),
+    /// For the rest of a head, since its first byte was received.
+    Head(Instant),
+}
+
+/// A caller's connection. Reading fails if a head is not received within its timeout, and ends
+/// once the connection has been idle for too long.
 pub struct Stream {
     stream: TcpStream,
     progress: Progress,
-    limit: Duration,
-    // When the first byte of a head was received that is not complete yet.
-    began: Option<Instant>,
+    gateway: Arc<Gateway>,
+    // None while a request is in progress.
+    phase: Option<Phase>,
+    // Whether the last write could not be completed: a response is still being sent.
+    is_writing: bool,
     // Wakes the connection at the timeout; present only while a read is pending.
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl Stream {
-    /// Wraps a connection; `limit` is the timeout of each head.
+    /// Wraps a connection that has just been accepted.
     #[must_use]
-    pub fn new(stream: TcpStream, progress: Progress, limit: Duration) -> Self {
-        Self { stream, progress, limit, began: None, timer: None }
+    pub fn new(stream: TcpStream, progress: Progress, gateway: Arc<Gateway>) -> Self {
+        let phase = Some(Phase::Rest(Instant::now()));
+        Self { stream, progress, gateway, phase, is_writing: false, timer: None }
+    }
+
+    /// Begins a phase.
+    fn enter(&mut self, phase: Option<Phase>) {
+        (self.phase, self.timer) = (phase, None);
+    }
+
+    /// Returns when the phase ends, by the limits in force.
+    fn end(&self, phase: Phase) -> Instant {
+        let limits = self.gateway.limits();
+        match phase {
+            Phase::Rest(since) => since + limits.idle + IDLE_MARGIN,
+            Phase::Head(since) => since + limits.header,
+        }
     }
 
-    /// Returns an error once the timeout of the head being received has passed.
+    /// Waits until the phase has taken too long: an error for a head, the end of the data for an
+    /// idle connection.
     fn wait(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Some(began) = self.began else { return Poll::Pending };
-        let end = began + self.limit;
-        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(end)));
-        ready!(timer.as_mut().poll(context));
-        Poll::Ready(Err(io::Error::new(
-            io::ErrorKind::TimedOut,
-            "request head not received in time",
-        )))
+        let phase = *self.phase.get_or_insert_with(|| Phase::Rest(Instant::now()));
+        if self.is_writing {
+            return Poll::Pending;
+        }
+        let mut end = self.end(phase);
+        loop {
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(end)));
+            ready!(timer.as_mut().poll(context));
+            // A newer configuration may allow more.
+            end = self.end(phase);
+            if end <= Instant::now() {
+                break;
+            }
+            self.timer = None;
+        }
+        Poll::Ready(match phase {
+            Phase::Rest(_) => Ok(()),
+            Phase::Head(_) => {
+                Err(io::Error::new(io::ErrorKind::TimedOut, "request head not received in time"))
+            }
+        })
+    }
+
+    /// Records the result of a write.
+    fn wrote(&mut self, written: &Poll<io::Result<usize>>) {
+        self.is_writing = written.is_pending();
+        if let (Poll::Ready(Ok(1..)), Some(Phase::Rest(_))) = (written, self.phase) {
+            self.enter(Some(Phase::Rest(Instant::now())));
+        }
     }
 }
 
@@ -111,7 +166,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.progress.is_active() {
-            (self.began, self.timer) = (None, None);
+            self.enter(None);
             return Pin::new(&mut self.stream).poll_read(context, buffer);
         }
         let filled = buffer.filled().len();
@@ -120,8 +175,8 @@
         let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(context, buffer) else {
             return self.wait(context);
         };
-        if buffer.filled().len() > filled {
-            self.began.get_or_insert_with(Instant::now);
+        if buffer.filled().len() > filled && matches!(self.phase, Some(Phase::Rest(_))) {
+            self.enter(Some(Phase::Head(Instant::now())));
         }
         Poll::Ready(read)
     }
@@ -133,7 +188,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.wrote(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -141,7 +198,9 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.wrote(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -20,8 +20,9 @@
 use super::forward;
 use super::head::{AnswerBody, Progress, Stream};
 
-/// Added to the idle timeout of callers, so that the caller closes an idle connection first.
-const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// hyper's own timeout between requests: never reached, since a connection has shorter ones of its
+/// own. With it, hyper looks for the next request after each response.
+const MAX_REST: Duration = Duration::from_secs(365 * 24 * 3600);
 
 /// Delay after a failure to accept a connection, such as for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -71,7 +72,7 @@
     let requested = CancellationToken::new();
     let (answers, opened, first) = (Arc::clone(&context), Arc::clone(&open), requested.clone());
     let progress = Progress::default();
-    let stream = Stream::new(stream, progress.clone(), limits.header);
+    let stream = Stream::new(stream, progress.clone(), Arc::clone(&context));
     let service = service_fn(move |request| {
         progress.start();
         let (context, progress) = (Arc::clone(&answers), progress.clone());
@@ -84,9 +85,7 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        // Counted from the end of the last response, so this is the idle timeout. Heads have a
-        // shorter one of their own.
-        .header_read_timeout(limits.idle + IDLE_MARGIN)
+        .header_read_timeout(MAX_REST)
         .max_buf_size((limits.header_bytes as usize).max(MIN_HEAD_BUFFER))
         // A connection accepted late in a stop serves one request: if it were closed unread, the
         // request would be lost.
