A stop waits for the rest of a head that has arrived in part

Cause: hyper's graceful shutdown takes a kept connection with half of a head for idle and closes it. Nothing of the request was passed on, but its caller gets no answer, and what it still sends resets the connection.

Change: the connection's own reader ends the data of an idle connection when a stop closes connections, and waits for the rest of a head within its timeout; the request is then refused as during a stop. hyper closes after it as after any caller that has ended its data.

--- a/src/cinderspoke/gateway/head.rs
+++ b/src/cinderspoke/gateway/head.rs
@@ -21,19 +21,38 @@
 
 use super::context::Context as Gateway;
 
-/// Whether a connection has a request in progress whose head has been received.
+/// The progress of a connection's requests.
 #[derive(Debug, Clone, Default)]
-pub struct Progress(Arc<AtomicBool>);
+pub struct Progress(Arc<Flags>);
+
+#[derive(Debug, Default)]
+struct Flags {
+    // Whether there is a request in progress whose head has been received.
+    active: AtomicBool,
+    // Whether the connection ends as soon as it is idle.
+    closing: AtomicBool,
+}
 
 impl Progress {
     /// Records that a whole head has been received.
     pub fn start(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.0.active.store(true, Ordering::Relaxed);
+    }
+
+    /// Makes the connection end as soon as it is idle and nothing has arrived. The connection has
+    /// to be polled then.
+    pub fn close(&self) {
+        self.0.closing.store(true, Ordering::Relaxed);
     }
 
     /// Returns whether a request is in progress.
     fn is_active(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.active.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the connection ends as soon as it is idle.
+    fn is_closing(&self) -> bool {
+        self.0.closing.load(Ordering::Relaxed)
     }
 }
 
@@ -52,7 +71,7 @@
 
 impl<B> Drop for AnswerBody<B> {
     fn drop(&mut self) {
-        self.progress.0.store(false, Ordering::Relaxed);
+        self.progress.0.active.store(false, Ordering::Relaxed);
     }
 }
 
@@ -131,6 +150,9 @@
         if self.is_writing {
             return Poll::Pending;
         }
+        if self.progress.is_closing() && matches!(phase, Phase::Rest(_)) {
+            return Poll::Ready(Ok(()));
+        }
         let mut end = self.end(phase);
         loop {
             let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(end)));
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -56,7 +56,7 @@
 /// Serves the requests of one connection.
 ///
 /// If no request has been received when connections are closed, the connection is kept for its
-/// first request, which may be in flight: hyper would treat it as idle. A stop waits for the
+/// first request, which may be in flight. A stop waits for the
 /// connection only from that request on, so that a connection without requests does not delay it.
 async fn caller(stream: TcpStream, context: Arc<Context>) {
     let prepared = stream
@@ -73,6 +73,7 @@
     let (answers, opened, first) = (Arc::clone(&context), Arc::clone(&open), requested.clone());
     let progress = Progress::default();
     let stream = Stream::new(stream, progress.clone(), Arc::clone(&context));
+    let closing = progress.clone();
     let service = service_fn(move |request| {
         progress.start();
         let (context, progress) = (Arc::clone(&answers), progress.clone());
@@ -101,7 +102,8 @@
             tokio::select! {
                 biased;
                 () = requested.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
+                    // Not hyper's own shutdown, which drops a head that has arrived in part.
+                    closing.close();
                     connection.await
                 }
                 ended = connection.as_mut() => ended,
