A failure that nobody reads loses its exit code: a test that fails

Standard error whose reader has gone raises a panic in `eprintln!` where a program prints its error.

--- a/tests/testsuite/signals.rs
+++ b/tests/testsuite/signals.rs
@@ -289,3 +289,27 @@
     timeout(TIMEOUT, signals.reload.requested()).await.unwrap();
     timeout(TIMEOUT, signals.stop.requested()).await.unwrap();
 }
+
+// Guards against an exit code that tells nothing: the error could not be printed, since nobody read
+// the program's standard error any more, and the program ended by a panic with code 101.
+#[parameterized(
+    entry = { ENTRY, &[], 1 },
+    agent = { AGENT, &[], 1 },
+    entry_on_a_platform = { ENTRY, &["--adapter", "platform"], 1 },
+    check = { AGENT, &["--check"], 2 },
+)]
+fn a_failure_has_its_exit_code_although_nobody_reads_the_errors(
+    program: &str,
+    arguments: &[&str],
+    code: i32,
+) {
+    let directory = tempfile::tempdir().unwrap();
+    let settings = directory.path().join("settings");
+    if code == 2 {
+        std::fs::write(&settings, "colour = \"red\"\n").unwrap();
+    }
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let ended = Command::new(program).args(arguments).arg(&settings).stderr(writer).status();
+    assert_eq!(ended.unwrap().code(), Some(code));
+}
