A failure has its exit code although nobody reads the program's errors

The error is now written without a panic.

Ruled out by hand, on both programs with the platform adapter and on the agent without (3 SIGHUPs, then SIGTERM twice, 0.1 s apart): standard output, standard error or both closed by their reader while the program runs: no end at SIGHUP, and code 0 in 9 of 9.

--- a/src/cinderspoke/util/program.rs
+++ b/src/cinderspoke/util/program.rs
@@ -1,5 +1,6 @@
 //! Startup of the long-running programs: command line, threads, signals, logs and exit codes.
 
+use std::io::Write;
 use std::num::NonZeroU32;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -157,10 +158,11 @@
     matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default()
 }
 
-/// Converts a result into an exit code, and prints an error to standard error.
+/// Converts a result into an exit code, and prints an error to standard error. An error that cannot
+/// be printed, since nobody reads standard error, still has its exit code.
 #[must_use]
 pub fn exit(result: Result<()>) -> ExitCode {
     let Err(error) = result else { return ExitCode::SUCCESS };
-    eprintln!("error: {error:#}");
+    let _ = writeln!(std::io::stderr(), "error: {error:#}");
     if error.is::<settings::Error>() { EXIT_SETTINGS.into() } else { EXIT_FAILURE.into() }
 }
