--- a/src/cinderspoke/util/program.rs
+++ b/src/cinderspoke/util/program.rs
@@ -1,5 +1,6 @@
 //! Startup of the long-running programs: command line, threads, signals, logs and exit codes.
 
+use std::io::Write;
 use std::num::NonZeroU32;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -14,7 +15,7 @@
 use super::log;
 use super::reload::File;
 use super::settings::{self, Settings};
-use super::unix::{Signals, Stop};
+use super::unix::{Handlers, Signals, Stop};
 
 /// The exit code for invalid settings.
 pub const EXIT_SETTINGS: u8 = 2;
@@ -96,13 +97,17 @@
 ///
 /// If the settings are invalid, the runtime cannot be started, the signals cannot be received, or a
 /// global log subscriber is already installed; otherwise the error of the task.
-pub fn run_on_platform<T>(matches: &ArgMatches, main: impl FnOnce(Running<Node>) -> T) -> Result<()>
+pub fn run_on_platform<T>(
+    matches: &ArgMatches,
+    handlers: Handlers,
+    main: impl FnOnce(Running<Node>) -> T,
+) -> Result<()>
 where
     T: Future<Output = Result<()>>,
 {
     let runtime = Builder::new_current_thread().enable_all().build();
     runtime.context("starting the runtime")?.block_on(async {
-        let signals = Signals::open().context("listening to signals")?;
+        let signals = handlers.listen().context("listening to signals")?;
         let file: File<Node> = File::open(settings_path(matches))?;
         if matches.get_flag("check") {
             return Ok(());
@@ -121,6 +126,7 @@
 /// As [`run_on_platform`].
 pub fn run_standalone<S: Settings, T>(
     matches: &ArgMatches,
+    handlers: Handlers,
     traffic_threads: impl FnOnce(&S) -> NonZeroU32,
     main: impl FnOnce(Running<S>, Handle) -> T,
 ) -> Result<()>
@@ -129,7 +135,7 @@
 {
     let control = start_runtime("control", 1)?;
     let _control = control.enter();
-    let signals = Signals::open().context("listening to signals")?;
+    let signals = handlers.listen().context("listening to signals")?;
     let file: File<S> = File::open(settings_path(matches))?;
     if matches.get_flag("check") {
         return Ok(());
@@ -152,10 +158,11 @@
     matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default()
 }
 
-/// Converts a result into an exit code, and prints an error to standard error.
+/// Converts a result into an exit code, and prints an error to standard error. An error that cannot
+/// be printed, since nobody reads standard error, still has its exit code.
 #[must_use]
 pub fn exit(result: Result<()>) -> ExitCode {
     let Err(error) = result else { return ExitCode::SUCCESS };
-    eprintln!("error: {error:#}");
+    let _ = writeln!(std::io::stderr(), "error: {error:#}");
     if error.is::<settings::Error>() { EXIT_SETTINGS.into() } else { EXIT_FAILURE.into() }
 }
