The last attempt of a request is not given up before its deadline

Cause: an attempt of a request that may be repeated is given up after twice its expected time plus 1.3 s (first event of a resumable stream; reused connection), or plus 1.1 s (resume), so that another endpoint can take it. The last attempt was given up as well, though none may follow: a sound engine that is silent for 1.4 s lost its request, with 2 s left.

The last attempt has its whole time, and goes over a new connection: on a reused one that became stale it would wait for nothing. An attempt counts as last only if another one may have run, so retries after refusals open no more connections than before.

Ruled out: a longer slack (gives up dead connections later, and any bound loses longer silences).

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -9,7 +9,7 @@
 use http::{Response, StatusCode, Version, header, response};
 use http_body_util::{BodyExt, Limited};
 
-use super::choose::Selected;
+use super::choose::{Position, Selected};
 use super::context::Context;
 use super::parse::Parsed;
 use super::record::Record;
@@ -42,7 +42,9 @@
     record: &mut Record,
 ) -> Attempt {
     let slack = match parsed.route.kind {
-        Kind::Stream { resumable: true } => FIRST_EVENT_SLACK,
+        Kind::Stream { resumable: true } if selected.position == Position::Followed => {
+            FIRST_EVENT_SLACK
+        }
         _ => Duration::MAX,
     };
     let until = start_deadline(context, parsed, selected, slack);
--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cinderspoke_core::gateway::attempt::{History, Outcome};
+use cinderspoke_core::gateway::attempt::{Guarantee, History, Next, Outcome};
 use cinderspoke_core::gateway::name::Endpoint;
 use cinderspoke_core::gateway::pick::{BestCandidate, Choice, Requirements};
 use cinderspoke_core::gateway::reservation::{self, Step};
@@ -38,6 +38,19 @@
     pub expected_ttft: Duration,
     /// The number of the reservation at its agent, if the agent was queried.
     pub reservation: Option<u64>,
+    /// Its position among the attempts of the request.
+    pub position: Position,
+}
+
+/// The position of an attempt among those of its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Position {
+    /// No other attempt may have run, and none may follow it if no answer arrives.
+    Only,
+    /// Another attempt may follow it if no answer arrives.
+    Followed,
+    /// Another attempt may have run, and none may follow this one if no answer arrives.
+    Last,
 }
 
 /// The attempts of a request so far.
@@ -134,6 +147,7 @@
                         version_left,
                         expected_ttft: ttft,
                         reservation,
+                        position: self.position(parsed),
                     };
                     record.selected(&selected, candidates.len());
                     Ok(selected)
@@ -160,6 +174,18 @@
         }
     }
 
+    /// Returns the position of the next attempt.
+    fn position(&self, parsed: &Parsed) -> Position {
+        let mut after = self.history;
+        after.record(Outcome::Lost);
+        let repeatable = parsed.route.kind.repeatable();
+        match after.next(repeatable, parsed.route.attempts, true) {
+            Next::Retry => Position::Followed,
+            Next::End(_) if self.history.guarantee() == Guarantee::NotRun => Position::Only,
+            Next::End(_) => Position::Last,
+        }
+    }
+
     /// Returns whether untried endpoints exist whose agents do not report to this gateway.
     fn has_unreported(&self, members: &[Member]) -> bool {
         let mut untried = members.iter().filter(|member| !self.tried.contains(&member.target.name));
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -14,7 +14,7 @@
 use hyper::body::Frame;
 
 use super::answer::{is_encoded, strip_hop_by_hop};
-use super::choose::{Attempts, Selected};
+use super::choose::{Attempts, Position, Selected};
 use super::context::Context;
 use super::crash;
 use super::parse::Parsed;
@@ -185,7 +185,8 @@
         selected: &Selected,
         last: u64,
     ) -> Result<Box<EventStream>, Outcome> {
-        let until = start_deadline(&self.context, &self.parsed, selected, EVENT_TIMEOUT);
+        let slack = if selected.position == Position::Last { Duration::MAX } else { EVENT_TIMEOUT };
+        let until = start_deadline(&self.context, &self.parsed, selected, slack);
         let answer = send(&self.context, &self.parsed, selected, Some(last), &until).await?;
         if answer.info.request.as_ref() != Some(&self.parsed.call.id) {
             return Err(Outcome::Lost);
--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -97,6 +97,15 @@
         if let Some(connection) = self.pop_idle() {
             return Ok(Checkout { connection, reused: true });
         }
+        self.connect().await
+    }
+
+    /// Returns a new connection.
+    ///
+    /// # Errors
+    ///
+    /// If the endpoint cannot be reached; nothing was sent then.
+    pub async fn connect(&self) -> Result<Checkout> {
         let connected = timeout(CONNECT_TIMEOUT, connect(self.address)).await;
         let connection = connected.context("connecting timed out")??;
         Ok(Checkout { connection, reused: false })
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use super::choose::Selected;
+use super::choose::{Position, Selected};
 use super::context::Context;
 use super::outstanding::Changes;
 use super::parse::Parsed;
@@ -111,7 +111,12 @@
     let target = &selected.target;
     // The probe is used up only here: after the choice the retry budget may still refuse.
     target.tracking().health.start_probe(context.clock.now());
-    let Checkout { mut connection, reused } = match target.pool.checkout().await {
+    let checkout = match selected.position {
+        // Only a reused connection may be stale, and there is no attempt left to find that out.
+        Position::Last => target.pool.connect().await,
+        Position::Only | Position::Followed => target.pool.checkout().await,
+    };
+    let Checkout { mut connection, reused } = match checkout {
         Ok(taken) => taken,
         Err(error) => {
             tracing::debug!(endpoint = %target.name, error = format!("{error:#}"), "connecting");
