An unframed answer that a crash cut off is neither whole nor complete

Cause: an answer with neither a length nor chunks ends with its connection. The gateway took each end that was no error, and not inside an event, for the end of the answer: a plain answer was delivered as whole, a stream ended as complete, and the crash was not recorded, since only answers that broke off are investigated.

The end of such an answer is now verified by one new connection. Refused: the endpoint crashed, so the answer broke off (retried or resumed where allowed) and the crash is recorded. Accepted: whole; the pool keeps the connection in place of the one that ended. Answers with a length or chunks need no connection. A check that was accepted before the end of the connection says nothing of a later crash, so only refusals are shared for 200 ms, and others with connections that ended before the check began.

Weighed: take every unframed end for a break (callers lose sound answers; requests that can't be repeated would fail); trust a mark of the last event (none is in the protocol); wait for the endpoint's entry or agent (0.1 to 3.6 s). A draining endpoint that refuses connections counts as crashed too: by the protocol it serves until it ends, so what it cuts off is not whole.

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -11,6 +11,7 @@
 
 use super::choose::{Position, Selected};
 use super::context::Context;
+use super::framing::{Completeness, Framing};
 use super::parse::Parsed;
 use super::record::Record;
 use super::send::{
@@ -84,6 +85,12 @@
     Attempt::Failed(Outcome::Lost, None)
 }
 
+/// Fails an attempt whose answer broke off.
+fn broken_off(context: &Context, target: &Target) -> Attempt {
+    target.observe(Observation::Silence, context.clock.now());
+    Attempt::Failed(Outcome::BrokenOff, None)
+}
+
 /// Waits for the first events of a stream.
 async fn begin(
     context: &Context,
@@ -105,17 +112,20 @@
 /// Reads a whole answer.
 async fn read(context: &Context, parsed: &Parsed, answer: Answer) -> Attempt {
     let Answer { head, body, connection, sent, .. } = answer;
+    let framing = Framing::of(&head, &body);
     let read = parsed.deadline.timeout(Limited::new(body, MAX_BUFFERED_ANSWER).collect()).await;
     let body = match read {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => {
-            sent.target.observe(Observation::Silence, context.clock.now());
-            return Attempt::Failed(Outcome::BrokenOff, None);
-        }
+        Ok(Err(_)) => return broken_off(context, &sent.target),
         Err(_) => return lost(context, &sent.target),
     };
     let target = sent.finish();
-    target.pool.check_in(connection, keep_alive_timeout(&head.headers));
+    if framing.allows_reuse() {
+        target.pool.check_in(connection, keep_alive_timeout(&head.headers));
+    }
+    if framing.completeness(&target.pool, &parsed.deadline).await == Completeness::BrokenOff {
+        return broken_off(context, &target);
+    }
     let good = !head.status.is_server_error();
     let sign = if good { Observation::Good } else { Observation::Failure };
     target.observe(sign, context.clock.now());
--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -7,6 +7,8 @@
 use cinderspoke_core::gateway::name::Request;
 use cinderspoke_core::gateway::suspect::{Change, Crash};
 
+use tokio::time::Instant;
+
 use super::context::Context;
 use super::parse::Parsed;
 use super::target::Target;
@@ -44,6 +46,8 @@
     // When the request was sent and the connection broke off, by the gateway's clock.
     sent: Duration,
     disconnected: Duration,
+    // The time of `disconnected`, for the pool.
+    ended: Instant,
 }
 
 /// Finds out whether an endpoint crashed when the connection of a request broke off.
@@ -64,6 +68,7 @@
         fingerprint: parsed.fingerprint(),
         sent,
         disconnected: context.clock.now(),
+        ended: Instant::now(),
     };
     let is_suspected = context.state.suspects().is_suspected(broken.fingerprint);
     let investigation = tokio::spawn(async move {
@@ -80,7 +85,7 @@
     /// Returns whether the endpoint refuses connections now.
     async fn has_crashed(&self) -> bool {
         for _ in 0..CONNECT_ATTEMPTS {
-            if let Some(refused) = self.target.pool.refuses_connections().await {
+            if let Some(refused) = self.target.pool.refuses_connections(self.ended).await {
                 return refused;
             }
         }
--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -29,8 +29,8 @@
 /// request does not cross the endpoint's close.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
 
-/// How long the result of a check whether an endpoint refuses connections is reused: all
-/// connections of an endpoint that crashes break off within some milliseconds.
+/// How long the result that an endpoint refuses connections is reused: all connections of an
+/// endpoint that crashes break off within some milliseconds, and its restart takes seconds.
 const REFUSAL_TTL: Duration = Duration::from_millis(200);
 
 /// Maximum number of idle connections.
@@ -57,6 +57,21 @@
     pub reused: bool,
 }
 
+/// A check whether an endpoint refuses connections.
+#[derive(Debug, Clone, Copy)]
+struct Check {
+    began: Instant,
+    refused: bool,
+}
+
+impl Check {
+    /// Returns whether the result holds for an endpoint whose connection ended at a time.
+    fn holds_since(&self, ended: Instant) -> bool {
+        // An endpoint that accepted a connection may have crashed since.
+        self.began >= ended || (self.refused && self.began.elapsed() < REFUSAL_TTL)
+    }
+}
+
 /// Maximum number of unread bytes of an answer that a connection buffers; the endpoint keeps
 /// what the caller has not read. A thousand connections hold a third of the memory of the
 /// smallest instance.
@@ -67,15 +82,15 @@
 pub struct Pool {
     address: SocketAddr,
     idle: Mutex<Vec<Idle>>,
-    // When it was last checked whether connections are refused, and the result.
-    refusal: AsyncMutex<Option<(Instant, bool)>>,
+    // The last check whether connections are refused.
+    last_check: AsyncMutex<Option<Check>>,
 }
 
 impl Pool {
     /// Creates a pool without connections.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Mutex::default(), refusal: AsyncMutex::default() }
+        Self { address, idle: Mutex::default(), last_check: AsyncMutex::default() }
     }
 
     /// Returns the endpoint's address.
@@ -139,24 +154,24 @@
         }
     }
 
-    /// Returns whether the endpoint refuses connections, as a crashed endpoint does; `None` if it
-    /// did not respond in time. Callers within [`REFUSAL_TTL`] share one check.
-    pub async fn refuses_connections(&self) -> Option<bool> {
-        let mut refusal = self.refusal.lock().await;
-        if let Some((_, refused)) = refusal.filter(|(tried, _)| tried.elapsed() < REFUSAL_TTL) {
-            return Some(refused);
+    /// Returns whether the endpoint refuses connections after one of them ended at a time, as a
+    /// crashed endpoint does; `None` if that is unknown. Callers share a result that is not older
+    /// than the end of their connection; all share a refusal within [`REFUSAL_TTL`].
+    pub async fn refuses_connections(&self, ended: Instant) -> Option<bool> {
+        let mut last_check = self.last_check.lock().await;
+        if let Some(check) = last_check.filter(|check| check.holds_since(ended)) {
+            return Some(check.refused);
         }
+        let began = Instant::now();
         let refused = match timeout(CONNECT_TIMEOUT, connect(self.address)).await {
             Ok(Ok(connection)) => {
                 self.check_in(connection, None);
                 false
             }
-            Ok(Err(error)) => error
-                .downcast_ref::<io::Error>()
-                .is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused),
-            Err(_) => return None,
+            Ok(Err(error)) if is_refusal(&error) => true,
+            Ok(Err(_)) | Err(_) => return None,
         };
-        *refusal = Some((Instant::now(), refused));
+        *last_check = Some(Check { began, refused });
         Some(refused)
     }
 
@@ -166,6 +181,12 @@
     }
 }
 
+/// Returns whether connecting failed because the endpoint refused the connection.
+fn is_refusal(error: &anyhow::Error) -> bool {
+    let error = error.downcast_ref::<io::Error>();
+    error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Opens a connection and spawns the task that drives it.
 async fn connect(address: SocketAddr) -> Result<Connection> {
     let socket = Socket::open(address, TCP_USER_TIMEOUT).await?;
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::framing::{Completeness, Framing};
 use super::pool::Connection;
 use super::send::{Answer, Sent, keep_alive_timeout};
 use super::target::Target;
@@ -18,6 +19,7 @@
 pub struct EventStream {
     sent: Sent,
     body: Incoming,
+    framing: Framing,
     connection: Connection,
     // The idle timeout of the connection, as the endpoint says.
     idle_timeout: Option<Duration>,
@@ -31,7 +33,7 @@
 /// Why a stream was interrupted before its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Interrupted {
-    /// The connection broke off, or the data is no event stream.
+    /// The connection broke off, the endpoint crashed, or the data is no event stream.
     BrokenOff,
     /// No event was received in time.
     TimedOut,
@@ -62,8 +64,9 @@
     pub fn new(answer: Answer) -> (response::Parts, Self) {
         let Answer { head, body, connection, sent, .. } = answer;
         let idle_timeout = keep_alive_timeout(&head.headers);
+        let framing = Framing::of(&head, &body);
         let (splitter, ready, ended) = (Splitter::default(), None, false);
-        (head, Self { sent, body, connection, idle_timeout, splitter, ready, ended })
+        (head, Self { sent, body, framing, connection, idle_timeout, splitter, ready, ended })
     }
 
     /// Returns the endpoint that sends the stream.
@@ -111,13 +114,7 @@
         loop {
             let frame =
                 until.timeout(self.body.frame()).await.map_err(|_| Interrupted::TimedOut)?;
-            let Some(frame) = frame else {
-                return if self.splitter.has_partial() {
-                    Err(Interrupted::BrokenOff)
-                } else {
-                    Ok(Item::End)
-                };
-            };
+            let Some(frame) = frame else { return self.end(until).await };
             let Ok(data) = frame.map_err(|_| Interrupted::BrokenOff)?.into_data() else { continue };
             if let Some(events) = self.splitter.push(&data).map_err(|_| Interrupted::BrokenOff)? {
                 return Ok(Item::Events(events));
@@ -125,10 +122,23 @@
         }
     }
 
-    /// Returns the connection to the pool.
+    /// Finds out whether the stream is complete after its last byte.
+    async fn end(&self, until: &Deadline) -> Result<Item, Interrupted> {
+        if self.splitter.has_partial() {
+            return Err(Interrupted::BrokenOff);
+        }
+        match self.framing.completeness(&self.target().pool, until).await {
+            Completeness::Whole | Completeness::Unknown => Ok(Item::End),
+            Completeness::BrokenOff => Err(Interrupted::BrokenOff),
+        }
+    }
+
+    /// Returns the connection to the pool if it can be reused.
     pub fn finish(self) {
-        let Self { sent, body, connection, idle_timeout, .. } = self;
+        let Self { sent, body, framing, connection, idle_timeout, .. } = self;
         drop(body);
-        sent.target.pool.check_in(connection, idle_timeout);
+        if framing.allows_reuse() {
+            sent.target.pool.check_in(connection, idle_timeout);
+        }
     }
 }
--- a/tests/testsuite/pool.rs
+++ b/tests/testsuite/pool.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 #[tokio::test]
 async fn the_connection_of_an_abandoned_request_is_reset() {
@@ -29,3 +30,27 @@
     let end = endpoint.read(&mut read).await;
     assert_eq!(end.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset));
 }
+
+// An endpoint may crash just after it accepted a connection. The old result said then that the
+// endpoint had not crashed, so that the crash was not counted.
+#[tokio::test]
+async fn an_accepted_connection_does_not_deny_a_later_crash() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let pool = Pool::new(listener.local_addr().unwrap());
+    assert_eq!(pool.refuses_connections(Instant::now()).await, Some(false));
+    drop(listener);
+    assert_eq!(pool.refuses_connections(Instant::now()).await, Some(true));
+}
+
+#[tokio::test]
+async fn connections_that_end_before_a_check_share_it() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let pool = Pool::new(listener.local_addr().unwrap());
+    let ended = Instant::now();
+    for _ in 0..3 {
+        assert_eq!(pool.refuses_connections(ended).await, Some(false));
+    }
+    listener.accept().await.unwrap();
+    let second = futures::future::FutureExt::now_or_never(listener.accept());
+    assert!(second.is_none(), "one connection is enough");
+}
