An unframed answer whose end is unknown clears no suspect

Cause: an answer that ended with its connection counted as served although nothing showed that its endpoint had outlived it. `Item::End` and `Attempt::Whole` now say whether the answer is certainly whole; `Context::record_served` is called only then.

Before: after two crashes, such an answer, and a third crash, the request was sent again (502, 200).

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -26,8 +26,8 @@
 
 /// The result of one attempt.
 pub enum Attempt {
-    /// A whole answer.
-    Whole(Response<Bytes>),
+    /// A whole answer, and whether it is certain that it is whole.
+    Whole(Response<Bytes>, Completeness),
     /// The head of a stream whose first events were received, and the stream.
     Stream(response::Parts, Box<EventStream>),
     /// A failure, with the endpoint's failure response if that may be forwarded.
@@ -123,7 +123,8 @@
     if framing.allows_reuse() {
         target.pool.check_in(connection, keep_alive_timeout(&head.headers));
     }
-    if framing.completeness(&target.pool, &parsed.deadline).await == Completeness::BrokenOff {
+    let completeness = framing.completeness(&target.pool, &parsed.deadline).await;
+    if completeness == Completeness::BrokenOff {
         return broken_off(context, &target);
     }
     let good = !head.status.is_server_error();
@@ -134,7 +135,7 @@
         // The caller would conclude from the status that the request has not run.
         Attempt::Failed(Outcome::Failed, None)
     } else if good {
-        Attempt::Whole(response)
+        Attempt::Whole(response, completeness)
     } else {
         Attempt::Failed(Outcome::Failed, Some(response))
     }
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -13,6 +13,7 @@
 use super::choose::Attempts;
 use super::context::Context;
 use super::crash;
+use super::framing::Completeness;
 use super::parse::{self, Parsed};
 use super::passthrough;
 use super::record::Record;
@@ -80,8 +81,8 @@
         attempts.tried.push(selected.target.name.clone());
         let sent = context.clock.now();
         let (outcome, failure) = match attempt(context, &parsed, &selected, &mut record).await {
-            Attempt::Whole(response) => {
-                if response.status().is_success() {
+            Attempt::Whole(response, completeness) => {
+                if response.status().is_success() && completeness == Completeness::Whole {
                     context.record_served(&parsed);
                 }
                 record.answered(response.status());
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -17,6 +17,7 @@
 use super::choose::{Attempts, Position, Selected};
 use super::context::Context;
 use super::crash;
+use super::framing::Completeness;
 use super::parse::Parsed;
 use super::record::Record;
 use super::refusal::Body;
@@ -87,11 +88,13 @@
             };
             match stream.next(&until).await {
                 Ok(Item::Events(events)) => return Some(self.forward(events)),
-                Ok(Item::End) => {
+                Ok(Item::End(completeness)) => {
                     if let Some(stream) = self.stream.take() {
                         stream.finish();
                     }
-                    self.context.record_served(&self.parsed);
+                    if completeness == Completeness::Whole {
+                        self.context.record_served(&self.parsed);
+                    }
                     self.record.answered(self.status);
                     return None;
                 }
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -26,8 +26,8 @@
     splitter: Splitter,
     // Whole events that were received by `wait_first` and not yet returned by `next`.
     ready: Option<Events>,
-    // Whether the endpoint has ended the stream before any event.
-    ended: bool,
+    // The completeness of a stream that ended before any event.
+    ended: Option<Completeness>,
 }
 
 /// Why a stream was interrupted before its end.
@@ -54,8 +54,8 @@
 pub enum Item {
     /// Whole events.
     Events(Events),
-    /// The endpoint ended the stream.
-    End,
+    /// The stream ended, and whether it is certain that it is complete.
+    End(Completeness),
 }
 
 impl EventStream {
@@ -65,7 +65,7 @@
         let Answer { head, body, connection, sent, .. } = answer;
         let idle_timeout = keep_alive_timeout(&head.headers);
         let framing = Framing::of(&head, &body);
-        let (splitter, ready, ended) = (Splitter::default(), None, false);
+        let (splitter, ready, ended) = (Splitter::default(), None, None);
         (head, Self { sent, body, framing, connection, idle_timeout, splitter, ready, ended })
     }
 
@@ -94,7 +94,7 @@
     pub async fn wait_first(&mut self, until: &Deadline) -> Result<(), Interrupted> {
         match self.next(until).await? {
             Item::Events(events) => self.ready = Some(events),
-            Item::End => self.ended = true,
+            Item::End(completeness) => self.ended = Some(completeness),
         }
         Ok(())
     }
@@ -108,8 +108,8 @@
         if let Some(events) = self.ready.take() {
             return Ok(Item::Events(events));
         }
-        if self.ended {
-            return Ok(Item::End);
+        if let Some(completeness) = self.ended {
+            return Ok(Item::End(completeness));
         }
         loop {
             let frame =
@@ -128,8 +128,8 @@
             return Err(Interrupted::BrokenOff);
         }
         match self.framing.completeness(&self.target().pool, until).await {
-            Completeness::Whole | Completeness::Unknown => Ok(Item::End),
             Completeness::BrokenOff => Err(Interrupted::BrokenOff),
+            completeness => Ok(Item::End(completeness)),
         }
     }
 
