Logs name the framing of an answer

Whether a crash could pass as the end of an answer depends on how its end is marked: the lines `endpoint crashed while it ran a request` and `request` now say so (`framing`).

--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -53,6 +53,7 @@
         Ok(answer) => answer,
         Err(outcome) => return Attempt::Failed(outcome, None),
     };
+    record.set_framing(Framing::of(&answer.head, &answer.body));
     if answer.info.request.as_ref() != Some(&parsed.call.id) {
         // The answer belongs to another request or is not from an endpoint, so the outcome of
         // this request is unknown.
--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::context::Context;
+use super::framing::Framing;
 use super::parse::Parsed;
 use super::target::Target;
 
@@ -43,6 +44,8 @@
     target: Arc<Target>,
     request: Request,
     fingerprint: Fingerprint,
+    // How the end of the answer would have been marked, if its head was received.
+    framing: Option<Framing>,
     // When the request was sent and the connection broke off, by the gateway's clock.
     sent: Duration,
     disconnected: Duration,
@@ -60,12 +63,14 @@
     parsed: &Parsed,
     target: &Arc<Target>,
     sent: Duration,
+    framing: Option<Framing>,
 ) {
     let broken = BrokenAttempt {
         context: Arc::clone(context),
         target: Arc::clone(target),
         request: parsed.call.id.clone(),
         fingerprint: parsed.fingerprint(),
+        framing,
         sent,
         disconnected: context.clock.now(),
         ended: Instant::now(),
@@ -105,6 +110,7 @@
             id = %self.request,
             endpoint = %self.target.name,
             fingerprint = %self.fingerprint,
+            framing = self.framing.map(Framing::as_str),
             after_ms = self.disconnected.saturating_sub(self.sent).as_millis() as u64,
             held = change == Change::Quarantined,
             "endpoint crashed while it ran a request"
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -95,7 +95,8 @@
         };
         record.attempt_failed(&selected.target.name, outcome);
         if outcome == Outcome::BrokenOff {
-            crash::investigate(context, &parsed, &selected.target, sent).await;
+            let framing = record.framing();
+            crash::investigate(context, &parsed, &selected.target, sent, framing).await;
         }
         attempts.record(outcome);
         attempts.failed(failure);
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -17,12 +17,13 @@
 use super::choose::{Attempts, Position, Selected};
 use super::context::Context;
 use super::crash;
-use super::framing::Completeness;
+use super::framing::{Completeness, Framing};
 use super::parse::Parsed;
 use super::record::Record;
 use super::refusal::Body;
 use super::send::{record_refusal, send, start_deadline};
 use super::stream::{EventStream, Interrupted, Item};
+use super::target::Target;
 use crate::util::clock::Deadline;
 
 /// Timeout between events of a stream after which another endpoint resumes it: callers give up
@@ -143,8 +144,7 @@
         stream.target().observe(Observation::Silence, self.context.clock.now());
         self.record.attempt_failed(&stream.target().name, interrupted.outcome());
         if interrupted == Interrupted::BrokenOff {
-            crash::investigate(&self.context, &self.parsed, stream.target(), stream.sent_at())
-                .await;
+            self.investigate(stream.target(), stream.sent_at()).await;
         }
         drop(stream);
         // A stream without event numbers cannot be resumed.
@@ -173,8 +173,7 @@
                 Err(outcome) => {
                     self.record.attempt_failed(&selected.target.name, outcome);
                     if outcome == Outcome::BrokenOff {
-                        crash::investigate(&self.context, &self.parsed, &selected.target, sent)
-                            .await;
+                        self.investigate(&selected.target, sent).await;
                     }
                     self.attempts.record(outcome);
                 }
@@ -182,15 +181,22 @@
         }
     }
 
+    /// Finds out whether an endpoint crashed when the connection of an attempt broke off.
+    async fn investigate(&self, target: &Arc<Target>, sent: Duration) {
+        let framing = self.record.framing();
+        crash::investigate(&self.context, &self.parsed, target, sent, framing).await;
+    }
+
     /// Sends the request to an endpoint to continue after an event.
     async fn request_rest(
-        &self,
+        &mut self,
         selected: &Selected,
         last: u64,
     ) -> Result<Box<EventStream>, Outcome> {
         let slack = if selected.position == Position::Last { Duration::MAX } else { EVENT_TIMEOUT };
         let until = start_deadline(&self.context, &self.parsed, selected, slack);
         let answer = send(&self.context, &self.parsed, selected, Some(last), &until).await?;
+        self.record.set_framing(Framing::of(&answer.head, &answer.body));
         if answer.info.request.as_ref() != Some(&self.parsed.call.id) {
             return Err(Outcome::Lost);
         }
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -17,6 +17,7 @@
 
 use super::choose::{Selected, Unavailable};
 use super::context::InProgress;
+use super::framing::Framing;
 use crate::util::metrics::{ATTEMPTS, FIRST_BYTE, HELD_BACK, REQUESTS, REQUESTS_BY_SIZE};
 
 /// Usual size of a body, in bytes: a few kilobytes take no longer than the shortest body.
@@ -75,6 +76,8 @@
     weights: Option<Version>,
     weights_left: Option<Duration>,
     predicted: Option<Duration>,
+    // How the end of the last attempt's answer is marked, if its head was received.
+    framing: Option<Framing>,
     candidates: usize,
     // How many agents were queried.
     queried: usize,
@@ -114,6 +117,7 @@
             weights: None,
             weights_left: None,
             predicted: None,
+            framing: None,
             candidates: 0,
             queried: 0,
             limited: 0,
@@ -140,6 +144,7 @@
         self.endpoint = Some(selected.target.name.clone());
         (self.weights, self.weights_left) = (selected.version, selected.version_left);
         self.predicted = Some(selected.expected_ttft);
+        self.framing = None;
         self.candidates = candidates;
         self.sends += 1;
     }
@@ -211,6 +216,17 @@
         tracing::info!(id = self.id(), %endpoint, fate = label, after_ms, "attempt failed");
     }
 
+    /// Sets how the end of the last attempt's answer is marked.
+    pub fn set_framing(&mut self, framing: Framing) {
+        self.framing = Some(framing);
+    }
+
+    /// Returns how the end of the last attempt's answer is marked, if its head was received.
+    #[must_use]
+    pub fn framing(&self) -> Option<Framing> {
+        self.framing
+    }
+
     /// Records that the first byte or event of an answer was received.
     pub fn first_byte(&mut self) {
         if self.first.is_none() {
@@ -311,6 +327,7 @@
             own_ms = ms(self.best.map(|best| best.forecast.prefill)),
             wait_ms = ms(self.best.map(|best| best.forecast.wait)),
             limit_ms = ms(self.best.map(|best| best.max_wait)),
+            framing = self.framing.map(Framing::as_str),
             first_ms = ms(self.first),
             total_ms = self.arrived.elapsed().as_millis() as u64,
             sends = self.sends,
