A stream that pauses is given up only if another endpoint can take it

Cause: after 1.1 s without an event a resumable stream was dropped first, then another endpoint was chosen; with none to take it the stream was broken off although its endpoint went on 0.1 s later. A request to the only endpoint of its service was likewise given up before its first event.

The paused stream is kept until another endpoint is chosen within the retry budget, and is asked again for an event otherwise. An attempt counts as followed only if the service has a member that was not tried. Where another endpoint is there, nothing changes: it is dropped before the other one is sent to.

Not changed: an engine that is dead without a reset, alone in its service, holds its stream until the deadline, no longer 1.1 s.

--- a/src/cinderspoke/gateway/choose.rs
+++ b/src/cinderspoke/gateway/choose.rs
@@ -147,7 +147,7 @@
                         version_left,
                         expected_ttft: ttft,
                         reservation,
-                        position: self.position(parsed),
+                        position: self.position(parsed, members, number),
                     };
                     record.selected(&selected, candidates.len());
                     Ok(selected)
@@ -174,12 +174,16 @@
         }
     }
 
-    /// Returns the position of the next attempt.
-    fn position(&self, parsed: &Parsed) -> Position {
+    /// Returns the position of the next attempt, at the member with a number.
+    fn position(&self, parsed: &Parsed, members: &[Member], number: usize) -> Position {
         let mut after = self.history;
         after.record(Outcome::Lost);
         let repeatable = parsed.route.kind.repeatable();
-        match after.next(repeatable, parsed.route.attempts, true) {
+        let is_other = |(other, member): (usize, &Member)| {
+            other != number && !self.tried.contains(&member.target.name)
+        };
+        let has_other = members.iter().enumerate().any(is_other);
+        match after.next(repeatable, parsed.route.attempts, has_other) {
             Next::Retry => Position::Followed,
             Next::End(_) if self.history.guarantee() == Guarantee::NotRun => Position::Only,
             Next::End(_) => Position::Last,
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -138,28 +138,28 @@
         io::Error::other(reason)
     }
 
-    /// Resumes the stream at another endpoint, after the last whole event.
+    /// Resumes the stream at another endpoint, after the last whole event. A stream that only
+    /// paused goes on if no other endpoint can take it.
     async fn resume(&mut self, interrupted: Interrupted) {
         let Some(stream) = self.stream.take() else { return };
         stream.target().observe(Observation::Silence, self.context.clock.now());
-        self.record.attempt_failed(&stream.target().name, interrupted.outcome());
+        let mut paused = None;
         if interrupted == Interrupted::BrokenOff {
+            self.record.attempt_failed(&stream.target().name, interrupted.outcome());
             self.investigate(stream.target(), stream.sent_at()).await;
+            drop(stream);
+        } else {
+            paused = Some(stream);
         }
-        drop(stream);
         // A stream without event numbers cannot be resumed.
         let Some(last) = self.last else { return };
         loop {
-            let resumable = self.parsed.route.kind.repeatable();
-            let time_left = !self.parsed.deadline.is_over();
-            let next = self.attempts.history.next(resumable, self.parsed.route.attempts, time_left);
-            if next != Next::Retry || self.context.quarantine_left(&self.parsed).is_some() {
-                return;
-            }
-            let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
-            let Ok(selected) = choice.await else { return };
-            if !self.context.withdraw_retry(&self.parsed.service) {
+            let Some(selected) = self.choose_next().await else {
+                self.stream = paused;
                 return;
+            };
+            if let Some(stream) = paused.take() {
+                self.record.attempt_failed(&stream.target().name, interrupted.outcome());
             }
             self.attempts.tried.push(selected.target.name.clone());
             let sent = self.context.clock.now();
@@ -181,6 +181,20 @@
         }
     }
 
+    /// Chooses the endpoint that is to resume the stream; none if it may not be resumed or no
+    /// endpoint can take it.
+    async fn choose_next(&mut self) -> Option<Selected> {
+        let resumable = self.parsed.route.kind.repeatable();
+        let time_left = !self.parsed.deadline.is_over();
+        let next = self.attempts.history.next(resumable, self.parsed.route.attempts, time_left);
+        if next != Next::Retry || self.context.quarantine_left(&self.parsed).is_some() {
+            return None;
+        }
+        let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
+        let selected = choice.await.ok()?;
+        self.context.withdraw_retry(&self.parsed.service).then_some(selected)
+    }
+
     /// Finds out whether an endpoint crashed when the connection of an attempt broke off.
     async fn investigate(&self, target: &Arc<Target>, sent: Duration) {
         let framing = self.record.framing();
