--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -9,8 +9,9 @@
 use http::{Response, StatusCode, Version, header, response};
 use http_body_util::{BodyExt, Limited};
 
-use super::choose::Selected;
+use super::choose::{Position, Selected};
 use super::context::Context;
+use super::framing::{Completeness, Framing};
 use super::parse::Parsed;
 use super::record::Record;
 use super::send::{
@@ -25,8 +26,8 @@
 
 /// The result of one attempt.
 pub enum Attempt {
-    /// A whole answer.
-    Whole(Response<Bytes>),
+    /// A whole answer, and whether it is certain that it is whole.
+    Whole(Response<Bytes>, Completeness),
     /// The head of a stream whose first events were received, and the stream.
     Stream(response::Parts, Box<EventStream>),
     /// A failure, with the endpoint's failure response if that may be forwarded.
@@ -42,7 +43,9 @@
     record: &mut Record,
 ) -> Attempt {
     let slack = match parsed.route.kind {
-        Kind::Stream { resumable: true } => FIRST_EVENT_SLACK,
+        Kind::Stream { resumable: true } if selected.position == Position::Followed => {
+            FIRST_EVENT_SLACK
+        }
         _ => Duration::MAX,
     };
     let until = start_deadline(context, parsed, selected, slack);
@@ -50,6 +53,7 @@
         Ok(answer) => answer,
         Err(outcome) => return Attempt::Failed(outcome, None),
     };
+    record.set_framing(Framing::of(&answer.head, &answer.body));
     if answer.info.request.as_ref() != Some(&parsed.call.id) {
         // The answer belongs to another request or is not from an endpoint, so the outcome of
         // this request is unknown.
@@ -82,6 +86,12 @@
     Attempt::Failed(Outcome::Lost, None)
 }
 
+/// Fails an attempt whose answer broke off.
+fn broken_off(context: &Context, target: &Target) -> Attempt {
+    target.observe(Observation::Silence, context.clock.now());
+    Attempt::Failed(Outcome::BrokenOff, None)
+}
+
 /// Waits for the first events of a stream.
 async fn begin(
     context: &Context,
@@ -103,17 +113,21 @@
 /// Reads a whole answer.
 async fn read(context: &Context, parsed: &Parsed, answer: Answer) -> Attempt {
     let Answer { head, body, connection, sent, .. } = answer;
+    let framing = Framing::of(&head, &body);
     let read = parsed.deadline.timeout(Limited::new(body, MAX_BUFFERED_ANSWER).collect()).await;
     let body = match read {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => {
-            sent.target.observe(Observation::Silence, context.clock.now());
-            return Attempt::Failed(Outcome::BrokenOff, None);
-        }
+        Ok(Err(_)) => return broken_off(context, &sent.target),
         Err(_) => return lost(context, &sent.target),
     };
     let target = sent.finish();
-    target.pool.check_in(connection, keep_alive_timeout(&head.headers));
+    if framing.allows_reuse() {
+        target.pool.check_in(connection, keep_alive_timeout(&head.headers));
+    }
+    let completeness = framing.completeness(&target.pool, &parsed.deadline).await;
+    if completeness == Completeness::BrokenOff {
+        return broken_off(context, &target);
+    }
     let good = !head.status.is_server_error();
     let sign = if good { Observation::Good } else { Observation::Failure };
     target.observe(sign, context.clock.now());
@@ -122,7 +136,7 @@
         // The caller would conclude from the status that the request has not run.
         Attempt::Failed(Outcome::Failed, None)
     } else if good {
-        Attempt::Whole(response)
+        Attempt::Whole(response, completeness)
     } else {
         Attempt::Failed(Outcome::Failed, Some(response))
     }
--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -7,7 +7,10 @@
 use cinderspoke_core::gateway::name::Request;
 use cinderspoke_core::gateway::suspect::{Crash, Subject};
 
+use tokio::time::Instant;
+
 use super::context::Context;
+use super::framing::Framing;
 use super::parse::Parsed;
 use super::target::Target;
 
@@ -49,9 +52,13 @@
     request: Request,
     fingerprint: Fingerprint,
     subjects: Vec<Subject>,
+    // How the end of the answer would have been marked, if its head was received.
+    framing: Option<Framing>,
     // When the request was sent and the connection broke off, by the gateway's clock.
     sent: Duration,
     disconnected: Duration,
+    // The time of `disconnected`, for the pool.
+    ended: Instant,
 }
 
 /// Finds out whether an endpoint crashed when the connection of a request broke off.
@@ -64,6 +71,7 @@
     parsed: &Parsed,
     target: &Arc<Target>,
     sent: Duration,
+    framing: Option<Framing>,
 ) {
     let broken = BrokenAttempt {
         context: Arc::clone(context),
@@ -71,8 +79,10 @@
         request: parsed.call.id.clone(),
         fingerprint: parsed.fingerprint(),
         subjects: parsed.subjects(),
+        framing,
         sent,
         disconnected: context.clock.now(),
+        ended: Instant::now(),
     };
     let is_suspected = context.state.suspects().is_suspected(&broken.subjects);
     let investigation = tokio::spawn(async move {
@@ -89,7 +99,7 @@
     /// Returns whether the endpoint refuses connections now.
     async fn has_crashed(&self) -> bool {
         for _ in 0..CONNECT_ATTEMPTS {
-            if let Some(refused) = self.target.pool.refuses_connections().await {
+            if let Some(refused) = self.target.pool.refuses_connections(self.ended).await {
                 return refused;
             }
         }
@@ -111,6 +121,7 @@
             id = %self.request,
             endpoint = %self.target.name,
             fingerprint = %self.fingerprint,
+            framing = self.framing.map(Framing::as_str),
             after_ms = self.disconnected.saturating_sub(self.sent).as_millis() as u64,
             parts = parts.join(","),
             held = !changes.quarantined.is_empty(),
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -14,6 +14,7 @@
 use super::choose::Attempts;
 use super::context::Context;
 use super::crash;
+use super::framing::Completeness;
 use super::parse::{self, Parsed};
 use super::passthrough;
 use super::record::Record;
@@ -99,8 +100,8 @@
         attempts.tried.push(selected.target.name.clone());
         let sent = context.clock.now();
         let (outcome, failure) = match attempt(context, &parsed, &selected, &mut record).await {
-            Attempt::Whole(response) => {
-                if response.status().is_success() {
+            Attempt::Whole(response, completeness) => {
+                if response.status().is_success() && completeness == Completeness::Whole {
                     context.record_served(&parsed);
                 }
                 record.answered(response.status());
@@ -113,7 +114,8 @@
         };
         record.attempt_failed(&selected.target.name, outcome);
         if outcome == Outcome::BrokenOff {
-            crash::investigate(context, &parsed, &selected.target, sent).await;
+            let framing = record.framing();
+            crash::investigate(context, &parsed, &selected.target, sent, framing).await;
         }
         attempts.record(outcome);
         attempts.failed(failure);
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -14,14 +14,16 @@
 use hyper::body::Frame;
 
 use super::answer::{is_encoded, strip_hop_by_hop};
-use super::choose::{Attempts, Selected};
+use super::choose::{Attempts, Position, Selected};
 use super::context::Context;
 use super::crash;
+use super::framing::{Completeness, Framing};
 use super::parse::Parsed;
 use super::record::Record;
 use super::refusal::Body;
 use super::send::{record_refusal, send, start_deadline};
 use super::stream::{EventStream, Interrupted, Item};
+use super::target::Target;
 use crate::util::clock::Deadline;
 
 /// Timeout between events of a stream after which another endpoint resumes it: callers give up
@@ -87,11 +89,13 @@
             };
             match stream.next(&until).await {
                 Ok(Item::Events(events)) => return Some(self.forward(events)),
-                Ok(Item::End) => {
+                Ok(Item::End(completeness)) => {
                     if let Some(stream) = self.stream.take() {
                         stream.finish();
                     }
-                    self.context.record_served(&self.parsed);
+                    if completeness == Completeness::Whole {
+                        self.context.record_served(&self.parsed);
+                    }
                     self.record.answered(self.status);
                     return None;
                 }
@@ -134,29 +138,28 @@
         io::Error::other(reason)
     }
 
-    /// Resumes the stream at another endpoint, after the last whole event.
+    /// Resumes the stream at another endpoint, after the last whole event. A stream that only
+    /// paused goes on if no other endpoint can take it.
     async fn resume(&mut self, interrupted: Interrupted) {
         let Some(stream) = self.stream.take() else { return };
         stream.target().observe(Observation::Silence, self.context.clock.now());
-        self.record.attempt_failed(&stream.target().name, interrupted.outcome());
+        let mut paused = None;
         if interrupted == Interrupted::BrokenOff {
-            crash::investigate(&self.context, &self.parsed, stream.target(), stream.sent_at())
-                .await;
+            self.record.attempt_failed(&stream.target().name, interrupted.outcome());
+            self.investigate(stream.target(), stream.sent_at()).await;
+            drop(stream);
+        } else {
+            paused = Some(stream);
         }
-        drop(stream);
         // A stream without event numbers cannot be resumed.
         let Some(last) = self.last else { return };
         loop {
-            let resumable = self.parsed.route.kind.repeatable();
-            let time_left = !self.parsed.deadline.is_over();
-            let next = self.attempts.history.next(resumable, self.parsed.route.attempts, time_left);
-            if next != Next::Retry || self.context.quarantine(&self.parsed).is_some() {
-                return;
-            }
-            let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
-            let Ok(selected) = choice.await else { return };
-            if !self.context.withdraw_retry(&self.parsed.service) {
+            let Some(selected) = self.choose_next().await else {
+                self.stream = paused;
                 return;
+            };
+            if let Some(stream) = paused.take() {
+                self.record.attempt_failed(&stream.target().name, interrupted.outcome());
             }
             self.attempts.tried.push(selected.target.name.clone());
             let sent = self.context.clock.now();
@@ -170,8 +173,7 @@
                 Err(outcome) => {
                     self.record.attempt_failed(&selected.target.name, outcome);
                     if outcome == Outcome::BrokenOff {
-                        crash::investigate(&self.context, &self.parsed, &selected.target, sent)
-                            .await;
+                        self.investigate(&selected.target, sent).await;
                     }
                     self.attempts.record(outcome);
                 }
@@ -179,14 +181,36 @@
         }
     }
 
+    /// Chooses the endpoint that is to resume the stream; none if it may not be resumed or no
+    /// endpoint can take it.
+    async fn choose_next(&mut self) -> Option<Selected> {
+        let resumable = self.parsed.route.kind.repeatable();
+        let time_left = !self.parsed.deadline.is_over();
+        let next = self.attempts.history.next(resumable, self.parsed.route.attempts, time_left);
+        if next != Next::Retry || self.context.quarantine(&self.parsed).is_some() {
+            return None;
+        }
+        let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
+        let selected = choice.await.ok()?;
+        self.context.withdraw_retry(&self.parsed.service).then_some(selected)
+    }
+
+    /// Finds out whether an endpoint crashed when the connection of an attempt broke off.
+    async fn investigate(&self, target: &Arc<Target>, sent: Duration) {
+        let framing = self.record.framing();
+        crash::investigate(&self.context, &self.parsed, target, sent, framing).await;
+    }
+
     /// Sends the request to an endpoint to continue after an event.
     async fn request_rest(
-        &self,
+        &mut self,
         selected: &Selected,
         last: u64,
     ) -> Result<Box<EventStream>, Outcome> {
-        let until = start_deadline(&self.context, &self.parsed, selected, EVENT_TIMEOUT);
+        let slack = if selected.position == Position::Last { Duration::MAX } else { EVENT_TIMEOUT };
+        let until = start_deadline(&self.context, &self.parsed, selected, slack);
         let answer = send(&self.context, &self.parsed, selected, Some(last), &until).await?;
+        self.record.set_framing(Framing::of(&answer.head, &answer.body));
         if answer.info.request.as_ref() != Some(&self.parsed.call.id) {
             return Err(Outcome::Lost);
         }
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::framing::{Completeness, Framing};
 use super::pool::Connection;
 use super::send::{Answer, Sent, keep_alive_timeout};
 use super::target::Target;
@@ -18,20 +19,21 @@
 pub struct EventStream {
     sent: Sent,
     body: Incoming,
+    framing: Framing,
     connection: Connection,
     // The idle timeout of the connection, as the endpoint says.
     idle_timeout: Option<Duration>,
     splitter: Splitter,
     // Whole events that were received by `wait_first` and not yet returned by `next`.
     ready: Option<Events>,
-    // Whether the endpoint has ended the stream before any event.
-    ended: bool,
+    // The completeness of a stream that ended before any event.
+    ended: Option<Completeness>,
 }
 
 /// Why a stream was interrupted before its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Interrupted {
-    /// The connection broke off, or the data is no event stream.
+    /// The connection broke off, the endpoint crashed, or the data is no event stream.
     BrokenOff,
     /// No event was received in time.
     TimedOut,
@@ -52,8 +54,8 @@
 pub enum Item {
     /// Whole events.
     Events(Events),
-    /// The endpoint ended the stream.
-    End,
+    /// The stream ended, and whether it is certain that it is complete.
+    End(Completeness),
 }
 
 impl EventStream {
@@ -62,8 +64,9 @@
     pub fn new(answer: Answer) -> (response::Parts, Self) {
         let Answer { head, body, connection, sent, .. } = answer;
         let idle_timeout = keep_alive_timeout(&head.headers);
-        let (splitter, ready, ended) = (Splitter::default(), None, false);
-        (head, Self { sent, body, connection, idle_timeout, splitter, ready, ended })
+        let framing = Framing::of(&head, &body);
+        let (splitter, ready, ended) = (Splitter::default(), None, None);
+        (head, Self { sent, body, framing, connection, idle_timeout, splitter, ready, ended })
     }
 
     /// Returns the endpoint that sends the stream.
@@ -91,7 +94,7 @@
     pub async fn wait_first(&mut self, until: &Deadline) -> Result<(), Interrupted> {
         match self.next(until).await? {
             Item::Events(events) => self.ready = Some(events),
-            Item::End => self.ended = true,
+            Item::End(completeness) => self.ended = Some(completeness),
         }
         Ok(())
     }
@@ -105,19 +108,13 @@
         if let Some(events) = self.ready.take() {
             return Ok(Item::Events(events));
         }
-        if self.ended {
-            return Ok(Item::End);
+        if let Some(completeness) = self.ended {
+            return Ok(Item::End(completeness));
         }
         loop {
             let frame =
                 until.timeout(self.body.frame()).await.map_err(|_| Interrupted::TimedOut)?;
-            let Some(frame) = frame else {
-                return if self.splitter.has_partial() {
-                    Err(Interrupted::BrokenOff)
-                } else {
-                    Ok(Item::End)
-                };
-            };
+            let Some(frame) = frame else { return self.end(until).await };
             let Ok(data) = frame.map_err(|_| Interrupted::BrokenOff)?.into_data() else { continue };
             if let Some(events) = self.splitter.push(&data).map_err(|_| Interrupted::BrokenOff)? {
                 return Ok(Item::Events(events));
@@ -125,10 +122,23 @@
         }
     }
 
-    /// Returns the connection to the pool.
+    /// Finds out whether the stream is complete after its last byte.
+    async fn end(&self, until: &Deadline) -> Result<Item, Interrupted> {
+        if self.splitter.has_partial() {
+            return Err(Interrupted::BrokenOff);
+        }
+        match self.framing.completeness(&self.target().pool, until).await {
+            Completeness::BrokenOff => Err(Interrupted::BrokenOff),
+            completeness => Ok(Item::End(completeness)),
+        }
+    }
+
+    /// Returns the connection to the pool if it can be reused.
     pub fn finish(self) {
-        let Self { sent, body, connection, idle_timeout, .. } = self;
+        let Self { sent, body, framing, connection, idle_timeout, .. } = self;
         drop(body);
-        sent.target.pool.check_in(connection, idle_timeout);
+        if framing.allows_reuse() {
+            sent.target.pool.check_in(connection, idle_timeout);
+        }
     }
 }
