A request waits for the verdict on its endpoint before its second send

With parts known, the verdict can hold the second send back, if it comes first.

Change: every request whose connection broke off waits for the verdict, for 100 ms at most; suspects wait until there is one, as before. An endpoint that can be reached accepts or refuses a connection within a round trip.

--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -6,8 +6,7 @@
 use cinderspoke_core::gateway::fingerprint::{Fingerprint, Identity};
 use cinderspoke_core::gateway::name::Request;
 use cinderspoke_core::gateway::suspect::{Crash, Subject};
-
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::context::Context;
 use super::framing::Framing;
@@ -45,6 +44,10 @@
 /// be lost, and a crashed endpoint takes seconds to restart.
 const CONNECT_ATTEMPTS: u32 = 3;
 
+/// How long a request that is no suspect waits for the result: an endpoint that can be reached
+/// refuses or accepts a connection within a round trip.
+const MAX_WAIT: Duration = Duration::from_millis(100);
+
 /// An attempt whose connection broke off before the answer was complete.
 struct BrokenAttempt {
     context: Arc<Context>,
@@ -63,9 +66,9 @@
 
 /// Finds out whether an endpoint crashed when the connection of a request broke off.
 ///
-/// Runs in a task of its own, while the request may be retried at another endpoint. Only a
-/// request that is a suspect already waits for the result, so that it crashes no more endpoints
-/// than necessary.
+/// Runs in a task of its own. The request waits for the result before it is retried, so that it
+/// crashes no more endpoints than necessary: for a short time, or until there is one if the request
+/// or a part of its prompt is a suspect already.
 pub async fn investigate(
     context: &Arc<Context>,
     parsed: &Parsed,
@@ -90,7 +93,8 @@
             broken.record_crash();
         }
     });
-    if is_suspected && let Err(error) = investigation.await {
+    let wait = if is_suspected { Duration::MAX } else { MAX_WAIT };
+    if let Ok(Err(error)) = timeout(wait, investigation).await {
         tracing::error!(%error, "investigating a crash of an endpoint failed");
     }
 }
