A connection ends only after a look at what has arrived

Cause: the runtime learns of received bytes when it looks for events, so that a connection woken by a stop or a timer found nothing to read although a request had arrived, and was closed with it unread.

Change: before a connection ends as idle, or for a slow head, its socket itself is asked for bytes; if there are any, they are read.

Before: stop::a_request_that_arrived_when_idle_connections_close_is_answered failed at its first connection. After: stop, idle and heads, 17 tests, pass.

--- a/src/cinderspoke/gateway/head.rs
+++ b/src/cinderspoke/gateway/head.rs
@@ -8,6 +8,7 @@
 //! written has the longer timeout.
 
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,6 +16,7 @@
 use std::time::Duration;
 
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -150,7 +152,7 @@
         if self.is_writing {
             return Poll::Pending;
         }
-        if self.progress.is_closing() && matches!(phase, Phase::Rest(_)) {
+        if self.progress.is_closing() && matches!(phase, Phase::Rest(_)) && !self.has_arrived() {
             return Poll::Ready(Ok(()));
         }
         let mut end = self.end(phase);
@@ -164,6 +166,9 @@
             }
             self.timer = None;
         }
+        if self.has_arrived() {
+            return Poll::Pending;
+        }
         Poll::Ready(match phase {
             Phase::Rest(_) => Ok(()),
             Phase::Head(_) => {
@@ -172,6 +177,12 @@
         })
     }
 
+    /// Returns whether bytes have arrived for which the connection is yet to be woken: the runtime
+    /// learns of them only when it looks for events.
+    fn has_arrived(&self) -> bool {
+        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
+    }
+
     /// Records the result of a write.
     fn wrote(&mut self, written: &Poll<io::Result<usize>>) {
         self.is_writing = written.is_pending();
