A connection that the gateway closes with a request in it is told apart

Cause: such a request left only a line 'request' with 'left', as a caller that goes away does; and a response that was not sent whole left 'answered'.

Change: each connection is watched until it is dropped, in whichever way: a warning with the request's id, how far it was (head, request, response) and why (stop, slow-head, response-broke-off, protocol, panic, dropped), unless the caller had closed or reset it. cinderspoke_connections_cut_total{why} counts those with a whole head and a cause other than a broken response; in sound operation it is 0. At the end of the grace period a stop closes what is left by itself, so that these lines are written before the log ends.

--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -28,6 +28,7 @@
     pub clock: Clock,
     draining: AtomicBool,
     closing: CancellationToken,
+    ending: CancellationToken,
     in_progress: AtomicUsize,
     // Connections on which a response may still be being written.
     open_connections: AtomicUsize,
@@ -68,6 +69,7 @@
             clock,
             draining: AtomicBool::new(false),
             closing: CancellationToken::new(),
+            ending: CancellationToken::new(),
             in_progress: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             next_attempt: AtomicU64::new(1),
@@ -98,6 +100,16 @@
         self.closing.cancel();
     }
 
+    /// Closes all connections, also those with a request in progress.
+    pub fn end_connections(&self) {
+        self.ending.cancel();
+    }
+
+    /// Waits until [`Self::end_connections`] is called.
+    pub async fn wait_ending(&self) {
+        self.ending.cancelled().await;
+    }
+
     /// Returns whether the gateway reports that it is not ready for new connections.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/src/cinderspoke/gateway/head.rs
+++ b/src/cinderspoke/gateway/head.rs
@@ -10,11 +10,12 @@
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use cinderspoke_core::gateway::name::Request as Id;
 use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -31,14 +32,88 @@
 struct Flags {
     // Whether there is a request in progress whose head has been received.
     active: AtomicBool,
+    // Whether a head has been received in part.
+    head: AtomicBool,
+    // Whether a response is still being sent.
+    writing: AtomicBool,
     // Whether the connection ends as soon as it is idle.
     closing: AtomicBool,
+    // Whether the caller has closed or reset the connection.
+    left: AtomicBool,
+    // Whether a head was not received in time.
+    late: AtomicBool,
+    // Whether a response broke off.
+    broken: AtomicBool,
+    // The id of the last request; none if it has no readable one.
+    id: Mutex<Option<Id>>,
+}
+
+/// What is unfinished on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unfinished {
+    /// A head was received in part.
+    Head,
+    /// A request is in progress.
+    Request,
+    /// A response has not been sent whole.
+    Response,
+}
+
+impl Unfinished {
+    /// Returns the word for the log.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::Request => "request",
+            Self::Response => "response",
+        }
+    }
 }
 
 impl Progress {
-    /// Records that a whole head has been received.
-    pub fn start(&self) {
+    /// Records that a whole head has been received, with the request's id.
+    pub fn start(&self, id: Option<Id>) {
+        self.0.head.store(false, Ordering::Relaxed);
         self.0.active.store(true, Ordering::Relaxed);
+        *self.0.id.lock().unwrap_or_else(PoisonError::into_inner) = id;
+    }
+
+    /// Returns what is unfinished; none if the connection is idle.
+    #[must_use]
+    pub fn unfinished(&self) -> Option<Unfinished> {
+        let is = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
+        match &*self.0 {
+            flags if is(&flags.active) => Some(Unfinished::Request),
+            flags if is(&flags.writing) => Some(Unfinished::Response),
+            flags if is(&flags.head) => Some(Unfinished::Head),
+            _ => None,
+        }
+    }
+
+    /// Returns the id of the last request, if it is readable.
+    #[must_use]
+    pub fn last_id(&self) -> Option<String> {
+        let id = self.0.id.lock().unwrap_or_else(PoisonError::into_inner);
+        id.as_ref().map(|id| id.as_str().to_owned())
+    }
+
+    /// Returns whether the caller has closed or reset the connection.
+    #[must_use]
+    pub fn has_left(&self) -> bool {
+        self.0.left.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a head was not received in time.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.0.late.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a response broke off.
+    #[must_use]
+    pub fn has_broken_off(&self) -> bool {
+        self.0.broken.load(Ordering::Relaxed)
     }
 
     /// Makes the connection end as soon as it is idle and nothing has arrived. The connection has
@@ -85,7 +160,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        if let Poll::Ready(Some(Err(_))) = polled {
+            self.progress.0.broken.store(true, Ordering::Relaxed);
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -117,8 +196,6 @@
     gateway: Arc<Gateway>,
     // None while a request is in progress.
     phase: Option<Phase>,
-    // Whether the last write could not be completed: a response is still being sent.
-    is_writing: bool,
     // Wakes the connection at the timeout; present only while a read is pending.
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -128,12 +205,14 @@
     #[must_use]
     pub fn new(stream: TcpStream, progress: Progress, gateway: Arc<Gateway>) -> Self {
         let phase = Some(Phase::Rest(Instant::now()));
-        Self { stream, progress, gateway, phase, is_writing: false, timer: None }
+        Self { stream, progress, gateway, phase, timer: None }
     }
 
     /// Begins a phase.
     fn enter(&mut self, phase: Option<Phase>) {
         (self.phase, self.timer) = (phase, None);
+        let is_head = matches!(phase, Some(Phase::Head(_)));
+        self.progress.0.head.store(is_head, Ordering::Relaxed);
     }
 
     /// Returns when the phase ends, by the limits in force.
@@ -149,7 +228,7 @@
     /// idle connection.
     fn wait(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let phase = *self.phase.get_or_insert_with(|| Phase::Rest(Instant::now()));
-        if self.is_writing {
+        if self.progress.0.writing.load(Ordering::Relaxed) {
             return Poll::Pending;
         }
         if self.progress.is_closing() && matches!(phase, Phase::Rest(_)) && !self.has_arrived() {
@@ -172,6 +251,7 @@
         Poll::Ready(match phase {
             Phase::Rest(_) => Ok(()),
             Phase::Head(_) => {
+                self.progress.0.late.store(true, Ordering::Relaxed);
                 Err(io::Error::new(io::ErrorKind::TimedOut, "request head not received in time"))
             }
         })
@@ -183,9 +263,31 @@
         SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
     }
 
+    /// Reads what has arrived, and records if the caller has left.
+    fn read(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let has_left = match &read {
+            Poll::Pending => false,
+            Poll::Ready(Ok(())) => buffer.filled().len() == filled && buffer.remaining() > 0,
+            Poll::Ready(Err(_)) => true,
+        };
+        if has_left {
+            self.progress.0.left.store(true, Ordering::Relaxed);
+        }
+        read
+    }
+
     /// Records the result of a write.
     fn wrote(&mut self, written: &Poll<io::Result<usize>>) {
-        self.is_writing = written.is_pending();
+        self.progress.0.writing.store(written.is_pending(), Ordering::Relaxed);
+        if let Poll::Ready(Err(_)) = written {
+            self.progress.0.left.store(true, Ordering::Relaxed);
+        }
         if let (Poll::Ready(Ok(1..)), Some(Phase::Rest(_))) = (written, self.phase) {
             self.enter(Some(Phase::Rest(Instant::now())));
         }
@@ -200,12 +302,12 @@
     ) -> Poll<io::Result<()>> {
         if self.progress.is_active() {
             self.enter(None);
-            return Pin::new(&mut self.stream).poll_read(context, buffer);
+            return self.read(context, buffer);
         }
         let filled = buffer.filled().len();
         // Bytes that have arrived are read even after the timeout: the process may have been
         // paused meanwhile.
-        let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(context, buffer) else {
+        let Poll::Ready(read) = self.read(context, buffer) else {
             return self.wait(context);
         };
         if buffer.filled().len() > filled && matches!(self.phase, Some(Phase::Rest(_))) {
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -28,6 +28,7 @@
 //! - [`crash`] detects that an endpoint ended during a request, [`suspects`] tracks the requests
 //!   during which endpoints ended, and [`quarantine`] keeps in the store which of them are
 //!   quarantined.
+//! - [`cut`] reports connections that are closed with a request in them.
 //! - [`context`] is shared by all requests, a [`target`] holds what is tracked of each endpoint,
 //!   and a [`record`] what is logged of each request.
 
@@ -36,6 +37,7 @@
 pub mod choose;
 pub mod context;
 pub mod crash;
+pub mod cut;
 pub mod eligible;
 pub mod facts;
 pub mod fetch_log;
@@ -185,6 +187,10 @@
             () = sleep_until(end) => {}
         }
         let (in_progress, open) = (self.context.in_progress(), self.context.open_connections());
+        if open > 0 {
+            self.context.end_connections();
+            sleep(STOP_POLL).await;
+        }
         let took_ms = began.elapsed().as_millis() as u64;
         tracing::info!(in_progress, open, took_ms, "stopped");
     }
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -25,7 +25,8 @@
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outcome {
-    /// The caller disconnected, or the process ended, before any other outcome.
+    /// The connection ended before any other outcome: the caller disconnected, or the gateway
+    /// closed it, which [`super::cut`] reports.
     Left,
     /// An endpoint's whole answer was forwarded.
     Answered,
--- a/src/cinderspoke/gateway/serve.rs
+++ b/src/cinderspoke/gateway/serve.rs
@@ -6,7 +6,8 @@
 
 use axum::Router;
 use axum::routing::get;
-use http::StatusCode;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -17,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::context::{Context, OpenConnection};
+use super::cut::Watch;
 use super::forward;
 use super::head::{AnswerBody, Progress, Stream};
 
@@ -56,8 +58,8 @@
 /// Serves the requests of one connection.
 ///
 /// If no request has been received when connections are closed, the connection is kept for its
-/// first request, which may be in flight. A stop waits for the
-/// connection only from that request on, so that a connection without requests does not delay it.
+/// first request, which may be in flight. A stop waits for the connection only from that request
+/// on, so that a connection without requests does not delay it.
 async fn caller(stream: TcpStream, context: Arc<Context>) {
     let prepared = stream
         .set_nodelay(true)
@@ -74,8 +76,10 @@
     let progress = Progress::default();
     let stream = Stream::new(stream, progress.clone(), Arc::clone(&context));
     let closing = progress.clone();
-    let service = service_fn(move |request| {
-        progress.start();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (head, body) = request.into_parts();
+        progress.start(answers.dialect.request_id(&head));
+        let request = Request::from_parts(head, body);
         let (context, progress) = (Arc::clone(&answers), progress.clone());
         lock(&opened).get_or_insert_with(|| context.track_connection());
         first.cancel();
@@ -93,25 +97,35 @@
         .keep_alive(!accepted_late)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = context.wait_closing(), if !accepted_late => {
-            if !requested.is_cancelled() {
-                lock(&open).take();
-            }
-            tokio::select! {
-                biased;
-                () = requested.cancelled() => {
-                    // Not hyper's own shutdown, which drops a head that has arrived in part.
-                    closing.close();
-                    connection.await
+    // Dropped before the connection.
+    let mut watch = Watch::new(closing.clone());
+    let serving = async {
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = context.wait_closing(), if !accepted_late => {
+                if !requested.is_cancelled() {
+                    lock(&open).take();
+                }
+                tokio::select! {
+                    biased;
+                    () = requested.cancelled() => {
+                        // Not hyper's own shutdown, which drops a head that has arrived in part.
+                        closing.close();
+                        connection.await
+                    }
+                    ended = connection.as_mut() => ended,
                 }
-                ended = connection.as_mut() => ended,
             }
         }
     };
-    if let Err(error) = ended {
-        tracing::debug!(%error, "caller's connection failed");
+    tokio::select! {
+        ended = serving => {
+            watch.ended();
+            if let Err(error) = ended {
+                tracing::debug!(%error, "caller's connection failed");
+            }
+        }
+        () = context.wait_ending() => watch.stopped(),
     }
 }
 
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -8,6 +8,9 @@
 /// Requests from callers, by outcome and the size class of their prompt, answer or body.
 pub const REQUESTS_BY_SIZE: &str = "cinderspoke_requests_by_size_total";
 
+/// Callers' connections that the gateway closed before a request in them was answered, by cause.
+pub const CUT: &str = "cinderspoke_connections_cut_total";
+
 /// Attempts at requests, by result.
 pub const ATTEMPTS: &str = "cinderspoke_attempts_total";
 
