The oracle judges requests with a part in common, and sound ones beside them

Ruled out: one judge by when callers sent: a resume of an early request is sent by a gateway that has to know better.

--- a/crates/test-support/src/oracle/judge.rs
+++ b/crates/test-support/src/oracle/judge.rs
@@ -44,8 +44,11 @@
     Ended,
     /// A model is made only of the chunks that belong to it.
     Whole,
-    /// A request under which endpoints end is held back.
+    /// A request under which endpoints end is held back, and so are those with a part under which
+    /// they end.
     HeldBack,
+    /// Sound requests beside those that are held back are served about as often as before.
+    Beside,
     /// An endpoint whose answer says that it leaves gets nothing later than allowed.
     Noticed,
     /// An endpoint that asks a gateway for rest gets it.
