The soak: parts that end engines, answers of all framings, silent endpoints

Requests of model routes name four parts of their prompts: the route's, two that are shared by popularity, their own. Its connections end then (no reset) and new ones are refused. There are four engines, if the option leaves it.

Endpoints fall silent for 0.8 to 1.4 s and go on, which accounts for nothing.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -10,6 +10,12 @@
 use crate::console::Console;
 use crate::soak::{self, Options};
 
+/// How many model engines there are, if nothing is said of it.
+const ENGINES: usize = 2;
+
+/// The same where they end under requests.
+const FATAL_ENGINES: usize = 4;
+
 pub(crate) fn cli() -> Command {
     let seconds = Arg::new("seconds")
         .long("seconds")
@@ -26,13 +32,16 @@
     let engines = Arg::new("engines")
         .long("engines")
         .value_name("N")
-        .default_value("2")
         .value_parser(value_parser!(u64).range(0..=64))
-        .help("How many model engines there are, each with an agent's process");
-    let fatal = Arg::new("fatal")
-        .long("fatal")
-        .action(ArgAction::SetTrue)
-        .help("Have a request come again and again that ends each endpoint that begins it");
+        .help(
+            "How many model engines there are, each with an agent's process [default: 2, with \
+             --fatal 4]",
+        );
+    let fatal = Arg::new("fatal").long("fatal").action(ArgAction::SetTrue).help(
+        "Have a request come again and again that ends each endpoint that begins it, and requests \
+             of which no two are alike, with a part in their prompts that ends each engine that \
+             begins an answer on it",
+    );
     let notices = Arg::new("notices")
         .long("notices")
         .action(ArgAction::SetTrue)
@@ -71,11 +80,12 @@
     let number = |name| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let path = |name| matches.get_one::<PathBuf>(name).cloned();
     let temporary = tempfile::tempdir()?;
+    let usual_engines = if matches.get_flag("fatal") { FATAL_ENGINES } else { ENGINES };
     let options = Options {
         seed: number("seed"),
         length: Duration::from_secs(number("seconds")),
         gateways: number("gateways") as usize,
-        engines: number("engines") as usize,
+        engines: matches.get_one::<u64>("engines").map_or(usual_engines, |count| *count as usize),
         fatal: matches.get_flag("fatal"),
         notices: matches.get_flag("notices"),
         limits: matches.get_flag("limits"),
--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use cinderspoke_stand_ins::request::{
-    ModelRequest, READY, Size, is_draining, model_request, names_limit, request_id, retry_after,
-    signed_by, without_versions,
+    ModelRequest, Part, READY, Size, is_draining, model_request, names_limit, request_id,
+    retry_after, signed_by, without_versions,
 };
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind};
 use cinderspoke_test_support::oracle::judge::{LATE, MARGIN};
@@ -28,6 +28,7 @@
 use super::endpoint::{EVENTS, answer, event, is_stream};
 use super::engine::MODEL;
 use super::oracle::Oracle;
+use super::parts;
 
 /// What callers know of a gateway.
 #[derive(Debug)]
@@ -176,9 +177,11 @@
     wanted: Wanted,
 ) -> Option<Ended> {
     let Wanted { route, kind, key, pace, size, leaves } = wanted;
-    let id = format!("r{}", shared.next.fetch_add(1, Ordering::Relaxed));
+    let number = shared.next.fetch_add(1, Ordering::Relaxed);
+    let id = format!("r{number}");
     let path = format!("{route}{pace}");
-    let request = request(&id, &path, &key, size).ok()?;
+    let parts = parts::sound(&route, number, size.prompt);
+    let request = request(&id, &path, &key, size, &parts).ok()?;
     connection.ready().await.ok()?;
     let sent = shared.oracle.now();
     let (runs, end) = (Vec::new(), None);
@@ -213,9 +216,15 @@
     Some(Ended { end, come_back: told })
 }
 
-fn request(id: &str, path: &str, key: &str, size: Size) -> http::Result<Request<Full<Bytes>>> {
+fn request(
+    id: &str,
+    path: &str,
+    key: &str,
+    size: Size,
+    parts: &[Part],
+) -> http::Result<Request<Full<Bytes>>> {
     let head = Request::post(path).header(HOST_HEADER, HOST);
-    let asked = ModelRequest { id, timeout: TIMEOUT, key, model: MODEL, size };
+    let asked = ModelRequest { id, timeout: TIMEOUT, key, model: MODEL, size, parts };
     model_request(head, &asked).body(Full::from(body(id)))
 }
 
--- a/crates/bench/src/soak/configuration.rs
+++ b/crates/bench/src/soak/configuration.rs
@@ -21,6 +21,9 @@
 /// The service of model engines.
 pub(crate) const ENGINES: &str = "engines";
 
+/// What begins the prefixes of the routes to model engines.
+pub(crate) const ENGINES_PREFIX: &str = "/model";
+
 /// The one availability zone.
 pub(crate) const ZONE: &str = "zone-1";
 
@@ -71,7 +74,7 @@
         Kind::Resumable => RouteKind::Resume,
         Kind::Stream => RouteKind::Stream,
     };
-    let service = if prefix.starts_with("/model") { ENGINES } else { PLAIN };
+    let service = if prefix.starts_with(ENGINES_PREFIX) { ENGINES } else { PLAIN };
     let ttft_target = if prefix == sized::ROUTE { SIZED_AIM } else { AIM };
     Route { host: HOST, prefix, service, kind, timeout: TIMEOUT, ttft_target }
 }
--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -10,13 +10,14 @@
 use axum::Router;
 use axum::body::Body;
 use axum::extract::State;
+use axum::middleware::{Next, from_fn_with_state};
 use bytes::Bytes;
 use cinderspoke_stand_ins::request::{self, Received};
 use cinderspoke_stand_ins::spec;
 use cinderspoke_test_support::oracle::attempt::Run;
 use cinderspoke_test_support::oracle::disturbance::{Kind, Whom};
 use cinderspoke_test_support::{address, proxy::Proxy};
-use futures::stream;
+use futures::{StreamExt, stream};
 use http::header::CONTENT_TYPE;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -28,7 +29,9 @@
 use super::configuration::ZONE;
 use super::engine::Engine;
 use super::fatal;
+use super::framing::{self, Framing, Listener};
 use super::oracle::{Oracle, Work};
+use super::parts::{self, Fate};
 use super::sized;
 
 /// How many events a stream has.
@@ -54,6 +57,8 @@
     rest: Mutex<Option<Duration>>,
     // Requests a second that it accepts, if it says so.
     limit: Mutex<Option<f64>>,
+    // Whether it says nothing at all, and leaves its connections open.
+    silent: watch::Sender<bool>,
 }
 
 impl Notice {
@@ -72,6 +77,17 @@
         *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = per_s;
     }
 
+    /// Falls silent, or goes on where it stopped.
+    pub(crate) fn set_silent(&self, silent: bool) {
+        self.silent.send_replace(silent);
+    }
+
+    /// Waits until it is not silent.
+    pub(crate) async fn goes_on(&self) {
+        // Fails only where the notice is gone, which this holds.
+        _ = self.silent.subscribe().wait_for(|silent| !silent).await;
+    }
+
     fn limit(&self) -> Option<f64> {
         *self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -90,6 +106,17 @@
     notice: Arc<Notice>,
     ended: Arc<AtomicBool>,
     link: Arc<Proxy>,
+    // Of the soak.
+    seed: u64,
+}
+
+/// Under what an endpoint ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// A whole request.
+    Request,
+    /// A part of a prompt.
+    Part,
 }
 
 /// What an endpoint does for a request: it sleeps for the first, and in a stream
@@ -101,6 +128,9 @@
 }
 
 impl Pace {
+    /// Two events come before the endpoint ends.
+    const FATAL: Self = Self { first: Duration::from_millis(10), event: Duration::from_millis(15) };
+
     /// Slow requests are those whose callers may leave meanwhile.
     fn of(path: &str) -> Self {
         let [first, event] = if path.ends_with("/slow") { [900, 150] } else { [30, 15] };
@@ -125,6 +155,7 @@
         service: &'static str,
         engine: Option<Arc<Engine>>,
         oracle: &Oracle,
+        seed: u64,
     ) -> Result<Self> {
         let (notice, ended) = (Arc::<Notice>::default(), Arc::new(AtomicBool::new(false)));
         let inner = address::free()?;
@@ -137,12 +168,14 @@
             notice: Arc::clone(&notice),
             ended: Arc::clone(&ended),
             link: Arc::clone(&link),
+            seed,
         };
         let mut app = Router::new().fallback(serve).with_state(shared);
         if let Some(engine) = &engine {
-            app = app.merge(super::engine::app(Arc::clone(engine)));
+            let silence = from_fn_with_state(Arc::clone(&notice), silence);
+            app = app.merge(super::engine::app(Arc::clone(engine)).layer(silence));
         }
-        let listener = TcpListener::bind(inner).await?;
+        let listener = Listener(TcpListener::bind(inner).await?);
         tokio::spawn(async move { axum::serve(listener, app).await });
         Ok(Self { name, service, link, engine, notice, ended })
     }
@@ -172,14 +205,22 @@
     working: Arc<AtomicUsize>,
     ended: Arc<AtomicBool>,
     engine: Option<Arc<Engine>>,
+    notice: Arc<Notice>,
     // Changes when the engine breaks off what runs.
     cuts: Option<watch::Receiver<u64>>,
     work: Work,
 }
 
 impl Place {
-    /// Works for a time; an error if the work is broken off meanwhile.
+    /// Works for a time, longer where its endpoint is silent then; an error if the work is broken
+    /// off meanwhile.
     async fn work(&mut self, time: Duration) -> io::Result<()> {
+        let worked = self.wait(time).await;
+        self.notice.goes_on().await;
+        worked
+    }
+
+    async fn wait(&mut self, time: Duration) -> io::Result<()> {
         let Some(cuts) = &mut self.cuts else {
             sleep(time).await;
             return Ok(());
@@ -219,28 +260,54 @@
         let endpoint = self.clone();
         tokio::spawn(async move {
             sleep(fatal::RUN).await;
-            endpoint.crash().await;
+            endpoint.crash(Cause::Request, fatal::AWAY).await;
         });
         std::future::pending().await
     }
 
+    /// Ends soon after it began an answer to a request.
+    fn succumb(&self, fate: Fate) {
+        let endpoint = self.clone();
+        tokio::spawn(async move {
+            sleep(fate.life).await;
+            endpoint.crash(Cause::Part, fate.away).await;
+        });
+    }
+
     /// Ends in the midst of whatever it works on, and starts again after a while.
-    async fn crash(&self) {
+    async fn crash(&self, cause: Cause, away: Duration) {
         if self.ended.swap(true, Ordering::SeqCst) {
             return;
         }
         let number = self.oracle.struck(Kind::Crash, Whom::Endpoint(self.name.clone()));
-        self.link.close();
-        sleep(fatal::AWAY).await;
+        match cause {
+            Cause::Request => self.link.close(),
+            Cause::Part => {
+                self.oracle.ended_by_part();
+                self.link.end();
+            }
+        }
+        sleep(away).await;
         self.ended.store(false, Ordering::SeqCst);
         self.link.open();
         self.oracle.passed(number);
     }
 }
 
+/// Has what is asked of an engine wait while it is silent.
+async fn silence(
+    State(notice): State<Arc<Notice>>,
+    request: Request<Body>,
+    next: Next,
+) -> Response<Body> {
+    notice.goes_on().await;
+    next.run(request).await
+}
+
 async fn serve(State(shared): State<Shared>, request: Request<Body>) -> Response<Body> {
     let notice = Arc::clone(&shared.notice);
     let mut answer = work(shared, request).await;
+    notice.goes_on().await;
     if notice.leaves.load(Ordering::SeqCst) {
         request::set_draining(answer.headers_mut());
     }
@@ -279,14 +346,19 @@
         version,
         wrong: differs(&arrival, &body),
     };
-    let work = shared.oracle.came(&id, run);
+    let fatal = parts::arrival(&id, run.came).filter(|_| parts::is_fatal(&arrival.parts));
+    let work = match fatal {
+        Some(arrival) => shared.oracle.part_came(&id, arrival),
+        None => shared.oracle.came(&id, run),
+    };
     if let Some(rest) = rest {
         shared.oracle.rests(&shared.name, &id, rest);
     }
     let engine = shared.engine.clone().filter(|_| !closed);
     let ended = Arc::clone(&shared.ended);
     let cuts = engine.as_ref().map(|engine| engine.cuts());
-    let mut place = Place { working: Arc::clone(&shared.working), ended, engine, cuts, work };
+    let (working, notice) = (Arc::clone(&shared.working), Arc::clone(&shared.notice));
+    let mut place = Place { working, ended, engine, notice, cuts, work };
     let answered = request::answer_head(&id, version);
     if !ran {
         let refusal = request::not_run(answered);
@@ -296,8 +368,16 @@
         };
         return with(refusal, status, Body::empty());
     }
+    let mut random = framing::drawn(shared.seed, &id);
+    let (framing, fate) = (Framing::draw(&mut random), fatal.map(|_| Fate::draw(&mut random)));
+    if let Some(fate) = fate {
+        shared.succumb(fate);
+        if fate.events == 0 {
+            return std::future::pending().await;
+        }
+    }
     let path = head.uri.path();
-    let pace = Pace::of(path);
+    let pace = if fate.is_some() { Pace::FATAL } else { Pace::of(path) };
     let engine = shared.engine.as_ref().filter(|_| path.ends_with(sized::PACE));
     let worked = match engine {
         Some(engine) => {
@@ -308,16 +388,22 @@
         None => place.work(pace.first).await,
     };
     let signed = request::sign(answered, &shared.name);
-    if let Err(error) = worked {
-        // An error before the first byte closes the connection without a whole answer.
-        let body = stream::iter([Err::<Bytes, _>(error)]);
-        return with(signed, 200, Body::from_stream(body));
-    }
     if !is_stream(path) {
-        return with(signed, 200, Body::from(answer(&id)));
+        let (body, bytes) = (Body::from(answer(&id)), answer(&id).len());
+        return framing.frame(with(signed, 200, body), bytes);
     }
     let signed = signed.header(CONTENT_TYPE, "text/event-stream");
-    with(signed, 200, events(id, arrival.last_event, pace, place))
+    let stream = Stream { id, after: arrival.last_event, pace, framing };
+    let bytes = stream.bytes();
+    let events = match worked {
+        Ok(()) => stream.events(place).left_stream(),
+        Err(error) => stream::iter([stream.broken_off(error)]).right_stream(),
+    };
+    let body = match fate {
+        Some(fate) => Body::from_stream(events.take(fate.events).chain(stream::pending())),
+        None => Body::from_stream(events),
+    };
+    framing.frame(with(signed, 200, body), bytes)
 }
 
 /// Whether requests on a path are answered in events.
@@ -340,17 +426,41 @@
     answer.status(status).body(body).unwrap_or_default()
 }
 
-/// Events after one; what holds its place goes with the stream.
-fn events(id: String, after: u64, pace: Pace, place: Place) -> Body {
-    let all = stream::try_unfold((after, place), move |(after, mut place)| {
-        let id = id.clone();
-        async move {
-            if after >= EVENTS {
+/// The events of an answer after one.
+struct Stream {
+    id: String,
+    after: u64,
+    pace: Pace,
+    framing: Framing,
+}
+
+impl Stream {
+    fn bytes(&self) -> usize {
+        (self.after + 1..=EVENTS).map(|number| event(&self.id, number).len()).sum()
+    }
+
+    /// What comes where the next event would, of a stream that is broken off: an error closes the
+    /// connection, which tells nothing of an answer that ends with it anyway, but inside an event.
+    fn broken_off(&self, error: io::Error) -> io::Result<String> {
+        let mut event = event(&self.id, self.after + 1);
+        event.truncate(event.len() / 2);
+        if self.framing == Framing::Neither { Ok(event) } else { Err(error) }
+    }
+
+    /// All events; what holds its place goes with the stream.
+    fn events(self, place: Place) -> impl futures::Stream<Item = io::Result<String>> {
+        let next = async |(mut stream, mut place): (Self, Place)| {
+            if stream.after >= EVENTS {
                 return Ok(None);
             }
-            place.work(pace.event).await?;
-            Ok::<_, io::Error>(Some((event(&id, after + 1), (after + 1, place))))
-        }
-    });
-    Body::from_stream(all)
+            if let Err(error) = place.work(stream.pace.event).await {
+                let broken_off = stream.broken_off(error)?;
+                stream.after = EVENTS;
+                return Ok(Some((broken_off, (stream, place))));
+            }
+            stream.after += 1;
+            Ok(Some((event(&stream.id, stream.after), (stream, place))))
+        };
+        stream::try_unfold((self, place), next)
+    }
 }
--- a/crates/bench/src/soak/fatal.rs
+++ b/crates/bench/src/soak/fatal.rs
@@ -37,12 +37,11 @@
     for number in 0_u64.. {
         sleep(Duration::from_millis(random.random_range(BETWEEN))).await;
         let Some((gateway, mut connection)) = open(&shared, &mut random).await else { continue };
-        let sent = shared.oracle.now().as_millis();
-        let id = format!("{ID}-{gateway}-{sent}-{number}");
+        let id = id(ID, gateway, shared.oracle.now(), number);
         let head = Request::post("/safe/quick").header(HOST_HEADER, HOST);
         let key = "key-0";
-        let asked =
-            ModelRequest { id: &id, timeout: TIMEOUT, key, model: MODEL, size: Size::SMALL };
+        let (size, parts) = (Size::SMALL, &[]);
+        let asked = ModelRequest { id: &id, timeout: TIMEOUT, key, model: MODEL, size, parts };
         let request = model_request(head, &asked).body(Full::from(BODY));
         let Ok(request) = request else { return };
         let exchange = async {
@@ -54,9 +53,19 @@
     }
 }
 
+/// The id of an attempt, by which its arrivals are known.
+pub(crate) fn id(kind: &str, gateway: usize, sent: Duration, number: u64) -> String {
+    format!("{kind}-{gateway}-{}-{number}", sent.as_millis())
+}
+
 /// Which gateway an attempt was sent to, and when; none for any other request.
 pub(crate) fn arrival(id: &str, came: Duration) -> Option<Arrival> {
-    let mut parts = id.strip_prefix(ID)?.split('-').skip(1);
+    read_id(ID, id, came)
+}
+
+/// The same of requests with ids of a kind.
+pub(crate) fn read_id(kind: &str, id: &str, came: Duration) -> Option<Arrival> {
+    let mut parts = id.strip_prefix(kind)?.split('-').skip(1);
     let gateway = parts.next()?.parse().ok()?;
     let sent = Duration::from_millis(parts.next()?.parse().ok()?);
     Some(Arrival { gateway, sent, came })
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -4,8 +4,9 @@
 //! - [`plan`] lays out faults by a seed, [`player`] plays them upon a [`world`] of
 //!   [`program`]s, links, a store, an [`origin`], and [`endpoint`]s, of which some
 //!   are an [`engine`]; the operators' [`configuration`] is declared to the store.
-//! - [`caller`]s send requests; if it is asked for, one of them is [`fatal`] to endpoints, and many
-//!   more are [`sized`]. What they and endpoints see of each goes to the [`oracle`], which has it
+//! - [`caller`]s send requests; if it is asked for, one of them is [`fatal`] to endpoints, and so
+//!   are those with one of the [`parts`] of prompts; many more are [`sized`]. Endpoints answer in
+//!   each [`framing`]. What they and endpoints see of each goes to the [`oracle`], which has it
 //!   judged and keeps what is broken.
 
 mod caller;
@@ -13,8 +14,10 @@
 mod endpoint;
 mod engine;
 mod fatal;
+mod framing;
 mod oracle;
 mod origin;
+mod parts;
 mod plan;
 mod player;
 mod program;
@@ -36,6 +39,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use self::parts::Culprit;
 use self::player::Player;
 use self::world::World;
 use crate::console::Console;
@@ -46,6 +50,12 @@
 /// The stream of random numbers from which limits are drawn, beyond those of all callers.
 const LIMITS_STREAM: u64 = 1 << 32;
 
+/// The one from which requests are drawn with a part under which engines end.
+const PARTS_STREAM: u64 = LIMITS_STREAM + 1;
+
+/// The one from which it is drawn when endpoints fall silent.
+const PAUSES_STREAM: u64 = LIMITS_STREAM + 2;
+
 /// How often the player looks at what is due, and how often attempts are judged.
 const LOOK: Duration = Duration::from_millis(20);
 const LOOKS_TO_SETTLE: u32 = 50;
@@ -137,8 +147,9 @@
         random.set_stream(LIMITS_STREAM);
         steps.extend(plan::limits(&mut random, options.length));
     }
-    let mut world =
-        World::spawn(programs, out, options.gateways, options.engines, options.sizes).await?;
+    random.set_stream(PAUSES_STREAM);
+    steps.extend(plan::pauses(&mut random, options.length));
+    let mut world = World::spawn(programs, out, options).await?;
     let start = world.oracle.now();
     let mut others = JoinSet::new();
     for (number, gateway) in world.gateways.iter().enumerate() {
@@ -153,7 +164,12 @@
     if options.fatal {
         let mut random = ChaCha8Rng::seed_from_u64(options.seed);
         random.set_stream(CALLERS + 1);
-        callers.spawn(fatal::run(Arc::clone(&world.callers), random));
+        callers.spawn(fatal::run(Arc::clone(&world.callers), random.clone()));
+        random.set_stream(PARTS_STREAM);
+        let culprit = Culprit::draw(&mut random);
+        console.say(&format!("engines end under {culprit:?}"));
+        world.oracle.expect_part(culprit.route);
+        callers.spawn(parts::run(Arc::clone(&world.callers), culprit, random));
     }
     if options.sizes {
         for caller in 0..sized::CALLERS * options.engines as u64 {
@@ -190,9 +206,14 @@
     world.check_ends();
     tally.take(world.oracle.settle(true));
     tally.take(Vec::from_iter(world.oracle.held_back(fatal::RUN)));
+    let (broken, told_of_parts) = world.oracle.parts();
+    tally.take(broken);
     let sizes = world.oracle.sizes();
     tally.take(sizes.judge(world.oracle.now()));
     tally.tell();
+    if options.fatal {
+        console.say(&told_of_parts);
+    }
     if options.sizes {
         let size::Shares { callers, all, largest, below } = sizes;
         console.say(&format!(
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -13,6 +13,8 @@
 use cinderspoke_test_support::oracle::size;
 use tokio::time::Instant;
 
+use super::parts;
+
 /// How long an attempt that is over is kept: what comes of it later is seen until then.
 const SETTLE: Duration = Duration::from_secs(8);
 
@@ -22,6 +24,7 @@
     facts: Facts,
     // Arrivals of the request that ends endpoints.
     fatal: Vec<fatal::Arrival>,
+    part: Part,
     // Callers with requests of all sizes.
     sized: Vec<size::Caller>,
     notices: Notices,
@@ -31,6 +34,29 @@
     succeeded: u64,
 }
 
+/// What was seen of requests with a part under which engines end, and of sound ones beside them.
+#[derive(Default)]
+struct Part {
+    // Their route, if there are any.
+    route: Option<&'static str>,
+    arrivals: Vec<fatal::Arrival>,
+    ends: Vec<Duration>,
+    // When the last one was sent.
+    last: Duration,
+    sound: Vec<fatal::Sound>,
+}
+
+impl Part {
+    /// Takes down an attempt that is over, if it is a sound request of the route and the key.
+    fn settle(&mut self, attempt: &Attempt) {
+        if self.route == Some(attempt.route.as_str()) && attempt.key == parts::KEY {
+            let Attempt { gateway, sent, runs, .. } = attempt;
+            let has_begun = runs.iter().any(|run| run.ran);
+            self.sound.push(fatal::Sound { gateway: *gateway, sent: *sent, has_begun });
+        }
+    }
+}
+
 /// The oracle; clones share what was seen.
 #[derive(Clone)]
 pub(crate) struct Oracle {
@@ -174,6 +200,46 @@
         fatal::judge(&state.fatal, run, &state.facts, &self.bounds)
     }
 
+    /// Requests with a part under which engines end will come on a route.
+    pub(crate) fn expect_part(&self, route: &'static str) {
+        self.lock().part.route = Some(route);
+    }
+
+    /// A caller sends one.
+    pub(crate) fn sent_part(&self) {
+        let now = self.now();
+        self.lock().part.last = now;
+    }
+
+    /// One reaches an engine; its work is none of an attempt.
+    pub(crate) fn part_came(&self, id: &str, arrival: fatal::Arrival) -> Work {
+        self.lock().part.arrivals.push(arrival);
+        Work { oracle: self.clone(), id: id.to_owned(), number: 0 }
+    }
+
+    /// An engine ends under one.
+    pub(crate) fn ended_by_part(&self) {
+        let now = self.now();
+        self.lock().part.ends.push(now);
+    }
+
+    /// Judges how often such requests reached engines, and sound ones beside them.
+    pub(crate) fn parts(&self) -> (Vec<Breach>, String) {
+        let now = self.now();
+        let state = self.lock();
+        let (Part { arrivals, ends, last, sound, .. }, facts) = (&state.part, &state.facts);
+        let begun = fatal::Begun::new(sound, ends, *last, facts, &self.bounds);
+        let fatal::Begun { before, beside } = begun;
+        let held_back = fatal::judge_part(arrivals, ends, facts, &self.bounds);
+        let told = format!(
+            "{} engines ended under a part that reached engines {} times; of sound requests of its \
+             route began {before} before and {beside} beside it",
+            ends.len(),
+            arrivals.len()
+        );
+        (held_back.into_iter().chain(begun.judge(now)).collect(), told)
+    }
+
     /// A caller with a request of a size has been served, or has given up.
     pub(crate) fn sized(&self, caller: size::Caller) {
         self.lock().sized.push(caller);
@@ -243,12 +309,13 @@
     pub(crate) fn settle(&self, all: bool) -> Vec<Breach> {
         let now = self.now();
         let mut state = self.lock();
-        let State { attempts, facts, breaches, .. } = &mut *state;
+        let State { attempts, facts, breaches, part, .. } = &mut *state;
         attempts.retain(|_, attempt| {
             let settled =
                 all || attempt.end.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) > SETTLE);
             if settled {
                 breaches.extend(judge(attempt, facts, &self.bounds));
+                part.settle(attempt);
             }
             !settled
         });
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -61,6 +61,8 @@
     Reload,
     /// An endpoint turns requests away for a time, and asks for so long a rest.
     Rest(Duration, Duration),
+    /// A sound endpoint falls silent for a time and goes on, without closing anything.
+    Pause(Duration),
     /// An endpoint names a limit in its answers for a time, in requests a second.
     Limit(Duration, f64),
     News(News),
@@ -102,6 +104,10 @@
 /// Milliseconds of a rest that an endpoint asks for.
 const REST: Range<u64> = 800..5000;
 
+/// Milliseconds between two endpoints that fall silent, and for how long they do.
+const PAUSES: Range<u64> = 1500..6000;
+const PAUSED: Range<u64> = 800..1400;
+
 /// Milliseconds between two limits that endpoints name, and for how long they do: often one names
 /// another before the first is over.
 const LIMITS: Range<u64> = 1500..6000;
@@ -123,6 +129,18 @@
     steps
 }
 
+/// Lays out when endpoints fall silent during a soak.
+pub(crate) fn pauses(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = FIRST;
+    while at < length {
+        let lasts = Duration::from_millis(random.random_range(PAUSED));
+        steps.push(Step { at, fault: Fault::Pause(lasts), seed: random.random() });
+        at += Duration::from_millis(random.random_range(PAUSES));
+    }
+    steps
+}
+
 /// Lays out what endpoints say in their answers during a soak.
 pub(crate) fn notices(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
     let mut steps = Vec::new();
--- a/crates/bench/src/soak/player.rs
+++ b/crates/bench/src/soak/player.rs
@@ -46,6 +46,8 @@
     Tell(Box<Endpoint>),
     /// An endpoint takes requests again.
     Rested(Arc<Notice>),
+    /// An endpoint that fell silent goes on.
+    GoOn(Arc<Notice>),
     /// An endpoint names no limit any more, unless it has named another one since.
     Unlimited(String, Arc<Notice>, usize),
     /// A link is well again.
@@ -128,6 +130,7 @@
             Due::End(endpoint) => endpoint.end(),
             Due::Tell(endpoint) => self.tell_of(world, endpoint),
             Due::Rested(notice) => notice.set_rest(None),
+            Due::GoOn(notice) => notice.set_silent(false),
             Due::Unlimited(name, notice, number) => {
                 if self.limited.get(&name) == Some(&number) {
                     notice.set_limit(None);
@@ -206,17 +209,19 @@
                 return self.strike_program(world, fault).await;
             }
             Fault::Rest(length, rest) => {
-                let number = self.random.random_range(0..world.endpoints.len());
-                let endpoint = &world.endpoints[number];
-                let (name, notice) = (endpoint.name.clone(), Arc::clone(&endpoint.notice));
+                let (name, notice) = self.any_endpoint(world);
                 notice.set_rest(Some(rest));
                 self.later(world, length, Due::Rested(notice));
                 return Ok(Some(name));
             }
+            Fault::Pause(length) => {
+                let (name, notice) = self.any_endpoint(world);
+                notice.set_silent(true);
+                self.later(world, length, Due::GoOn(notice));
+                return Ok(Some(name));
+            }
             Fault::Limit(length, per_s) => {
-                let number = self.random.random_range(0..world.endpoints.len());
-                let endpoint = &world.endpoints[number];
-                let (name, notice) = (endpoint.name.clone(), Arc::clone(&endpoint.notice));
+                let (name, notice) = self.any_endpoint(world);
                 notice.set_limit(Some(per_s));
                 world.oracle.names_limit(&name, Some(per_s));
                 self.limited.insert(name.clone(), self.faults);
@@ -228,6 +233,13 @@
         Ok(Some(all))
     }
 
+    /// Draws an endpoint.
+    fn any_endpoint(&mut self, world: &World) -> (String, Arc<Notice>) {
+        let number = self.random.random_range(0..world.endpoints.len());
+        let endpoint = &world.endpoints[number];
+        (endpoint.name.clone(), Arc::clone(&endpoint.notice))
+    }
+
     /// Does something in a moment to all links of a sort.
     fn strike_all(world: &World, links: Links, kind: Kind, strike: impl Fn(&Proxy)) {
         let number = world.oracle.struck(kind, Whom::All);
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, interval, sleep};
 
+use super::Options;
 use super::caller::{self, Door, Offer};
 use super::configuration::{self, BOUNDS, ENGINES, PLAIN};
 use super::endpoint::Endpoint;
@@ -57,6 +58,7 @@
     pub(crate) offer: watch::Sender<Offer>,
     pub(crate) named: u64,
     pub(crate) declared: u64,
+    seed: u64,
     programs: PathBuf,
     out: PathBuf,
     store_address: SocketAddr,
@@ -67,13 +69,8 @@
 
 impl World {
     /// Starts everything and waits until all gateways take connections.
-    pub(crate) async fn spawn(
-        programs: &Path,
-        out: &Path,
-        gateways: usize,
-        engines: usize,
-        sizes: bool,
-    ) -> Result<Self> {
+    pub(crate) async fn spawn(programs: &Path, out: &Path, options: &Options) -> Result<Self> {
+        let Options { seed, gateways, engines, sizes, .. } = *options;
         let oracle = Oracle::new(BOUNDS);
         let store_address = address::free()?;
         let store = Store::spawn(store_address).await?;
@@ -94,6 +91,7 @@
             offer,
             named: 1,
             declared: 0,
+            seed,
             programs: programs.to_owned(),
             out: out.to_owned(),
             store_address,
@@ -150,7 +148,7 @@
     /// Starts a plain endpoint.
     pub(crate) async fn add_plain(&mut self) -> Result<()> {
         let name = self.name(PLAIN);
-        let endpoint = Endpoint::spawn(name, PLAIN, None, &self.oracle).await?;
+        let endpoint = Endpoint::spawn(name, PLAIN, None, &self.oracle, self.seed).await?;
         self.list(endpoint);
         Ok(())
     }
@@ -161,7 +159,8 @@
         let pace = SLOWNESS[self.agents.len() % SLOWNESS.len()];
         let engine = Engine::new(&name, self.named, pace, &self.oracle, &self.store);
         let engine = Arc::new(engine);
-        let endpoint = Endpoint::spawn(name.clone(), ENGINES, Some(engine), &self.oracle).await?;
+        let endpoint =
+            Endpoint::spawn(name.clone(), ENGINES, Some(engine), &self.oracle, self.seed).await?;
         let (own, name) = (endpoint.address(), name.replace("engine", "agent"));
         let mut settings = configuration::settings(&name, own, self.store_address, &self.seeds);
         settings["beside"] = json!({ "address": own, "service": ENGINES });
--- a/crates/bench/tests/testsuite/soak.rs
+++ b/crates/bench/tests/testsuite/soak.rs
@@ -99,6 +99,18 @@
     assert!(summary["requests"].as_u64().unwrap() > 0, "{summary}");
 }
 
+// Requests of which no two are alike hold one part that ends each engine that begins an answer, and
+// sound ones share their key and their other parts. Where only whole requests are known, each of
+// them ends engines as if it were the first: 6 reach engines later than allowed in 20 s.
+#[test]
+fn requests_with_a_part_that_ends_engines_are_held_back_while_things_go_wrong() {
+    let (output, summary) = played(command("4", "20").arg("--fatal"));
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(told.contains("engines end under Culprit"), "{told}");
+    assert_eq!(summary["unexplained"], 0, "{summary}\n{told}");
+    assert_eq!(summary["processes"], 6, "four engines end, each with an agent");
+}
+
 // Endpoints ask for rest, and say in their answers that they leave, up to 12 s before the
 // store knows it; where nothing heeds that, both are passed over some 200 times in 40 s.
 #[test]
--- a/crates/test-support/src/proxy.rs
+++ b/crates/test-support/src/proxy.rs
@@ -37,6 +37,8 @@
     silent_before: u64,
     // Those with lower numbers are reset, but for silent ones.
     reset_before: u64,
+    // Those with lower numbers end, but for silent ones.
+    end_before: u64,
     // No new connection comes about.
     closed: bool,
 }
@@ -95,7 +97,14 @@
         self.reset();
     }
 
-    /// Takes connections again after it was closed.
+    /// Ends all connections, as a process that ends does, and refuses new ones until it is opened
+    /// again.
+    pub fn end(&self) {
+        let next = self.next.load(Ordering::SeqCst);
+        self.link.send_modify(|link| (link.closed, link.end_before) = (true, next));
+    }
+
+    /// Takes connections again after it was closed or ended.
     pub fn open(&self) {
         self.link.send_modify(|link| link.closed = false);
     }
@@ -166,6 +175,9 @@
             reset(&near);
             return reset(&far);
         }
+        if number < now.end_before {
+            return;
+        }
         if lost != now.lost {
             lose(&near, now.lost == Some(Way::Out));
             lose(&far, now.lost == Some(Way::Back));
