A link opens again beside a connection that is silent for good

A link that was closed waited for the end of its connections before it listened again; one that the soak had made silent never ends, so that an endpoint which ended under a request stayed away for the rest of the soak. The listener is gone by then, and the address is tried again until it can be had.

A second test shows that a link that ends closes its connections, which is not a reset.

--- a/crates/bench/tests/testsuite/links.rs
+++ b/crates/bench/tests/testsuite/links.rs
@@ -101,3 +101,43 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+// The link of an endpoint that ended stayed closed for good once one of its connections had been
+// silent, since it waited for the end of that connection.
+#[tokio::test]
+async fn a_closed_link_opens_again_beside_a_silent_connection() {
+    let link = link().await;
+    let mut old = connect(&link).await;
+    exchange(&mut old).await.unwrap();
+    link.silence();
+    link.close();
+    while TcpStream::connect(link.address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    link.open();
+    let opens = async {
+        while TcpStream::connect(link.address).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(LONG, opens).await.expect("the link takes connections again");
+}
+
+// What ends with its process is told from what is reset: an answer that ends with its connection
+// seems complete.
+#[tokio::test]
+async fn a_link_that_ends_closes_its_connections_and_takes_no_new_ones() {
+    let link = link().await;
+    let mut old = connect(&link).await;
+    exchange(&mut old).await.unwrap();
+    link.end();
+    let mut byte = [0];
+    assert_eq!(timeout(LONG, old.read(&mut byte)).await.unwrap().unwrap(), 0);
+    while TcpStream::connect(link.address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    link.open();
+    while TcpStream::connect(link.address).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/crates/test-support/src/proxy.rs
+++ b/crates/test-support/src/proxy.rs
@@ -121,7 +121,6 @@
     let mut listener = Some(listener);
     loop {
         let Some(open) = &listener else {
-            while connections.join_next().await.is_some() {}
             if link.wait_for(|link| !link.closed).await.is_err() {
                 return;
             }
