--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -150,10 +150,14 @@
         random.set_stream(LIMITS_STREAM);
         steps.extend(plan::limits(&mut random, options.length));
     }
-    random.set_stream(PLANNED_STREAM);
-    steps.extend(plan::planned(&mut random, options.length));
-    random.set_stream(PAUSES_STREAM);
-    steps.extend(plan::pauses(&mut random, options.length));
+    // From the start of a stream: what was drawn before depends on the length.
+    let drawn = |stream| {
+        let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+        random.set_stream(stream);
+        random
+    };
+    steps.extend(plan::planned(&mut drawn(PLANNED_STREAM), options.length));
+    steps.extend(plan::pauses(&mut drawn(PAUSES_STREAM), options.length));
     let mut world = World::spawn(programs, out, options).await?;
     let start = world.oracle.now();
     let mut others = JoinSet::new();
