A crash whose connections end before its listener is not taken for a whole answer

Cause: the end of an answer without length or chunks is settled by one new connection; an endpoint that is ending may still accept it, when its connections end some milliseconds before its listener.

Change: the new connection has to last 10 ms; one that ends at once is followed by a second one, and if that ends too nothing is known.

--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -11,7 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::sync::Mutex as AsyncMutex;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::socket::Socket;
 use crate::util::clock::{MIN_SUSPENSION, suspended};
@@ -33,6 +33,14 @@
 /// endpoint that crashes break off within some milliseconds, and its restart takes seconds.
 const REFUSAL_TTL: Duration = Duration::from_millis(200);
 
+/// How long a new connection has to last to show that its endpoint still runs. The end of an
+/// unframed answer waits for it.
+const MIN_CONNECTION_AGE: Duration = Duration::from_millis(10);
+
+/// Maximum number of connections that one check opens: an endpoint with too many connections ends
+/// new ones at once, too.
+const MAX_CHECK_CONNECTS: u32 = 2;
+
 /// Maximum number of idle connections.
 const MAX_IDLE: usize = 32;
 
@@ -163,18 +171,29 @@
             return Some(check.refused);
         }
         let began = Instant::now();
-        let refused = match timeout(CONNECT_TIMEOUT, connect(self.address)).await {
-            Ok(Ok(connection)) => {
-                self.check_in(connection, None);
-                false
-            }
-            Ok(Err(error)) if is_refusal(&error) => true,
-            Ok(Err(_)) | Err(_) => return None,
-        };
+        let refused = self.check_refusal().await?;
         *last_check = Some(Check { began, refused });
         Some(refused)
     }
 
+    /// Connects, and connects again if the connection ends at once: an endpoint that is ending may
+    /// still accept one.
+    async fn check_refusal(&self) -> Option<bool> {
+        for _ in 0..MAX_CHECK_CONNECTS {
+            let connection = match timeout(CONNECT_TIMEOUT, connect(self.address)).await {
+                Ok(Ok(connection)) => connection,
+                Ok(Err(error)) if is_refusal(&error) => return Some(true),
+                Ok(Err(_)) | Err(_) => return None,
+            };
+            sleep(MIN_CONNECTION_AGE).await;
+            if !connection.is_closed() {
+                self.check_in(connection, None);
+                return Some(false);
+            }
+        }
+        None
+    }
+
     /// Closes all idle connections.
     pub fn close_idle(&self) {
         self.lock().clear();
