--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -156,7 +156,9 @@
         random.set_stream(stream);
         random
     };
-    steps.extend(plan::planned(&mut drawn(PLANNED_STREAM), options.length));
+    let mut planned = plan::planned(&mut drawn(PLANNED_STREAM), options.length);
+    plan::keep_clear(&mut planned, &steps);
+    steps.extend(planned);
     steps.extend(plan::pauses(&mut drawn(PAUSES_STREAM), options.length));
     let mut world = World::spawn(programs, out, options).await?;
     let start = world.oracle.now();
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -139,6 +139,9 @@
 const EARLY: Range<usize> = 0..2;
 const AFTER_START: Range<u64> = 50..400;
 
+/// How long a program that got a signal just after its start is not struck by anything else.
+const HELD: Duration = Duration::from_secs(5);
+
 /// Milliseconds for which connections of callers may rest: often less than callers wait between two
 /// requests.
 const IDLE: Range<u64> = 50..3000;
@@ -197,6 +200,17 @@
     steps
 }
 
+/// Leaves out programs that would still be starting when a fault draws whom it strikes.
+pub(crate) fn keep_clear(planned: &mut Vec<Step>, faults: &[Step]) {
+    let draws =
+        |fault| matches!(fault, Fault::Term | Fault::Kill | Fault::Freeze(_) | Fault::Reload);
+    let in_way = |step: &Step| {
+        let held = step.at..step.at + HELD;
+        faults.iter().any(|fault| draws(fault.fault) && held.contains(&fault.at))
+    };
+    planned.retain(|step| !matches!(step.fault, Fault::Early(..)) || !in_way(step));
+}
+
 fn change(random: &mut ChaCha8Rng) -> Change {
     match random.random_range(0..3) {
         0 => Change::Idle(Duration::from_millis(random.random_range(IDLE))),
