--- a/crates/core/src/gateway/suspect/end.rs
+++ b/crates/core/src/gateway/suspect/end.rs
@@ -1,5 +1,6 @@
 //! Ends of endpoints, and chains of them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -68,12 +69,50 @@
             && self.disconnected.0 > other.disconnected.0 + DELAY_MS
     }
 
+    /// Returns for how long the request was at the endpoint, in milliseconds. Other than the times
+    /// themselves, it is not changed by the network delay of updates.
+    pub(super) fn run_ms(&self) -> i64 {
+        self.disconnected.0 - self.sent.0
+    }
+
+    /// Takes over that a request was sent later, if the other is the same end under another
+    /// request. Returns whether it was.
+    pub(super) fn merge_sent(&mut self, other: &Self) -> bool {
+        let is_later = other.run_ms() + DELAY_MS < self.run_ms();
+        if is_later {
+            self.sent = Moment(self.disconnected.0 - other.run_ms());
+        }
+        is_later
+    }
+
     /// Returns whether an endpoint ended, rather than that a probe was sent.
     pub(super) fn is_crash(&self) -> bool {
         matches!(self.cause, Cause::Endpoint(_))
     }
 }
 
+/// Ends that quarantined suspects explain, by the key of their endpoint.
+#[derive(Debug, Default)]
+pub(super) struct Explained(BTreeMap<u64, Vec<Moment>>);
+
+impl Explained {
+    /// Adds the ends of endpoints among some ends.
+    pub(super) fn extend(&mut self, ends: &[End]) {
+        for end in ends {
+            if let Cause::Endpoint(key) = end.cause {
+                self.0.entry(key).or_default().push(end.disconnected);
+            }
+        }
+    }
+
+    /// Returns whether an end is one of them, as seen by any gateway.
+    pub(super) fn contains(&self, end: &End) -> bool {
+        let Cause::Endpoint(key) = end.cause else { return false };
+        let is_same = |at: &Moment| (at.0 - end.disconnected.0).abs() < SAME_END_MS;
+        self.0.get(&key).is_some_and(|times| times.iter().any(is_same))
+    }
+}
+
 /// Returns the length of the longest chain of ends in which the request of each was sent after the
 /// end before it. Ends at the same moment are one link.
 pub(super) fn chain<'a>(ends: impl IntoIterator<Item = &'a End>) -> usize {
--- a/crates/core/src/gateway/suspect/evidence.rs
+++ b/crates/core/src/gateway/suspect/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::end::{Cause, End, Moment, SAME_END_MS, chain};
+use super::end::{Cause, End, Explained, Moment, SAME_END_MS, chain};
 
 /// How many endpoints have to end under a suspect before it is quarantined. One or two may be
 /// coincidence: it was at the endpoint together with the one that caused the end.
@@ -83,16 +83,16 @@
     }
 
     /// The ends that are not explained by another suspect.
-    pub(super) fn unexplained<'a>(&'a self, explained: &'a [End]) -> impl Iterator<Item = &'a End> {
-        let is_explained = |end: &End| {
-            end.is_crash() && explained.iter().any(|other| other.is_crash() && other.is_same(end))
-        };
-        self.ends.iter().filter(move |end| !is_explained(end))
+    pub(super) fn unexplained<'a>(
+        &'a self,
+        explained: &'a Explained,
+    ) -> impl Iterator<Item = &'a End> {
+        self.ends.iter().filter(|end| !explained.contains(end))
     }
 
     /// Returns whether enough endpoints ended under it one after another, without ends that another
     /// suspect explains. If endpoints end at the same moment, many requests may have been at them.
-    pub(super) fn suffices(&self, policy: &Policy, explained: &[End]) -> bool {
+    pub(super) fn suffices(&self, policy: &Policy, explained: &Explained) -> bool {
         self.unexplained(explained).count() >= QUARANTINE_ENDS
             && chain(self.unexplained(explained)) >= policy.chain
     }
@@ -102,9 +102,14 @@
         self.ends.iter().map(|end| end.disconnected).max()
     }
 
-    /// Returns how many probes were sent since it was last answered.
+    /// Returns how many probes were sent since it was last answered under which an endpoint ended.
+    /// One that no endpoint ran tells nothing.
     pub(super) fn probes(&self) -> usize {
-        self.ends.iter().filter(|end| end.cause == Cause::Probe).count()
+        let has_ended = |probe: &&End| {
+            let follows = |end: &&End| end.is_crash() && end.disconnected >= probe.disconnected;
+            probe.cause == Cause::Probe && self.ends.iter().any(|end| follows(&end))
+        };
+        self.ends.iter().filter(has_ended).count()
     }
 
     /// Returns for how long at least it is quarantined after the last end.
@@ -121,9 +126,12 @@
     /// Records an end. Returns whether it was unknown.
     pub(super) fn record_end(&mut self, end: End) -> bool {
         let is_old = self.answered.is_some_and(|answered| end.disconnected <= answered);
-        if is_old || self.ends.iter().any(|known| known.is_same(&end)) {
+        if is_old {
             return false;
         }
+        if let Some(known) = self.ends.iter_mut().find(|known| known.is_same(&end)) {
+            return known.merge_sent(&end);
+        }
         self.ends.push(end);
         if self.ends.len() <= MAX_ENDS {
             return true;
@@ -150,7 +158,11 @@
 
     /// Returns whether it can be removed.
     pub(super) fn is_expired(&self, policy: &Policy, now: Duration) -> bool {
-        let retention = if self.suffices(policy, &[]) { policy.retention } else { END_RETENTION };
+        let retention = if self.suffices(policy, &Explained::default()) {
+            policy.retention
+        } else {
+            END_RETENTION
+        };
         let ended = self
             .last_end()
             .map(|end| end.age(now) > retention.saturating_add(self.quarantine(policy) * 2));
--- a/crates/core/src/gateway/suspect/group.rs
+++ b/crates/core/src/gateway/suspect/group.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::end::{End, EndUpdate, Moment, chain};
+use super::end::{End, EndUpdate, Explained, Moment, chain};
 use super::evidence::{Evidence, Policy};
 
 /// For how long a change of a suspect that is not quarantined is sent to other gateways.
@@ -14,6 +14,9 @@
 /// The most bytes of the updates on suspects of one kind in a message.
 const MAX_UPDATE_BYTES: usize = 4 << 10;
 
+/// How long the same quarantined suspects come first in messages that cannot hold all of them.
+const ROTATION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// About how many bytes an update takes without its ends, and each end.
 const UPDATE_BYTES: usize = 30;
 const END_BYTES: usize = 40;
@@ -89,7 +92,7 @@
 
     /// Returns how much longer a suspect is quarantined at a gateway. The time ends at a different
     /// moment on each gateway: `share` is the gateway's, from 0 to 1, of as much again. `shortest`
-    /// replaces the time before the first probe, if it is given.
+    /// replaces the time before the first probe on the first gateway, if it is given.
     pub(super) fn time_left(
         &self,
         key: K,
@@ -100,8 +103,8 @@
         let evidence = self.get(key).filter(|_| self.is_quarantined(key))?;
         let last = evidence.last_end()?;
         let quarantine = evidence.quarantine(self.policy);
-        let quarantine = shortest.filter(|_| evidence.probes() == 0).unwrap_or(quarantine);
-        Some(quarantine.mul_f64(1.0 + share).saturating_sub(last.age(now)))
+        let shortest = shortest.filter(|_| evidence.probes() == 0).unwrap_or(quarantine);
+        Some((shortest + quarantine.mul_f64(share)).saturating_sub(last.age(now)))
     }
 
     /// Records an end of an endpoint that had a suspect. Returns whether it was unknown.
@@ -122,6 +125,7 @@
         if let Some(age) = update.answered {
             let evidence = self.suspects.entry(update.key).or_default();
             changed |= evidence.merge_answer(Moment::ago(age, now));
+            self.evict();
         }
         for end in &update.ends {
             changed |= self.record_end(update.key, end.end(now));
@@ -150,14 +154,33 @@
         sent.into_iter().map(|(key, evidence)| Update::new(*key, evidence, now)).collect()
     }
 
-    /// Returns the same updates, as far as they fit into a message.
+    /// Returns the same updates, as far as they fit into a message: half of it is for recent changes
+    /// of suspects that are not quarantined. Of many that are, each message has others.
     pub(super) fn updates(&self, now: Duration) -> Vec<Update<K>> {
-        let mut updates = self.all_updates(now);
-        let mut size = 0;
-        updates.retain(|update| {
-            size += update.size();
-            size <= MAX_UPDATE_BYTES
-        });
+        let is_quarantined = |update: &Update<K>| self.is_quarantined(update.key);
+        let (mut quarantined, recent): (Vec<_>, Vec<_>) =
+            self.all_updates(now).into_iter().partition(is_quarantined);
+        let size = quarantined.iter().map(Update::size).sum::<usize>();
+        if size > MAX_UPDATE_BYTES / 2 {
+            let turn = now.as_millis() / ROTATION_INTERVAL.as_millis();
+            let first = usize::try_from(turn).unwrap_or(0) % quarantined.len();
+            quarantined.rotate_left(first);
+        }
+        let mut updates = Vec::new();
+        let mut left = MAX_UPDATE_BYTES / 2;
+        let mut rest = recent.into_iter().peekable();
+        while let Some(update) = rest.next_if(|update| update.size() <= left) {
+            left -= update.size();
+            updates.push(update);
+        }
+        left += MAX_UPDATE_BYTES / 2;
+        for update in quarantined.into_iter().chain(rest) {
+            if update.size() > left {
+                break;
+            }
+            left -= update.size();
+            updates.push(update);
+        }
         updates
     }
 
@@ -199,13 +222,16 @@
     /// the fewest ends: a suspect that many requests share is at more ends than it causes.
     fn quarantine(&self) -> BTreeMap<K, Vec<K>> {
         let suffices =
-            |evidence: &Evidence, explained: &[End]| evidence.suffices(self.policy, explained);
-        let mut candidates: Vec<_> =
-            self.suspects.iter().filter(|(_, evidence)| suffices(evidence, &[])).collect();
+            |evidence: &Evidence, explained: &Explained| evidence.suffices(self.policy, explained);
+        let mut candidates: Vec<_> = self
+            .suspects
+            .iter()
+            .filter(|(_, evidence)| suffices(evidence, &Explained::default()))
+            .collect();
         if !self.policy.explains {
             return candidates.into_iter().map(|(key, _)| (*key, Vec::new())).collect();
         }
-        let (mut quarantined, mut explained) = (BTreeMap::new(), Vec::new());
+        let (mut quarantined, mut explained) = (BTreeMap::new(), Explained::default());
         loop {
             candidates.retain(|(key, evidence)| {
                 !quarantined.contains_key(*key) && suffices(evidence, &explained)
@@ -216,7 +242,7 @@
             };
             let best = candidates.iter().rev().max_by_key(|(_, evidence)| rank(evidence)).copied();
             let Some((key, evidence)) = best else { return quarantined };
-            explained.extend(evidence.ends().iter().copied());
+            explained.extend(evidence.ends());
             let rivals = candidates.iter().filter(|(_, other)| !suffices(other, &explained));
             let rivals = rivals.map(|(rival, _)| **rival).filter(|rival| rival != key).collect();
             quarantined.insert(*key, rivals);
--- a/crates/core/src/gateway/suspect/mod.rs
+++ b/crates/core/src/gateway/suspect/mod.rs
@@ -14,6 +14,7 @@
 mod group;
 mod subject;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use self::end::{Cause, End, Moment, SAME_END_MS};
@@ -29,6 +30,9 @@
 /// that would be quarantined without it. Such a request tells which of them ends endpoints.
 const RIVAL_QUARANTINE: Duration = Duration::from_secs(1);
 
+/// The most released subjects that are remembered: several times as many as the store keeps.
+const MAX_RELEASED: usize = 1024;
+
 /// A send whose endpoint ended before it answered.
 #[derive(Debug, Clone)]
 pub struct Crash {
@@ -85,11 +89,18 @@
 pub struct Table {
     requests: Group<Fingerprint>,
     parts: Group<Part>,
+    // What was released and not quarantined again since.
+    // Invariant: at most `MAX_RELEASED`.
+    released: BTreeSet<Subject>,
 }
 
 impl Default for Table {
     fn default() -> Self {
-        Self { requests: Group::new(&REQUESTS), parts: Group::new(&PARTS) }
+        Self {
+            requests: Group::new(&REQUESTS),
+            parts: Group::new(&PARTS),
+            released: BTreeSet::new(),
+        }
     }
 }
 
@@ -136,9 +147,9 @@
     }
 
     /// Restores a quarantine that was stored by gateways which may have ended since. Returns whether
-    /// it was unknown.
+    /// it was unknown. One that has ended since this process started is not restored.
     pub fn restore_quarantine(&mut self, subject: Subject, now: Duration) -> bool {
-        if self.is_quarantined(subject) {
+        if self.is_quarantined(subject) || self.released.contains(&subject) {
             return false;
         }
         let number = match subject {
@@ -316,6 +327,11 @@
             Subject::Request(request) => self.requests.has_own_end(*request),
             Subject::Part(part) => self.parts.has_own_end(*part),
         };
+        quarantined.iter().for_each(|subject| _ = self.released.remove(subject));
+        self.released.extend(released.iter().copied());
+        while self.released.len() > MAX_RELEASED {
+            self.released.pop_first();
+        }
         let witnessed = quarantined.iter().copied().filter(is_witnessed).collect();
         Changes { updated, quarantined, witnessed, released }
     }
--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -93,7 +93,8 @@
             broken.record_crash();
         }
     });
-    let wait = if is_suspected { Duration::MAX } else { MAX_WAIT };
+    let left = parsed.deadline.left();
+    let wait = if is_suspected { left } else { MAX_WAIT.min(left) };
     if let Ok(Err(error)) = timeout(wait, investigation).await {
         tracing::error!(%error, "investigating a crash of an endpoint failed");
     }
--- a/src/cinderspoke/gateway/head.rs
+++ b/src/cinderspoke/gateway/head.rs
@@ -310,7 +310,7 @@
         let Poll::Ready(read) = self.read(context, buffer) else {
             return self.wait(context);
         };
-        if buffer.filled().len() > filled && matches!(self.phase, Some(Phase::Rest(_))) {
+        if buffer.filled().len() > filled && matches!(self.phase, None | Some(Phase::Rest(_))) {
             self.enter(Some(Phase::Head(Instant::now())));
         }
         Poll::Ready(read)
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -158,13 +158,13 @@
                 self.stream = paused;
                 return;
             };
-            if let Some(stream) = paused.take() {
-                self.record.attempt_failed(&stream.target().name, interrupted.outcome());
-            }
             self.attempts.tried.push(selected.target.name.clone());
             let sent = self.context.clock.now();
             match self.request_rest(&selected, last).await {
                 Ok(stream) => {
+                    if let Some(paused) = paused.take() {
+                        self.record.attempt_failed(&paused.target().name, interrupted.outcome());
+                    }
                     self.attempts.record(Outcome::Lost);
                     self.record.resumed();
                     self.stream = Some(stream);
--- a/src/cinderspoke/gateway/quarantine.rs
+++ b/src/cinderspoke/gateway/quarantine.rs
@@ -5,7 +5,7 @@
 //! Gateways that read for their region read the store when they take that role; the others get
 //! the set from them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -42,6 +42,8 @@
     // Whether each request or part of prompts is quarantined.
     writes: BTreeMap<Subject, bool>,
     read: bool,
+    // What this gateway has written as quarantined, or is to write.
+    stored: BTreeSet<Subject>,
 }
 
 impl Pending {
@@ -51,18 +53,36 @@
 
     /// Schedules a write of whether a request or part of prompts is quarantined.
     pub fn set(&self, subject: Subject, quarantined: bool) {
-        self.lock().writes.insert(subject, quarantined);
+        let mut calls = self.lock();
+        calls.writes.insert(subject, quarantined);
+        if quarantined {
+            calls.stored.insert(subject);
+        } else {
+            calls.stored.remove(&subject);
+        }
+        drop(calls);
         self.added.notify_one();
     }
 
+    /// Schedules a write that a request or part is no longer quarantined, if this gateway wrote
+    /// that it is: the write of the gateway that released it may have come first.
+    pub fn withdraw(&self, subject: Subject) {
+        let is_stored = self.lock().stored.contains(&subject);
+        if is_stored {
+            self.set(subject, false);
+        }
+    }
+
     /// Schedules a read of what is quarantined.
     pub fn request_read(&self) {
         self.lock().read = true;
         self.added.notify_one();
     }
 
-    fn take(&self) -> Calls {
-        std::mem::take(&mut *self.lock())
+    /// Takes the pending writes, and whether the store is to be read.
+    fn take(&self) -> (BTreeMap<Subject, bool>, bool) {
+        let mut calls = self.lock();
+        (std::mem::take(&mut calls.writes), std::mem::take(&mut calls.read))
     }
 }
 
@@ -84,7 +104,7 @@
                 last_read = Instant::now();
             }
         }
-        let Calls { writes, read } = pending.take();
+        let (writes, read) = pending.take();
         if read {
             read_at = read_at.or(Some(last_read + READ_INTERVAL));
         }
--- a/src/cinderspoke/gateway/suspects.rs
+++ b/src/cinderspoke/gateway/suspects.rs
@@ -204,6 +204,7 @@
         }
         for subject in &changes.released {
             tracing::info!(%subject, from, "no longer quarantined");
+            self.suspects().pending.withdraw(*subject);
         }
         for subject in &changes.witnessed {
             self.suspects().pending.set(*subject, true);
