--- a/tests/testsuite/gateway/suspect_parts.rs
+++ b/tests/testsuite/gateway/suspect_parts.rs
@@ -480,8 +480,9 @@
 
     fn gossip(&mut self) {
         for gateway in 0..self.scene.gateways {
-            let pushes = self.now % PUSH == 0 && std::mem::take(&mut self.changed[gateway]);
-            let is_due = (self.now + gateway as u64 * STEP) % PERIOD == 0;
+            let pushes =
+                self.now.is_multiple_of(PUSH) && std::mem::take(&mut self.changed[gateway]);
+            let is_due = (self.now + gateway as u64 * STEP).is_multiple_of(PERIOD);
             if !pushes && !is_due {
                 continue;
             }
