--- a/crates/core/src/gateway/suspect/mod.rs
+++ b/crates/core/src/gateway/suspect/mod.rs
@@ -111,7 +111,7 @@
         self.requests.is_empty() && self.parts.is_empty()
     }
 
-    /// Returns whether endpoints ended under an subject since it was answered.
+    /// Returns whether endpoints ended under a subject since it was answered.
     #[must_use]
     pub fn is_suspected(&self, subject: Subject) -> bool {
         match subject {
@@ -225,7 +225,7 @@
         subjects.iter().filter_map(left).collect()
     }
 
-    /// Returns how much longer a gateway holds an subject back in a request; none if it is not
+    /// Returns how much longer a gateway holds a subject back in a request; none if it is not
     /// quarantined.
     fn time_left(
         &self,
@@ -251,8 +251,8 @@
         }
     }
 
-    /// Returns the updates on requests for a gossip message: quarantined ones first, and recent
-    /// changes.
+    /// Returns the updates on requests for a gossip message: recent changes, and quarantined ones as
+    /// far as they fit.
     #[must_use]
     pub fn updates(&self, now: Duration) -> Vec<Update<Fingerprint>> {
         self.requests.updates(now)
@@ -264,7 +264,7 @@
         self.requests.all_updates(now)
     }
 
-    /// Returns the updates on parts of prompts for a gossip message, in the same order.
+    /// Returns the same updates on parts of prompts.
     #[must_use]
     pub fn part_updates(&self, now: Duration) -> Vec<Update<Part>> {
         self.parts.updates(now)
--- a/src/cinderspoke/gateway/suspects.rs
+++ b/src/cinderspoke/gateway/suspects.rs
@@ -224,7 +224,7 @@
     }
 }
 
-/// The kind of an subject, as metrics name it.
+/// The kind of a subject, as metrics name it.
 pub(super) const fn kind(subject: Subject) -> &'static str {
     match subject {
         Subject::Request(_) => "request",
