A connection that a link accepts as it ends does not outlive the others

Trace: no gateway logged a crash of engine-6, since the verifying connection was accepted after the link had ended the others and before its listener was gone, and the link carried it on to the stand-in. A process that ends takes such a connection with it.

Change: the link drops what it accepts once it is closed, and counts the connections to end under the lock that closes it. No test of its own: the moment can't be hit at will.

--- a/crates/test-support/src/proxy.rs
+++ b/crates/test-support/src/proxy.rs
@@ -100,8 +100,8 @@
     /// Ends all connections, as a process that ends does, and refuses new ones until it is opened
     /// again.
     pub fn end(&self) {
-        let next = self.next.load(Ordering::SeqCst);
-        self.link.send_modify(|link| (link.closed, link.end_before) = (true, next));
+        let next = || self.next.load(Ordering::SeqCst);
+        self.link.send_modify(|link| (link.closed, link.end_before) = (true, next()));
     }
 
     /// Takes connections again after it was closed or ended.
@@ -140,6 +140,10 @@
         };
         if let Ok((near, _)) = accepted {
             let number = next.fetch_add(1, Ordering::SeqCst);
+            // One that is accepted as the others end would outlive them.
+            if link.borrow().closed {
+                continue;
+            }
             connections.spawn(carry(number, near, to, link.clone()));
         }
         while connections.try_join_next().is_some() {}
