--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -36,6 +36,7 @@
 mod size_fairness;
 mod subset;
 mod suspect;
+mod suspect_fleet;
 mod suspect_parts;
 mod tally;
 mod timeline;
