A refusal of the retry budget is logged and counted; sends are sends

Seen: the line of a request counted choices as sends, and nothing said that a budget refused, nor by what it counted (654 of 1,171 requests with two sends were sent once). Change: sends are counted where they leave; a refusal has a line with the inputs, a counter and a reason of its own. No decision changes.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -45,10 +45,21 @@
     pub fn allows_retry(&mut self, now: Duration, options: &Options, gateways: usize) -> bool {
         forget(&mut self.requests, now, options.window);
         forget(&mut self.retries, now, options.window);
+        (self.retries.len() as f64) + 1.0 <= self.allowed(now, options, gateways)
+    }
+
+    /// The retries that are allowed within the window, where `gateways` share the slack.
+    #[must_use]
+    pub fn allowed(&self, now: Duration, options: &Options, gateways: usize) -> f64 {
         let slack = if now < options.slack_from { 0.0 } else { options.slack };
         let slack = slack / gateways.max(1) as f64;
-        let allowed = SPENDABLE_FRACTION * (options.ratio * self.requests.len() as f64 + slack);
-        (self.retries.len() as f64) + 1.0 <= allowed
+        SPENDABLE_FRACTION * (options.ratio * self.requests.len() as f64 + slack)
+    }
+
+    /// The requests and the retries within the window that ended when they were last asked for.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        (self.requests.len(), self.retries.len())
     }
 
     /// Records a retry.
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -49,7 +49,7 @@
         _ => Duration::MAX,
     };
     let until = start_deadline(context, parsed, selected, slack);
-    let answer = match send(context, parsed, selected, None, &until).await {
+    let answer = match send(context, parsed, selected, None, &until, record).await {
         Ok(answer) => answer,
         Err(outcome) => return Attempt::Failed(outcome, None),
     };
--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -41,6 +41,19 @@
     caller_timeouts: Mutex<HashMap<String, Estimator>>,
 }
 
+/// A retry budget that allows no further send.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Exhausted {
+    /// Requests of the service here within the window.
+    pub requests: usize,
+    /// Further sends of such requests within the window.
+    pub retries: usize,
+    /// The further sends that are allowed within it.
+    pub allowed: f64,
+    /// The number of gateways that divide the slack.
+    pub gateways: usize,
+}
+
 /// Counts a request as in progress until it is dropped.
 pub struct InProgress(Arc<Context>);
 
@@ -205,17 +218,22 @@
         own * gateways.saturating_sub(1) as f64
     }
 
-    /// Returns whether the retry budget allows another attempt of a request, and records the
-    /// attempt if it does.
-    pub fn withdraw_retry(&self, service: &Service) -> bool {
+    /// Records another send of a request in the retry budget, if the budget allows it.
+    ///
+    /// # Errors
+    ///
+    /// The state of the budget, if it allows no further send.
+    pub fn withdraw_retry(&self, service: &Service) -> Result<(), Exhausted> {
         let (now, options) = (self.clock.now(), self.state.options().budget);
         let gateways = self.state.view().gateways;
         self.budget(service, |budget| {
-            let allowed = budget.allows_retry(now, &options, gateways);
-            if allowed {
+            if budget.allows_retry(now, &options, gateways) {
                 budget.record_retry(now);
+                return Ok(());
             }
-            allowed
+            let (requests, retries) = budget.counts();
+            let allowed = budget.allowed(now, &options, gateways);
+            Err(Exhausted { requests, retries, allowed, gateways })
         })
     }
 
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -94,8 +94,12 @@
             Ok(selected) => selected,
             Err(retry_after) => break (Stopped::NoEndpoint, retry_after),
         };
-        if attempts.history.sends() > 0 && !context.withdraw_retry(&parsed.service) {
-            break (Stopped::NoEndpoint, RETRY_AFTER);
+        if attempts.history.sends() > 0 {
+            if let Err(exhausted) = context.withdraw_retry(&parsed.service) {
+                record.retry_refused(&parsed.service, exhausted);
+                break (Stopped::Budget, RETRY_AFTER);
+            }
+            record.retry_allowed();
         }
         attempts.tried.push(selected.target.name.clone());
         let sent = context.clock.now();
@@ -139,6 +143,8 @@
 enum Stopped {
     /// No endpoint can take it, or it may not be sent again.
     NoEndpoint,
+    /// The retry budget allows no further send.
+    Budget,
     /// It, or a part of its prompt, is quarantined because endpoints crashed while they ran it.
     Quarantined(Subject),
 }
@@ -147,6 +153,7 @@
     const fn as_str(self) -> &'static str {
         match self {
             Self::NoEndpoint => "no endpoint can take the request now",
+            Self::Budget => "the retry budget allows no further send",
             Self::Quarantined(Subject::Request(_)) => {
                 "endpoints ended when they began this request"
             }
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -192,7 +192,14 @@
         }
         let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
         let selected = choice.await.ok()?;
-        self.context.withdraw_retry(&self.parsed.service).then_some(selected)
+        match self.context.withdraw_retry(&self.parsed.service) {
+            Ok(()) => self.record.retry_allowed(),
+            Err(exhausted) => {
+                self.record.retry_refused(&self.parsed.service, exhausted);
+                return None;
+            }
+        }
+        Some(selected)
     }
 
     /// Finds out whether an endpoint crashed when the connection of an attempt broke off.
@@ -209,7 +216,9 @@
     ) -> Result<Box<EventStream>, Outcome> {
         let slack = if selected.position == Position::Last { Duration::MAX } else { EVENT_TIMEOUT };
         let until = start_deadline(&self.context, &self.parsed, selected, slack);
-        let answer = send(&self.context, &self.parsed, selected, Some(last), &until).await?;
+        let record = &mut self.record;
+        let answer =
+            send(&self.context, &self.parsed, selected, Some(last), &until, record).await?;
         self.record.set_framing(Framing::of(&answer.head, &answer.body));
         if answer.info.request.as_ref() != Some(&self.parsed.call.id) {
             return Err(Outcome::Lost);
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -6,7 +6,7 @@
 use cinderspoke_core::gateway::call::Size;
 use cinderspoke_core::gateway::catalog::Engine;
 use cinderspoke_core::gateway::fingerprint::Fingerprint;
-use cinderspoke_core::gateway::name::{Endpoint, Request};
+use cinderspoke_core::gateway::name::{Endpoint, Request, Service};
 use cinderspoke_core::gateway::pick::BestCandidate;
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::gateway::size::Class;
@@ -17,11 +17,11 @@
 use tokio::time::Instant;
 
 use super::choose::{Selected, Unavailable};
-use super::context::InProgress;
+use super::context::{Exhausted, InProgress};
 use super::framing::Framing;
 use super::suspects::kind;
 use crate::util::metrics::{
-    ATTEMPTS, FIRST_BYTE, HELD_BACK, QUARANTINE_REFUSALS, REQUESTS, REQUESTS_BY_SIZE,
+    ATTEMPTS, FIRST_BYTE, HELD_BACK, QUARANTINE_REFUSALS, REQUESTS, REQUESTS_BY_SIZE, RETRIES,
 };
 
 /// Usual size of a body, in bytes: a few kilobytes take no longer than the shortest body.
@@ -90,6 +90,8 @@
     limited: usize,
     sends: u32,
     resumes: u32,
+    // How often the retry budget refused a further send.
+    budget_refusals: u32,
     // The fingerprint, if the request was quarantined, and the part of its prompt for which it was.
     quarantined: Option<Fingerprint>,
     quarantined_part: Option<Part>,
@@ -129,6 +131,7 @@
             limited: 0,
             sends: 0,
             resumes: 0,
+            budget_refusals: 0,
             quarantined: None,
             quarantined_part: None,
             first: None,
@@ -153,9 +156,39 @@
         self.predicted = Some(selected.expected_ttft);
         self.framing = None;
         self.candidates = candidates;
+    }
+
+    /// Records that the request leaves this process.
+    pub fn sent(&mut self) {
         self.sends += 1;
     }
 
+    /// Takes back the last [`Self::sent`]: no byte of the request has left this process.
+    pub fn unsent(&mut self) {
+        self.sends = self.sends.saturating_sub(1);
+    }
+
+    /// Records that the retry budget allowed a further send.
+    pub fn retry_allowed(&mut self) {
+        counter!(RETRIES, "budget" => "spent").increment(1);
+    }
+
+    /// Records and logs that the retry budget refused a further send.
+    pub fn retry_refused(&mut self, service: &Service, exhausted: Exhausted) {
+        self.budget_refusals += 1;
+        counter!(RETRIES, "budget" => "refused").increment(1);
+        let Exhausted { requests, retries, allowed, gateways } = exhausted;
+        tracing::info!(
+            id = self.id(),
+            %service,
+            requests,
+            retries,
+            allowed,
+            gateways,
+            "the retry budget refused a further send"
+        );
+    }
+
     /// Sets the usual size of the service's requests, if its endpoints are model engines.
     pub fn set_usual_size(&mut self, engine: Option<&Engine>) {
         self.usual = engine.map(|engine| Size {
@@ -342,6 +375,7 @@
             total_ms = self.arrived.elapsed().as_millis() as u64,
             sends = self.sends,
             resumes = self.resumes,
+            budget_refusals = self.budget_refusals,
             fingerprint = self.quarantined.map(|fingerprint| fingerprint.to_string()),
             part = self.quarantined_part.map(|part| part.to_string()),
             "request"
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -18,6 +18,7 @@
 use super::parse::Parsed;
 use super::pool::{Checkout, Connection};
 use super::query::release;
+use super::record::Record;
 use super::target::Target;
 use crate::util::clock::Deadline;
 
@@ -107,6 +108,7 @@
     selected: &Selected,
     after: Option<u64>,
     until: &Deadline,
+    record: &mut Record,
 ) -> Result<Answer, Outcome> {
     let target = &selected.target;
     // The probe is used up only here: after the choice the retry budget may still refuse.
@@ -135,6 +137,7 @@
     let request = request(context, parsed, selected, after);
     let stale = stale_after(parsed, selected).filter(|_| reused);
     let until = stale.map_or(*until, |stale| context.clock.after(stale).min(*until));
+    record.sent();
     match until.timeout(connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
@@ -147,6 +150,9 @@
             let cause = error.error().to_string();
             tracing::debug!(endpoint = %target.name, unsent, cause, "sending");
             target.observe(Observation::Silence, context.clock.now());
+            if unsent {
+                record.unsent();
+            }
             Err(if unsent { Outcome::NotSent } else { Outcome::BrokenOff })
         }
         Err(_) => {
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -14,6 +14,9 @@
 /// Attempts at requests, by result.
 pub const ATTEMPTS: &str = "cinderspoke_attempts_total";
 
+/// Further sends of a request, by whether the retry budget allowed or refused them.
+pub const RETRIES: &str = "cinderspoke_retries_total";
+
 /// Endpoints that were left out of choices by their limits.
 pub const HELD_BACK: &str = "cinderspoke_limit_exclusions_total";
 
