--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -1,8 +1,20 @@
 //! The retry budget: a limit on sends beyond a request's first.
 //!
-//! All gateways share one budget per service: within any window, a ratio of the service's
-//! requests plus some slack. Each gateway spends the part that its own requests earn and its
-//! share of the slack, so that gateways need not ask each other.
+//! The budget of a service holds for all gateways together: within any window they may repeat a
+//! ratio of the service's requests, and some more, the slack. Gateways cannot agree on who spends
+//! what: one that is silent may have ended, or may be partitioned and go on sending, and a process
+//! does not know what the one before it has spent. So a gateway repeats only what is earned or its
+//! own:
+//!
+//! - Each request earns a part of a retry ([`EARNED`]) at the gateway that received it, to be spent
+//!   there once. A process begins with nothing.
+//! - What is not spent is saved up to a limit: a further part for each request within the last
+//!   window ([`SAVED`]), and what every gateway owns of the slack ([`OWNED`]).
+//!
+//! Whatever gateways start, end or hear of each other, and wherever callers go, the retries within a
+//! window are at most what was saved up when it began, so `SAVED` of the requests within the window
+//! before and `OWNED` for each gateway, plus `EARNED` of those within it. The operators' ratio
+//! counts the busier of the two windows, so that both parts together stay below it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -16,60 +28,94 @@
     pub window: Duration,
     /// Retries per window that all gateways together may make on top of the ratio.
     pub slack: f64,
-    /// Time after its start from which a gateway may spend its share of the slack. What
-    /// the previous process spent is unknown, so until those retries have left the window the
-    /// share could be spent twice.
-    pub slack_from: Duration,
 }
 
-/// Fraction of the allowed retries that is spent. The rest is a margin, since gateways count
-/// the same requests and retries at different moments.
-const SPENDABLE_FRACTION: f64 = 0.8;
+/// The part of the ratio that each request earns.
+const EARNED: f64 = 0.75;
+
+/// The part of the ratio that may be saved up for each request within the last window. Together
+/// with [`EARNED`] it leaves a margin, since a request and its retries do not arrive at the same
+/// moment.
+const SAVED: f64 = 0.2;
+
+/// Retries of the slack that a gateway may save up whatever it knows of others. The slack has to
+/// be at least as large for each gateway.
+const OWNED: f64 = 4.0;
+
+/// The part of the slack that the gateways known to each other may save up together. It only
+/// matters where the slack is less than [`OWNED`] for each.
+const SLACK_FRACTION: f64 = 0.9;
 
 /// The budget of one service at one gateway.
 #[derive(Debug, Default)]
-// Invariant: both queues are sorted by time, oldest first.
+// Invariants: `requests` is sorted by time, oldest first. `tokens` and `pending` together never
+// exceed the limit, as of the last change.
 pub struct Budget {
+    // The requests within the last window.
     requests: VecDeque<Duration>,
-    retries: VecDeque<Duration>,
+    // Retries that may be sent now.
+    tokens: f64,
+    // Retries that were withdrawn and are neither spent nor returned.
+    pending: u32,
 }
 
 impl Budget {
-    /// Records a request, which earns `options.ratio` retries.
-    pub fn record_request(&mut self, now: Duration, options: &Options) {
-        forget(&mut self.requests, now, options.window);
+    /// Records a request, which earns a part of a retry. `gateways` is the number of gateways that
+    /// were ever known here, this one included, whether or not they are still heard of.
+    pub fn record_request(&mut self, now: Duration, options: &Options, gateways: usize) {
         self.requests.push_back(now);
+        self.tokens += EARNED * options.ratio;
+        self.limit(now, options, gateways);
     }
 
-    /// Whether the budget allows another retry now, where `gateways` share the slack.
-    pub fn allows_retry(&mut self, now: Duration, options: &Options, gateways: usize) -> bool {
-        forget(&mut self.requests, now, options.window);
-        forget(&mut self.retries, now, options.window);
-        (self.retries.len() as f64) + 1.0 <= self.allowed(now, options, gateways)
+    /// Withdraws a retry, if one is saved up; returns whether it is. Each is to be followed by
+    /// [`Self::spend`] or [`Self::put_back`].
+    #[must_use]
+    pub fn withdraw(&mut self, now: Duration, options: &Options, gateways: usize) -> bool {
+        self.limit(now, options, gateways);
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+            self.pending += 1;
+        }
+        allowed
     }
 
-    /// The retries that are allowed within the window, where `gateways` share the slack.
-    #[must_use]
-    pub fn allowed(&self, now: Duration, options: &Options, gateways: usize) -> f64 {
-        let slack = if now < options.slack_from { 0.0 } else { options.slack };
-        let slack = slack / gateways.max(1) as f64;
-        SPENDABLE_FRACTION * (options.ratio * self.requests.len() as f64 + slack)
+    /// Records that a withdrawn retry was sent.
+    pub fn spend(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
     }
 
-    /// The requests and the retries within the window that ended when they were last asked for.
+    /// Reverses [`Self::spend`]: the retry was not sent after all.
+    pub fn unspend(&mut self) {
+        self.pending += 1;
+    }
+
+    /// Returns a withdrawn retry that was not sent.
+    pub fn put_back(&mut self) {
+        self.pending = self.pending.saturating_sub(1);
+        self.tokens += 1.0;
+    }
+
+    /// The retries that may be sent now; below 1 if none may.
     #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        (self.requests.len(), self.retries.len())
+    pub fn tokens(&self) -> f64 {
+        self.tokens
     }
 
-    /// Records a retry.
-    pub fn record_retry(&mut self, now: Duration) {
-        self.retries.push_back(now);
+    /// The number of requests within the window that ended at the last change.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.requests.len()
     }
-}
 
-fn forget(times: &mut VecDeque<Duration>, now: Duration, window: Duration) {
-    while times.front().is_some_and(|time| *time + window < now) {
-        times.pop_front();
+    /// Forgets what exceeds the limit.
+    fn limit(&mut self, now: Duration, options: &Options, gateways: usize) {
+        while self.requests.front().is_some_and(|time| *time + options.window < now) {
+            self.requests.pop_front();
+        }
+        let own = OWNED.min(SLACK_FRACTION * options.slack / gateways.max(1) as f64);
+        let limit = own + SAVED * options.ratio * self.requests.len() as f64;
+        self.tokens = self.tokens.min((limit - f64::from(self.pending)).max(0.0));
     }
 }
--- a/crates/core/src/gateway/gossip.rs
+++ b/crates/core/src/gateway/gossip.rs
@@ -11,8 +11,7 @@
 /// The liveness timeout in multiples of the mean interval between messages from one gateway to
 /// another.
 ///
-/// At any moment one in e^4 live gateways, or 2 in 100, has been silent for longer. The part of
-/// the retry budget that is never spent covers this error many times over.
+/// At any moment one in e^4 live gateways, or 2 in 100, has been silent for longer.
 const TIMEOUT_FACTOR: u32 = 4;
 
 /// The shortest liveness timeout: on a busy machine messages are late even among few gateways.
@@ -21,8 +20,8 @@
 /// Returns how long after its last message a gateway still counts as live, for a gateway that
 /// knows `others` peers.
 ///
-/// Gateways divide a shared budget by the number of live gateways. Counting one that has ended
-/// makes the shares too small, which is safe; missing one that is live makes them too large.
+/// Estimates of what other gateways send rest on the number of live ones. What must never be
+/// exceeded may not: a silent gateway may be partitioned from this one and go on sending.
 #[must_use]
 pub fn liveness_timeout(others: usize) -> Duration {
     let others = u32::try_from(others).unwrap_or(u32::MAX);
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Limited};
 
 use super::choose::{Position, Selected};
-use super::context::Context;
+use super::context::{Context, Withdrawal};
 use super::framing::{Completeness, Framing};
 use super::parse::Parsed;
 use super::record::Record;
@@ -35,11 +35,13 @@
 }
 
 /// Sends a request to an endpoint and reads what has to be received before the response to the
-/// caller begins: the whole answer, or the first events of a stream.
+/// caller begins: the whole answer, or the first events of a stream. `withdrawal` pays for a send
+/// beyond the request's first.
 pub async fn attempt(
     context: &Context,
     parsed: &Parsed,
     selected: &Selected,
+    withdrawal: Option<Withdrawal>,
     record: &mut Record,
 ) -> Attempt {
     let slack = match parsed.route.kind {
@@ -49,7 +51,7 @@
         _ => Duration::MAX,
     };
     let until = start_deadline(context, parsed, selected, slack);
-    let answer = match send(context, parsed, selected, None, &until, record).await {
+    let answer = match send(context, parsed, selected, withdrawal, None, &until, record).await {
         Ok(answer) => answer,
         Err(outcome) => return Attempt::Failed(outcome, None),
     };
--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -46,14 +46,42 @@
 pub struct Exhausted {
     /// Requests of the service here within the window.
     pub requests: usize,
-    /// Further sends of such requests within the window.
-    pub retries: usize,
-    /// The further sends that are allowed within it.
-    pub allowed: f64,
-    /// The number of gateways that divide the slack.
+    /// The further sends that are saved up, less than one.
+    pub tokens: f64,
+    /// The number of gateways that were ever known, this one included.
     pub gateways: usize,
 }
 
+/// A further send of a request that was withdrawn from the retry budget of its service; dropping
+/// it puts the send back, unless it was spent.
+pub struct Withdrawal {
+    context: Arc<Context>,
+    service: Service,
+    is_spent: bool,
+}
+
+impl Withdrawal {
+    /// Records that the request leaves this process.
+    pub fn spend(&mut self) {
+        self.context.budget(&self.service, Budget::spend);
+        self.is_spent = true;
+    }
+
+    /// Reverses [`Self::spend`]: no byte of the request has left this process.
+    pub fn unspend(&mut self) {
+        self.context.budget(&self.service, Budget::unspend);
+        self.is_spent = false;
+    }
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        if !self.is_spent {
+            self.context.budget(&self.service, Budget::put_back);
+        }
+    }
+}
+
 /// Counts a request as in progress until it is dropped.
 pub struct InProgress(Arc<Context>);
 
@@ -186,7 +214,8 @@
     /// Records a request for a service, which adds to its retry budget.
     pub fn deposit_retry(&self, service: &Service) {
         let (now, options) = (self.clock.now(), self.state.options().budget);
-        self.budget(service, |budget| budget.record_request(now, &options));
+        let gateways = self.state.view().known_gateways;
+        self.budget(service, |budget| budget.record_request(now, &options, gateways));
     }
 
     /// Records a request of a priority for a service in its demand.
@@ -218,23 +247,22 @@
         own * gateways.saturating_sub(1) as f64
     }
 
-    /// Records another send of a request in the retry budget, if the budget allows it.
+    /// Withdraws a further send of a request from the retry budget of its service.
     ///
     /// # Errors
     ///
     /// The state of the budget, if it allows no further send.
-    pub fn withdraw_retry(&self, service: &Service) -> Result<(), Exhausted> {
+    pub fn withdraw_retry(self: &Arc<Self>, service: &Service) -> Result<Withdrawal, Exhausted> {
         let (now, options) = (self.clock.now(), self.state.options().budget);
-        let gateways = self.state.view().gateways;
+        let gateways = self.state.view().known_gateways;
         self.budget(service, |budget| {
-            if budget.allows_retry(now, &options, gateways) {
-                budget.record_retry(now);
+            if budget.withdraw(now, &options, gateways) {
                 return Ok(());
             }
-            let (requests, retries) = budget.counts();
-            let allowed = budget.allowed(now, &options, gateways);
-            Err(Exhausted { requests, retries, allowed, gateways })
-        })
+            let (requests, tokens) = (budget.requests(), budget.tokens());
+            Err(Exhausted { requests, tokens, gateways })
+        })?;
+        Ok(Withdrawal { context: Arc::clone(self), service: service.clone(), is_spent: false })
     }
 
     /// Returns how long a caller with this timeout has waited before this attempt of the caller.
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -90,20 +90,25 @@
             record.quarantined(subject, parsed.fingerprint());
             break (Stopped::Quarantined(subject), left);
         }
+        // Withdrawn before the choice, which uses up shares, probes and reservations.
+        let withdrawal = match attempts.history.sends() {
+            0 => None,
+            _ => match context.withdraw_retry(&parsed.service) {
+                Ok(withdrawal) => Some(withdrawal),
+                Err(exhausted) => {
+                    record.retry_refused(&parsed.service, exhausted);
+                    break (Stopped::Budget, RETRY_AFTER);
+                }
+            },
+        };
         let selected = match attempts.choose(context, &parsed, &mut record).await {
             Ok(selected) => selected,
             Err(retry_after) => break (Stopped::NoEndpoint, retry_after),
         };
-        if attempts.history.sends() > 0 {
-            if let Err(exhausted) = context.withdraw_retry(&parsed.service) {
-                record.retry_refused(&parsed.service, exhausted);
-                break (Stopped::Budget, RETRY_AFTER);
-            }
-            record.retry_allowed();
-        }
         attempts.tried.push(selected.target.name.clone());
         let sent = context.clock.now();
-        let (outcome, failure) = match attempt(context, &parsed, &selected, &mut record).await {
+        let attempt = attempt(context, &parsed, &selected, withdrawal, &mut record).await;
+        let (outcome, failure) = match attempt {
             Attempt::Whole(response, completeness) => {
                 if response.status().is_success() && completeness == Completeness::Whole {
                     context.record_served(&parsed);
--- a/src/cinderspoke/gateway/options.rs
+++ b/src/cinderspoke/gateway/options.rs
@@ -50,14 +50,11 @@
     pub fn new(settings: &settings::Node) -> Self {
         let (bounds, own) = (&settings.bounds, internal_address(settings));
         let overlap = Overlap::within(Duration::from_millis(bounds.version_ms));
-        let window = Duration::from_secs_f64(bounds.budget_window_s);
         Self {
             budget: budget::Options {
                 ratio: bounds.retry_budget_ratio,
-                window,
+                window: Duration::from_secs_f64(bounds.budget_window_s),
                 slack: bounds.budget_slack,
-                // Nothing has been spent before the first start of the whole system.
-                slack_from: if settings.first_start { Duration::ZERO } else { window },
             },
             overlap,
             gather: Duration::from_millis(bounds.drain_ms).mul_f64(BATCH_FRACTION),
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -15,7 +15,7 @@
 
 use super::answer::{is_encoded, strip_hop_by_hop};
 use super::choose::{Attempts, Position, Selected};
-use super::context::Context;
+use super::context::{Context, Withdrawal};
 use super::crash;
 use super::framing::{Completeness, Framing};
 use super::parse::Parsed;
@@ -154,13 +154,13 @@
         // A stream without event numbers cannot be resumed.
         let Some(last) = self.last else { return };
         loop {
-            let Some(selected) = self.choose_next().await else {
+            let Some((selected, withdrawal)) = self.choose_next().await else {
                 self.stream = paused;
                 return;
             };
             self.attempts.tried.push(selected.target.name.clone());
             let sent = self.context.clock.now();
-            match self.request_rest(&selected, last).await {
+            match self.request_rest(&selected, withdrawal, last).await {
                 Ok(stream) => {
                     if let Some(paused) = paused.take() {
                         self.record.attempt_failed(&paused.target().name, interrupted.outcome());
@@ -183,23 +183,23 @@
 
     /// Chooses the endpoint that is to resume the stream; none if it may not be resumed or no
     /// endpoint can take it.
-    async fn choose_next(&mut self) -> Option<Selected> {
+    async fn choose_next(&mut self) -> Option<(Selected, Withdrawal)> {
         let resumable = self.parsed.route.kind.repeatable();
         let time_left = !self.parsed.deadline.is_over();
         let next = self.attempts.history.next(resumable, self.parsed.route.attempts, time_left);
         if next != Next::Retry || self.context.quarantine(&self.parsed).is_some() {
             return None;
         }
-        let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
-        let selected = choice.await.ok()?;
-        match self.context.withdraw_retry(&self.parsed.service) {
-            Ok(()) => self.record.retry_allowed(),
+        // Withdrawn before the choice, which uses up shares, probes and reservations.
+        let withdrawal = match self.context.withdraw_retry(&self.parsed.service) {
+            Ok(withdrawal) => withdrawal,
             Err(exhausted) => {
                 self.record.retry_refused(&self.parsed.service, exhausted);
                 return None;
             }
-        }
-        Some(selected)
+        };
+        let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
+        Some((choice.await.ok()?, withdrawal))
     }
 
     /// Finds out whether an endpoint crashed when the connection of an attempt broke off.
@@ -212,13 +212,22 @@
     async fn request_rest(
         &mut self,
         selected: &Selected,
+        withdrawal: Withdrawal,
         last: u64,
     ) -> Result<Box<EventStream>, Outcome> {
         let slack = if selected.position == Position::Last { Duration::MAX } else { EVENT_TIMEOUT };
         let until = start_deadline(&self.context, &self.parsed, selected, slack);
         let record = &mut self.record;
-        let answer =
-            send(&self.context, &self.parsed, selected, Some(last), &until, record).await?;
+        let answer = send(
+            &self.context,
+            &self.parsed,
+            selected,
+            Some(withdrawal),
+            Some(last),
+            &until,
+            record,
+        )
+        .await?;
         self.record.set_framing(Framing::of(&answer.head, &answer.body));
         if answer.info.request.as_ref() != Some(&self.parsed.call.id) {
             return Err(Outcome::Lost);
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -168,8 +168,8 @@
         self.sends = self.sends.saturating_sub(1);
     }
 
-    /// Records that the retry budget allowed a further send.
-    pub fn retry_allowed(&mut self) {
+    /// Records that a further send was paid for from the retry budget.
+    pub fn retry_sent(&mut self) {
         counter!(RETRIES, "budget" => "spent").increment(1);
     }
 
@@ -177,13 +177,12 @@
     pub fn retry_refused(&mut self, service: &Service, exhausted: Exhausted) {
         self.budget_refusals += 1;
         counter!(RETRIES, "budget" => "refused").increment(1);
-        let Exhausted { requests, retries, allowed, gateways } = exhausted;
+        let Exhausted { requests, tokens, gateways } = exhausted;
         tracing::info!(
             id = self.id(),
             %service,
             requests,
-            retries,
-            allowed,
+            tokens,
             gateways,
             "the retry budget refused a further send"
         );
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use super::choose::{Position, Selected};
-use super::context::Context;
+use super::context::{Context, Withdrawal};
 use super::outstanding::Changes;
 use super::parse::Parsed;
 use super::pool::{Checkout, Connection};
@@ -97,7 +97,8 @@
 }
 
 /// Sends a request and waits for the head of the answer; `after` is the last event that the
-/// caller has received, if another endpoint sent it.
+/// caller has received, if another endpoint sent it. `withdrawal` pays for a send beyond the
+/// request's first, and is put back if no byte leaves this process.
 ///
 /// # Errors
 ///
@@ -106,12 +107,13 @@
     context: &Context,
     parsed: &Parsed,
     selected: &Selected,
+    mut withdrawal: Option<Withdrawal>,
     after: Option<u64>,
     until: &Deadline,
     record: &mut Record,
 ) -> Result<Answer, Outcome> {
     let target = &selected.target;
-    // The probe is used up only here: after the choice the retry budget may still refuse.
+    // The probe is used up only here: a choice may still be given up.
     target.tracking().health.start_probe(context.clock.now());
     let checkout = match selected.position {
         // Only a reused connection may be stale, and there is no attempt left to find that out.
@@ -138,6 +140,10 @@
     let stale = stale_after(parsed, selected).filter(|_| reused);
     let until = stale.map_or(*until, |stale| context.clock.after(stale).min(*until));
     record.sent();
+    if let Some(withdrawal) = &mut withdrawal {
+        withdrawal.spend();
+        record.retry_sent();
+    }
     match until.timeout(connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
@@ -150,10 +156,12 @@
             let cause = error.error().to_string();
             tracing::debug!(endpoint = %target.name, unsent, cause, "sending");
             target.observe(Observation::Silence, context.clock.now());
-            if unsent {
-                record.unsent();
+            if !unsent {
+                return Err(Outcome::BrokenOff);
             }
-            Err(if unsent { Outcome::NotSent } else { Outcome::BrokenOff })
+            record.unsent();
+            withdrawal.iter_mut().for_each(Withdrawal::unspend);
+            Err(Outcome::NotSent)
         }
         Err(_) => {
             target.observe(Observation::Stall, context.clock.now());
--- a/src/cinderspoke/gateway/state.rs
+++ b/src/cinderspoke/gateway/state.rs
@@ -96,8 +96,8 @@
         self.view.load_full()
     }
 
-    /// Counts the gateways again although nothing else changed: when the liveness timeout of one
-    /// has passed, the others take over its share.
+    /// Counts the gateways again although nothing else changed, when the liveness timeout of one
+    /// has passed.
     fn recount_gateways(&self) {
         let inner = self.lock();
         let (before, gateways) = (self.view.load_full(), self.count_gateways(&inner));
@@ -280,7 +280,7 @@
     }
 
     /// Records contact with a gateway (`itself`), or that others named it. A gateway that others
-    /// name for the first time counts as live: if it runs, it already uses its share.
+    /// name for the first time counts as live.
     /// Returns true if it was not known before.
     pub fn observe_gateway(&self, gateway: SocketAddr, itself: bool) -> bool {
         let now = self.clock.now();
@@ -391,6 +391,7 @@
             members: Arc::new(members),
             rollout: inner.rollout.clone(),
             gateways,
+            known_gateways: inner.gateways.len() + 1,
             evacuations_known: !self.options().evacuates || inner.evacuation.known().is_some(),
             other_keys: inner.rival_keys(self.clock.now()),
         }));
--- a/src/cinderspoke/gateway/view.rs
+++ b/src/cinderspoke/gateway/view.rs
@@ -38,8 +38,10 @@
     pub members: Arc<BTreeMap<Service, Vec<Member>>>,
     /// The versions that models are to have.
     pub rollout: Rollout,
-    /// The number of gateways, this one included.
+    /// The number of gateways that are heard of, this one included.
     pub gateways: usize,
+    /// The number of gateways that were ever known, this one included.
+    pub known_gateways: usize,
     /// Whether it is known which availability zones are evacuated; always true where the settings
     /// do not allow evacuations.
     pub evacuations_known: bool,
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -14,7 +14,7 @@
 /// Attempts at requests, by result.
 pub const ATTEMPTS: &str = "cinderspoke_attempts_total";
 
-/// Further sends of a request, by whether the retry budget allowed or refused them.
+/// Further sends of a request, by whether they were paid for from the retry budget or refused.
 pub const RETRIES: &str = "cinderspoke_retries_total";
 
 /// Endpoints that were left out of choices by their limits.
