--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -13,11 +13,12 @@
 use tokio::time::timeout;
 
 use super::choose::{Position, Selected};
-use super::context::Context;
+use super::context::{Context, Withdrawal};
 use super::outstanding::Changes;
 use super::parse::Parsed;
 use super::pool::{Checkout, Connection};
 use super::query::release;
+use super::record::Record;
 use super::target::Target;
 use crate::util::clock::Deadline;
 
@@ -96,7 +97,8 @@
 }
 
 /// Sends a request and waits for the head of the answer; `after` is the last event that the
-/// caller has received, if another endpoint sent it.
+/// caller has received, if another endpoint sent it. `withdrawal` pays for a send beyond the
+/// request's first, and is put back if no byte leaves this process.
 ///
 /// # Errors
 ///
@@ -105,11 +107,13 @@
     context: &Context,
     parsed: &Parsed,
     selected: &Selected,
+    mut withdrawal: Option<Withdrawal>,
     after: Option<u64>,
     until: &Deadline,
+    record: &mut Record,
 ) -> Result<Answer, Outcome> {
     let target = &selected.target;
-    // The probe is used up only here: after the choice the retry budget may still refuse.
+    // The probe is used up only here: a choice may still be given up.
     target.tracking().health.start_probe(context.clock.now());
     let checkout = match selected.position {
         // Only a reused connection may be stale, and there is no attempt left to find that out.
@@ -135,6 +139,11 @@
     let request = request(context, parsed, selected, after);
     let stale = stale_after(parsed, selected).filter(|_| reused);
     let until = stale.map_or(*until, |stale| context.clock.after(stale).min(*until));
+    record.sent();
+    if let Some(withdrawal) = &mut withdrawal {
+        withdrawal.spend();
+        record.retry_sent();
+    }
     match until.timeout(connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
@@ -147,7 +156,12 @@
             let cause = error.error().to_string();
             tracing::debug!(endpoint = %target.name, unsent, cause, "sending");
             target.observe(Observation::Silence, context.clock.now());
-            Err(if unsent { Outcome::NotSent } else { Outcome::BrokenOff })
+            if !unsent {
+                return Err(Outcome::BrokenOff);
+            }
+            record.unsent();
+            withdrawal.iter_mut().for_each(Withdrawal::unspend);
+            Err(Outcome::NotSent)
         }
         Err(_) => {
             target.observe(Observation::Stall, context.clock.now());
