The soak parts gateways and holds services to the retry budget

Cause of the gap: the soak had no partitions among gateways, no time at which many sends fail, and counted no arrival beyond the first of a request. Gateways are parted by their seeds and by a store that refuses the kind in which they register.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -58,6 +58,9 @@
         .long("sizes")
         .action(ArgAction::SetTrue)
         .help("Have more asked than engines can do, in requests of all sizes");
+    let retries = Arg::new("retries").long("retries").action(ArgAction::SetTrue).help(
+        "Have all endpoints turn requests away at times, while gateways are killed and partitioned",
+    );
     let programs = Arg::new("programs")
         .long("programs")
         .value_name("DIR")
@@ -81,6 +84,7 @@
             limits,
             sizes,
             restores,
+            retries,
             programs,
             out,
         ])
@@ -106,6 +110,7 @@
         notices: matches.get_flag("notices"),
         limits: matches.get_flag("limits"),
         restores: matches.get_flag("restores"),
+        retries: matches.get_flag("retries"),
         sizes: matches.get_flag("sizes"),
         programs: path("programs").unwrap_or_default(),
         out: path("out").unwrap_or_else(|| temporary.path().to_owned()),
--- a/crates/bench/src/soak/configuration.rs
+++ b/crates/bench/src/soak/configuration.rs
@@ -7,9 +7,11 @@
 use cinderspoke_stand_ins::spec::{self, Engines, Route, RouteKind};
 use cinderspoke_test_support::address::shared_port;
 use cinderspoke_test_support::oracle::attempt::Kind;
+use cinderspoke_test_support::oracle::budget::Allowance;
 use cinderspoke_test_support::oracle::judge::Bounds;
 use serde_json::{Value, json};
 
+use super::Options;
 use super::caller::Offer;
 use super::engine::{MODEL, WARM};
 use super::origin::{CHUNK_BYTES, CHUNKS};
@@ -54,6 +56,13 @@
     loss_slack: Duration::from_millis(200),
 };
 
+/// What the retry budget allows. The slack is that for each gateway.
+pub(crate) const RETRIES: Allowance =
+    Allowance { ratio: 0.2, slack: 5.0, window: Duration::from_secs(10) };
+
+/// The slack of the retry budget where no retries are judged.
+const USUAL_SLACK: f64 = 100.0;
+
 /// What is offered before anything changes, to all and to callers of all sizes.
 pub(crate) fn offer(engines: bool, sizes: bool) -> Offer {
     let plain = [
@@ -71,6 +80,16 @@
     Offer { usual: routes.len(), routes, keys, sized, idle, timeout, ..Offer::default() }
 }
 
+/// The slack of the retry budget: little where retries are judged, so that it is used up.
+pub(crate) fn slack(options: &Options) -> f64 {
+    if options.retries { RETRIES.slack * options.gateways as f64 } else { USUAL_SLACK }
+}
+
+/// The service of a route.
+pub(crate) fn service(prefix: &str) -> &'static str {
+    if prefix.starts_with(ENGINES_PREFIX) { ENGINES } else { PLAIN }
+}
+
 fn route((prefix, kind): &(String, Kind), timeout: Duration) -> Route<'_> {
     let kind = match kind {
         Kind::Safe => RouteKind::Safe,
@@ -78,7 +97,7 @@
         Kind::Resumable => RouteKind::Resume,
         Kind::Stream => RouteKind::Stream,
     };
-    let service = if prefix.starts_with(ENGINES_PREFIX) { ENGINES } else { PLAIN };
+    let service = service(prefix);
     let ttft_target = if prefix == sized::ROUTE { SIZED_AIM } else { AIM };
     Route { host: HOST, prefix, service, kind, timeout, ttft_target }
 }
@@ -121,7 +140,8 @@
             "config_apply_ms": BOUNDS.apply.as_millis() as u64,
             "rollback_slack_ms": 250, "max_skew_ms": 5000,
             "contact_ms": BOUNDS.contact.as_millis() as u64,
-            "retry_budget_ratio": 0.2, "budget_window_s": 10.0, "budget_slack": 100.0,
+            "retry_budget_ratio": RETRIES.ratio,
+            "budget_window_s": RETRIES.window.as_secs_f64(), "budget_slack": USUAL_SLACK,
             "version_ms": BOUNDS.version.as_millis() as u64,
             "pass_ms": 120, "loss_slack_ms": BOUNDS.loss_slack.as_millis() as u64,
         },
--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -55,6 +55,8 @@
 pub(crate) struct Notice {
     leaves: AtomicBool,
     rest: Mutex<Option<Duration>>,
+    // Whether it turns all requests away as if it were full.
+    full: AtomicBool,
     // Requests a second that it accepts, if it says so.
     limit: Mutex<Option<f64>>,
     // Whether it says nothing at all, and leaves its connections open.
@@ -72,6 +74,11 @@
         *self.rest.lock().unwrap_or_else(PoisonError::into_inner) = rest;
     }
 
+    /// Turns all requests away from now on as if it were full, or takes them again.
+    pub(crate) fn set_full(&self, full: bool) {
+        self.full.store(full, Ordering::SeqCst);
+    }
+
     /// Names a limit in all answers from now on; none with none.
     pub(crate) fn set_limit(&self, per_s: Option<f64>) {
         *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = per_s;
@@ -334,7 +341,7 @@
     let older = arrival.version.is_some() && arrival.version != version;
     let working = shared.working.fetch_add(1, Ordering::SeqCst);
     let closed = shared.engine.as_ref().is_some_and(|engine| !engine.begin());
-    let full = working >= SLOTS || closed;
+    let full = working >= SLOTS || closed || shared.notice.full.load(Ordering::SeqCst);
     let rest = shared.notice.rest().filter(|_| !other);
     let ran = !(other || older || full || rest.is_some());
     let run = Run {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -30,6 +30,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use cinderspoke_test_support::oracle::budget::{self, Allowance};
 use cinderspoke_test_support::oracle::judge::{Breach, Promise};
 use cinderspoke_test_support::oracle::size;
 use rand::SeedableRng;
@@ -50,6 +51,9 @@
 /// The one from which restores of the store are drawn.
 const RESTORES_STREAM: u64 = LIMITS_STREAM + 4;
 
+/// The one from which it is drawn when endpoints turn requests away and gateways are partitioned.
+const RETRIES_STREAM: u64 = LIMITS_STREAM + 5;
+
 /// The stream of random numbers from which limits are drawn, beyond those of all callers.
 const LIMITS_STREAM: u64 = 1 << 32;
 
@@ -89,6 +93,9 @@
     pub(crate) notices: bool,
     // Whether endpoints name limits of what they accept from all gateways together.
     pub(crate) limits: bool,
+    // Whether all endpoints turn requests away at times while gateways are partitioned and killed, so
+    // that the retry budget is used up.
+    pub(crate) retries: bool,
     // Whether more is asked than engines can do, in requests of all sizes.
     pub(crate) sizes: bool,
     // Whether the store comes back from older copies of itself.
@@ -170,6 +177,9 @@
         plan::keep_quiet(&mut steps, &restores);
         steps.extend(restores);
     }
+    if options.retries {
+        steps.extend(plan::retries(&mut drawn(RETRIES_STREAM), options.length));
+    }
     let mut world = World::spawn(programs, out, options).await?;
     let start = world.oracle.now();
     let mut others = JoinSet::new();
@@ -231,7 +241,17 @@
     tally.take(broken);
     let sizes = world.oracle.sizes();
     tally.take(sizes.judge(world.oracle.now()));
+    let slack = configuration::slack(options);
+    let allowance = Allowance { slack, ..configuration::RETRIES };
+    let repeats = world.oracle.repeats(&allowance);
+    tally.take(repeats.iter().filter_map(budget::Window::judge).collect());
     tally.tell();
+    for budget::Window { service, repeats, requests, allowed, .. } in &repeats {
+        console.say(&format!(
+            "{service} got {repeats} requests again within 10 s at worst, for {requests}; allowed \
+             {allowed:.0}"
+        ));
+    }
     if options.fatal {
         console.say(&told_of_parts);
     }
--- a/crates/bench/src/soak/oracle.rs
+++ b/crates/bench/src/soak/oracle.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Run};
+use cinderspoke_test_support::oracle::budget::{self, Allowance, Repeats};
 use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind, Whom};
 use cinderspoke_test_support::oracle::fatal;
 use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
@@ -13,7 +14,7 @@
 use cinderspoke_test_support::oracle::size;
 use tokio::time::Instant;
 
-use super::parts;
+use super::{configuration, parts};
 
 /// How long an attempt that is over is kept: what comes of it later is seen until then.
 const SETTLE: Duration = Duration::from_secs(8);
@@ -29,6 +30,7 @@
     sized: Vec<size::Caller>,
     notices: Notices,
     limits: Limits,
+    repeats: Repeats,
     // Endpoints whose word that they leave the store has lost too soon for all to know it.
     unsaid: HashSet<String>,
     breaches: Vec<Breach>,
@@ -332,19 +334,26 @@
     pub(crate) fn settle(&self, all: bool) -> Vec<Breach> {
         let now = self.now();
         let mut state = self.lock();
-        let State { attempts, facts, breaches, part, .. } = &mut *state;
+        let State { attempts, facts, breaches, part, repeats, .. } = &mut *state;
         attempts.retain(|_, attempt| {
             let settled =
                 all || attempt.end.as_ref().is_some_and(|(at, _)| now.saturating_sub(*at) > SETTLE);
             if settled {
                 breaches.extend(judge(attempt, facts, &self.bounds));
                 part.settle(attempt);
+                repeats.add(configuration::service(&attempt.route), attempt);
             }
             !settled
         });
         std::mem::take(breaches)
     }
 
+    /// The window of each service in which settled attempts used the most of what may arrive beyond
+    /// the first of each request.
+    pub(crate) fn repeats(&self, allowance: &Allowance) -> Vec<budget::Window> {
+        self.lock().repeats.worst(allowance)
+    }
+
     /// How many requests were sent, and how many were served.
     pub(crate) fn requests(&self) -> (u64, u64) {
         let state = self.lock();
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -85,6 +85,12 @@
     Rest(Duration, Duration),
     /// A sound endpoint falls silent for a time and goes on, without closing anything.
     Pause(Duration),
+    /// All endpoints turn all requests away for a time.
+    Full(Duration),
+    /// All gateways end, and start in so many parts that do not know each other.
+    Part(usize),
+    /// The parts are told of each other.
+    Join,
     /// An endpoint names a limit in its answers for a time, in requests a second.
     Limit(Duration, f64),
     News(News),
@@ -211,6 +217,50 @@
     steps
 }
 
+/// Milliseconds between two times for which all endpoints turn requests away, and how long those are.
+const FULLS: Range<u64> = 6000..14_000;
+const FULL: Range<u64> = 2000..9000;
+
+/// How many programs are killed in a series beside every second of these, and milliseconds between two.
+const KILLS: Range<usize> = 1..5;
+const KILL_GAPS: Range<u64> = 200..1500;
+
+/// Milliseconds from a start in parts until they are told of each other, and from that to the next
+/// start in parts: some are longer than any time-out among gateways.
+const PARTED: Range<u64> = 12_000..30_000;
+const JOINED: Range<u64> = 2000..8000;
+
+/// Into how many parts gateways are partitioned.
+const PARTS: Range<usize> = 2..7;
+
+/// Lays out when all endpoints turn requests away during a soak, beside programs that are killed, and
+/// partitions of gateways. They begin in parts.
+pub(crate) fn retries(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    let mut at = FIRST;
+    while at < length {
+        let lasts = Duration::from_millis(random.random_range(FULL));
+        steps.push(Step { at, fault: Fault::Full(lasts), seed: random.random() });
+        let mut kill_at = at;
+        let kills = if random.random() { random.random_range(KILLS) } else { 0 };
+        for _ in 0..kills {
+            kill_at += Duration::from_millis(random.random_range(KILL_GAPS));
+            steps.push(Step { at: kill_at, fault: Fault::Kill, seed: random.random() });
+        }
+        at += Duration::from_millis(random.random_range(FULLS));
+    }
+    at = Duration::ZERO;
+    while at < length {
+        at += Duration::from_millis(random.random_range(PARTED));
+        steps.push(Step { at, fault: Fault::Join, seed: random.random() });
+        at += Duration::from_millis(random.random_range(JOINED));
+        let parts = random.random_range(PARTS);
+        steps.push(Step { at, fault: Fault::Part(parts), seed: random.random() });
+    }
+    steps.retain(|step| step.at < length);
+    steps
+}
+
 /// Lays out the limits that endpoints name during a soak.
 pub(crate) fn limits(random: &mut ChaCha8Rng, length: Duration) -> Vec<Step> {
     let mut steps = Vec::new();
--- a/crates/bench/src/soak/player.rs
+++ b/crates/bench/src/soak/player.rs
@@ -54,6 +54,8 @@
     Tell(Box<Endpoint>),
     /// An endpoint takes requests again.
     Rested(Arc<Notice>),
+    /// Endpoints that turned all requests away take them again.
+    Free(Vec<Arc<Notice>>),
     /// An endpoint that fell silent goes on.
     GoOn(Arc<Notice>),
     /// An endpoint names no limit any more, unless it has named another one since.
@@ -147,6 +149,7 @@
             Due::End(endpoint) => endpoint.end(),
             Due::Tell(endpoint) => self.tell_of(world, endpoint),
             Due::Rested(notice) => notice.set_rest(None),
+            Due::Free(notices) => notices.iter().for_each(|notice| notice.set_full(false)),
             Due::GoOn(notice) => notice.set_silent(false),
             Due::Unlimited(name, notice, number) => {
                 if self.limited.get(&name) == Some(&number) {
@@ -294,6 +297,20 @@
                 self.later(world, length, Due::GoOn(notice));
                 return Ok(Some(name));
             }
+            Fault::Full(length) => {
+                let notices = world.endpoints.iter().map(|it| Arc::clone(&it.notice));
+                let notices: Vec<_> = notices.collect();
+                notices.iter().for_each(|notice| notice.set_full(true));
+                self.later(world, length, Due::Free(notices));
+            }
+            Fault::Part(parts) => self.part(world, parts).await?,
+            Fault::Join => {
+                world.store.set_refused(spec::GATEWAYS, false);
+                for number in 0..world.gateways.len() {
+                    world.introduce(number, 1)?;
+                }
+                self.reload_all(world).await?;
+            }
             Fault::Limit(length, per_s) => {
                 let (name, notice) = self.any_endpoint(world);
                 notice.set_limit(Some(per_s));
@@ -339,6 +356,21 @@
         name
     }
 
+    /// Kills all gateways at which nothing else is done, and has all start in parts that do not know
+    /// each other.
+    async fn part(&mut self, world: &mut World, parts: usize) -> Result<()> {
+        world.store.set_refused(spec::GATEWAYS, true);
+        for number in 0..world.gateways.len() {
+            world.introduce(number, parts)?;
+            if self.struck.insert(number) {
+                let disturbance = world.oracle.struck(Kind::Kill, Whom::Gateway(number));
+                world.program(number).kill().await?;
+                self.later(world, AWAY, Due::Start(number, Some(disturbance)));
+            }
+        }
+        Ok(())
+    }
+
     /// Tells all programs to read their settings again at which nothing else is done.
     async fn reload_all(&mut self, world: &mut World) -> Result<()> {
         for program in 0..world.processes() {
--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -35,6 +35,9 @@
 const BALANCE: Duration = Duration::from_secs(1);
 const MISSES: u32 = 2;
 
+/// Into how many parts gateways start at first where retries are judged: each knows itself alone.
+const FIRST_PARTS: usize = usize::MAX;
+
 /// How much slower than declared engines are, by turns; nothing tells the system of it.
 const SLOWNESS: [f64; 2] = [1.0, 2.5];
 
@@ -64,9 +67,18 @@
     store_address: SocketAddr,
     origin: SocketAddr,
     seeds: Vec<SocketAddr>,
+    // Into how many parts gateways start that do not know each other.
+    parts: usize,
+    // Of the retry budget.
+    slack: f64,
     spawned: usize,
 }
 
+/// The addresses at which the gateways of the part are reached that one belongs to.
+fn seeds_of(all: &[SocketAddr], number: usize, parts: usize) -> Vec<SocketAddr> {
+    all.iter().copied().skip(number % parts).step_by(parts).collect()
+}
+
 impl World {
     /// Starts everything and waits until all gateways take connections.
     pub(crate) async fn spawn(programs: &Path, out: &Path, options: &Options) -> Result<Self> {
@@ -75,6 +87,8 @@
         let store_address = address::free()?;
         let store = Store::spawn(store_address).await?;
         store.set_era(Some(0));
+        // Gateways would learn of all others from it.
+        store.set_refused(spec::GATEWAYS, options.retries);
         let (offer, offered) = watch::channel(configuration::offer(engines > 0, sizes));
         let shared = caller::Shared {
             oracle: oracle.clone(),
@@ -98,6 +112,8 @@
             store_address,
             origin: origin::spawn().await?,
             seeds: Vec::new(),
+            parts: if options.retries { FIRST_PARTS } else { 1 },
+            slack: configuration::slack(options),
             spawned: 0,
         };
         world.store.put(spec::VERSIONS, MODEL, spec::desired_version(MODEL, 1));
@@ -127,7 +143,9 @@
             let store = Arc::new(Proxy::spawn(address::free()?, self.store_address).await?);
             let listen = address::free()?;
             let callers = Arc::new(Proxy::spawn(address::free()?, listen).await?);
-            let mut settings = configuration::settings(&name, own, store.address, &self.seeds);
+            let seeds = seeds_of(&self.seeds, number, self.parts);
+            let mut settings = configuration::settings(&name, own, store.address, &seeds);
+            settings["bounds"]["budget_slack"] = json!(self.slack);
             let ready = address::free()?;
             settings["listen"] =
                 json!({ "callers": listen, "ready": ready, "control": address::free()? });
@@ -146,6 +164,12 @@
         Ok(())
     }
 
+    /// Writes into the settings of a gateway which others it knows, if they are in so many parts.
+    pub(crate) fn introduce(&mut self, number: usize, parts: usize) -> Result<()> {
+        let seeds = seeds_of(&self.seeds, number, parts);
+        self.gateways[number].program.change(|settings| settings["seeds"] = json!(seeds))
+    }
+
     /// Starts a plain endpoint.
     pub(crate) async fn add_plain(&mut self) -> Result<()> {
         let name = self.name(PLAIN);
--- a/crates/bench/tests/testsuite/judge.rs
+++ b/crates/bench/tests/testsuite/judge.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cinderspoke_test_support::oracle::attempt::{Attempt, End, Kind, Run};
+use cinderspoke_test_support::oracle::budget::{Allowance, Repeats, Window};
 use cinderspoke_test_support::oracle::disturbance::{Disturbance, Kind as Fault, Whom};
 use cinderspoke_test_support::oracle::fatal::{self, Arrival};
 use cinderspoke_test_support::oracle::judge::{Bounds, Breach, Facts, Promise, Span, judge};
@@ -477,3 +478,51 @@
     assert!(beside_limit(&lowered, every(0.12, 17.0, 30), &[]).is_empty(), "35 were allowed");
     assert_eq!(beside_limit(&lowered, every(0.12, 26.0, 30), &[]), [false], "5 are now");
 }
+
+/// Requests for a service, a second apart from a time on, and how often each reached an endpoint.
+fn repeats(from: f64, arrivals: &[usize]) -> Repeats {
+    let mut repeats = Repeats::default();
+    for (number, arrivals) in arrivals.iter().enumerate() {
+        let sent = from + number as f64;
+        let runs = (0..*arrivals).map(|_| run("e1", sent + 0.1)).collect();
+        repeats.add("service", &Attempt { sent: at(sent), runs, ..attempt(Kind::Safe) });
+    }
+    repeats
+}
+
+/// The worst window within 10 s, where so many arrivals are allowed for each request and two more.
+fn worst_window(ratio: f64, mut repeats: Repeats) -> Option<Window> {
+    let allowance = Allowance { ratio, slack: 2.0, window: Duration::from_secs(10) };
+    repeats.worst(&allowance).into_iter().next()
+}
+
+// Guards against a judge that nothing fails: one repeat more than allowed is a breach.
+#[test]
+fn repeats_beyond_the_budget_of_a_service_are_a_breach() {
+    let window = worst_window(0.0, repeats(50.0, &[2, 2, 1, 0])).unwrap();
+    assert_eq!((window.repeats, window.allowed), (2, 2.0));
+    assert!(window.judge().is_none());
+    let window = worst_window(0.0, repeats(50.0, &[2, 2, 1, 2])).unwrap();
+    let breach = window.judge().unwrap();
+    assert_eq!((breach.promise, breach.excused), (Promise::Budget, false));
+}
+
+#[test]
+fn repeats_count_by_the_busiest_of_the_windows_before() {
+    // Ten requests, a second apart, and one of which three repeats come when the last are over: in the
+    // window that they begin there are none, and six in the one before it.
+    let mut repeats = repeats(50.0, &[1; 10]);
+    let runs = vec![run("e1", 59.5), run("e2", 65.0), run("e1", 65.0), run("e2", 65.0)];
+    repeats.add("service", &Attempt { sent: at(59.5), runs, ..attempt(Kind::Safe) });
+    let window = worst_window(0.2, repeats).unwrap();
+    assert_eq!((window.repeats, window.requests), (3, 6));
+    assert!(window.judge().is_none());
+}
+
+#[test]
+fn repeats_far_apart_are_no_breach() {
+    let mut repeats = repeats(50.0, &[3]);
+    let runs = vec![run("e1", 70.0), run("e2", 70.0), run("e1", 70.0)];
+    repeats.add("service", &Attempt { sent: at(70.0), runs, ..attempt(Kind::Safe) });
+    assert!(worst_window(0.0, repeats).unwrap().judge().is_none());
+}
--- a/crates/bench/tests/testsuite/soak.rs
+++ b/crates/bench/tests/testsuite/soak.rs
@@ -172,3 +172,15 @@
     assert!(told.contains("Restore(") && told.contains("News(Drain)"), "{told}");
     assert!(summary["requests"].as_u64().unwrap() > 0, "{summary}");
 }
+
+// All endpoints turn requests away for seconds at a time, while gateways are killed and start in
+// partitions. Where each divides the slack of the retry budget by the gateways that it hears of, a
+// service gets 183 to 295 requests again within 10 s where 103 to 230 are allowed.
+#[test]
+fn the_retry_budget_is_kept_by_gateways_that_do_not_hear_of_each_other() {
+    let (output, summary) = played(command("2", "25").args(["--retries", "--gateways", "6"]));
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(summary["unexplained"], 0, "{summary}\n{told}");
+    assert!(told.contains("Full(") && told.contains("requests again within 10 s"), "{told}");
+    assert!(summary["requests"].as_u64().unwrap() > 0, "{summary}");
+}
--- a/crates/test-support/src/oracle/judge.rs
+++ b/crates/test-support/src/oracle/judge.rs
@@ -57,6 +57,8 @@
     Sizes,
     /// An endpoint gets no more from all gateways together than it says it accepts.
     Limit,
+    /// A service gets no more requests again than its retry budget allows.
+    Budget,
 }
 
 /// The least difference between two times.
--- a/crates/test-support/src/oracle/mod.rs
+++ b/crates/test-support/src/oracle/mod.rs
@@ -4,10 +4,12 @@
 //! - [`disturbance`]: what a fault suspends, decided once for each kind of fault.
 //! - [`judge`]: what is broken by an attempt; [`fatal`] by a request that ends endpoints,
 //!   [`notice`] by those that pass over what endpoints say, [`limit`] by all gateways together that
-//!   exceed what an endpoint accepts, [`size`] by all callers together.
+//!   exceed what an endpoint accepts, [`budget`] by all that send requests again, [`size`] by all
+//!   callers together.
 //!   Pure, so that tests need no processes.
 
 pub mod attempt;
+pub mod budget;
 pub mod disturbance;
 pub mod fatal;
 pub mod judge;
