--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -15,6 +15,7 @@
 use cinderspoke_ports::gateway::Dialect;
 use tokio_util::sync::CancellationToken;
 
+use super::record::Record;
 use super::state::State;
 use crate::util::clock::Clock;
 
@@ -247,22 +248,25 @@
         own * gateways.saturating_sub(1) as f64
     }
 
-    /// Withdraws a further send of a request from the retry budget of its service.
-    ///
-    /// # Errors
-    ///
-    /// The state of the budget, if it allows no further send.
-    pub fn withdraw_retry(self: &Arc<Self>, service: &Service) -> Result<Withdrawal, Exhausted> {
+    /// Withdraws a further send of a request from the retry budget of its service. None, which is
+    /// recorded, if the budget allows no further send.
+    pub fn withdraw_retry(
+        self: &Arc<Self>,
+        service: &Service,
+        record: &mut Record,
+    ) -> Option<Withdrawal> {
         let (now, options) = (self.clock.now(), self.state.options().budget);
         let gateways = self.state.view().known_gateways;
-        self.budget(service, |budget| {
-            if budget.withdraw(now, &options, gateways) {
-                return Ok(());
-            }
+        let exhausted = self.budget(service, |budget| {
+            let allowed = budget.withdraw(now, &options, gateways);
             let (requests, tokens) = (budget.requests(), budget.tokens());
-            Err(Exhausted { requests, tokens, gateways })
-        })?;
-        Ok(Withdrawal { context: Arc::clone(self), service: service.clone(), is_spent: false })
+            (!allowed).then_some(Exhausted { requests, tokens, gateways })
+        });
+        if let Some(exhausted) = exhausted {
+            record.retry_refused(service, exhausted);
+            return None;
+        }
+        Some(Withdrawal { context: Arc::clone(self), service: service.clone(), is_spent: false })
     }
 
     /// Returns how long a caller with this timeout has waited before this attempt of the caller.
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -91,15 +91,13 @@
             break (Stopped::Quarantined(subject), left);
         }
         // Withdrawn before the choice, which uses up shares, probes and reservations.
-        let withdrawal = match attempts.history.sends() {
-            0 => None,
-            _ => match context.withdraw_retry(&parsed.service) {
-                Ok(withdrawal) => Some(withdrawal),
-                Err(exhausted) => {
-                    record.retry_refused(&parsed.service, exhausted);
-                    break (Stopped::Budget, RETRY_AFTER);
-                }
-            },
+        let withdrawal = if attempts.history.sends() > 0 {
+            let Some(withdrawal) = context.withdraw_retry(&parsed.service, &mut record) else {
+                break (Stopped::Budget, RETRY_AFTER);
+            };
+            Some(withdrawal)
+        } else {
+            None
         };
         let selected = match attempts.choose(context, &parsed, &mut record).await {
             Ok(selected) => selected,
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -191,13 +191,7 @@
             return None;
         }
         // Withdrawn before the choice, which uses up shares, probes and reservations.
-        let withdrawal = match self.context.withdraw_retry(&self.parsed.service) {
-            Ok(withdrawal) => withdrawal,
-            Err(exhausted) => {
-                self.record.retry_refused(&self.parsed.service, exhausted);
-                return None;
-            }
-        };
+        let withdrawal = self.context.withdraw_retry(&self.parsed.service, &mut self.record)?;
         let choice = self.attempts.choose(&self.context, &self.parsed, &mut self.record);
         Some((choice.await.ok()?, withdrawal))
     }
