--- a/review/stand-ins/unframed.rs
+++ b/review/stand-ins/crash.rs
@@ -1,5 +1,5 @@
-//! A gateway stands still for some seconds, while an endpoint crashes in the middle of answers that
-//! end with their connection, and is back at its address.
+//! Endpoints crash one after the other and come back, while they send answers of which some end
+//! with their connection.
 
 use std::collections::BTreeMap;
 use std::fs;
@@ -18,26 +18,30 @@
 
 const SERVICE: &str = "convert-api";
 
-/// How long an endpoint works on a request, and the time of the route.
+/// The endpoints: one of seven is down at a time, where the users take 0.15 or 0.17 of them.
+const ENDPOINTS: usize = 7;
+
+/// How long an endpoint works on a request, how many it runs at once, and the time of the route.
 const WORK: Duration = Duration::from_millis(1500);
+const SLOTS: usize = 64;
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(6000);
 
 /// Clients, and how often each sends a request.
-const CLIENTS: usize = 10;
-const PERIOD: Duration = Duration::from_millis(2000);
-
-/// From when to when the gateway stands still, and the endpoint is down.
-const FREEZE_AT: Duration = Duration::from_millis(10_000);
-const CRASH_AT: Duration = Duration::from_millis(10_300);
-const RETURN_AT: Duration = Duration::from_millis(11_300);
-const WAKE_AT: Duration = Duration::from_millis(13_000);
+const CLIENTS: usize = 300;
+const PERIOD: Duration = Duration::from_millis(1600);
 
-/// The length of the run.
-const LENGTH: Duration = Duration::from_secs(20);
+/// When the first endpoint crashes, the time from one crash to the next, and for how long an
+/// endpoint is down.
+const FIRST_CRASH: Duration = Duration::from_secs(5);
+const CRASH_INTERVAL: Duration = Duration::from_secs(5);
+const DOWN: Duration = Duration::from_secs(3);
 
 /// The time after which the store removes an entry that is not written.
 const LAPSE: Duration = Duration::from_millis(3600);
 
+/// The length of the run.
+const LENGTH: Duration = Duration::from_secs(100);
+
 /// One request and its answer; none if no complete answer came.
 struct Sent {
     id: String,
@@ -65,47 +69,51 @@
     let store = Store::spawn(store_address)?;
     store.put("config", "main", &configuration());
     let log = folder.join("runs.log");
-    let address = free_address(100)?;
-    let mut endpoint = spawn_endpoint("i-00000001", address, store_address, folder, &log)?;
+    let address = |number: usize| free_address(100 + number as u8);
+    let addresses = (0..ENDPOINTS).map(address).collect::<io::Result<Vec<_>>>()?;
+    let spawn = |started: usize| {
+        let address = addresses[started % ENDPOINTS];
+        spawn_endpoint(&id_of(started), address, store_address, folder, &log)
+    };
+    let mut endpoints = (0..ENDPOINTS).map(&spawn).collect::<io::Result<Vec<_>>>()?;
     let program = "target/release/cinderspoke-entry";
-    let gateways = world::spawn_gateways(1, program, store_address, folder)?;
-    let gateway = Arc::clone(&gateways[0]);
+    let gateways = world::spawn_gateways(2, program, store_address, folder)?;
     let (began, sent) = (Instant::now(), Arc::new(Mutex::new(Vec::new())));
     let clients = (0..CLIENTS).map(|client| {
-        let (gateway, sent) = (Arc::clone(&gateway), Arc::clone(&sent));
+        let (gateway, sent) = (Arc::clone(&gateways[client % gateways.len()]), Arc::clone(&sent));
         thread::spawn(move || send_requests(client, &gateway, began, &sent))
     });
     let clients: Vec<_> = clients.collect();
     let mut notes = Vec::new();
-    let mut reborn = None;
-    if has_trouble {
-        wait_until(began, FREEZE_AT);
-        gateway.process().signal("-STOP")?;
-        notes.push(format!("{:?}  the gateway stands still", began.elapsed()));
-        wait_until(began, CRASH_AT);
-        endpoint.kill();
-        notes.push(format!("{:?}  the endpoint has crashed", began.elapsed()));
-        let crashed = Instant::now();
-        wait_until(began, RETURN_AT);
-        let again = spawn_endpoint("i-00000002", address, store_address, folder, &log)?;
-        reborn = Some(again);
-        notes.push(format!("{:?}  it is back with another id", began.elapsed()));
-        wait_until(began, WAKE_AT);
-        gateway.process().signal("-CONT")?;
-        notes.push(format!("{:?}  the gateway goes on", began.elapsed()));
-        sleep(LAPSE.saturating_sub(crashed.elapsed()));
-        store.remove("servers", "i-00000001");
-        notes.push(format!("{:?}  the entry of the crashed run has gone", began.elapsed()));
+    let mut due = FIRST_CRASH;
+    // Each start of an endpoint has a number of its own, which tells its address, too.
+    let mut started = ENDPOINTS;
+    while has_trouble && due + CRASH_INTERVAL < LENGTH {
+        wait_until(began, due);
+        let id = id_of(started - ENDPOINTS);
+        endpoints[started % ENDPOINTS].kill();
+        notes.push(format!("{:?}  {id} has crashed", began.elapsed()));
+        wait_until(began, due + DOWN);
+        endpoints[started % ENDPOINTS] = spawn(started)?;
+        notes.push(format!("{:?}  it is back as {}", began.elapsed(), id_of(started)));
+        wait_until(began, due + LAPSE);
+        store.remove("servers", &id);
+        started += 1;
+        due += CRASH_INTERVAL;
     }
     for client in clients {
         client.join().map_err(|_| io::Error::other("a client failed"))?;
     }
-    drop(reborn);
+    drop(endpoints);
     world::end(&gateways);
     let sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
     judge(&sent, &notes, &fs::read_to_string(log)?, record, has_trouble)
 }
 
+fn id_of(started: usize) -> String {
+    format!("i-{started:08x}")
+}
+
 fn wait_until(began: Instant, at: Duration) {
     sleep(at.saturating_sub(began.elapsed()));
 }
@@ -131,9 +139,9 @@
         address,
         store,
         log: log.to_string_lossy().into_owned(),
-        slots: 20,
+        slots: SLOTS,
         work: WORK,
-        framing: Framing::Connection,
+        framing: Framing::Mixed,
         body_bytes: 8000,
     };
     let mut command = vec![own];
@@ -168,9 +176,11 @@
     let deadline = ROUTE_TIMEOUT.as_millis();
     let head = format!(
         "POST /page/convert HTTP/1.1\r\nHost: pages.example\r\nRequest-Id: {id}\r\n\
-         Request-Deadline: {deadline}\r\nContent-Length: 4\r\n\r\n"
+         Request-Deadline: {deadline}\r\nContent-Length: {}\r\n\r\n",
+        id.len()
     );
-    connection.send(&head, b"page", ROUTE_TIMEOUT + Duration::from_secs(1))?;
+    // Each request differs from all others.
+    connection.send(&head, id.as_bytes(), ROUTE_TIMEOUT + Duration::from_secs(1))?;
     let (head, body) = connection.receive()?;
     let signature = head.get("engine-signature").unwrap_or_default().to_owned();
     let is_whole = endpoint::is_whole(&signature, &body);
@@ -208,11 +218,14 @@
         let state = states.get(id.as_str()).copied().unwrap_or("not begun");
         let at = at.as_secs_f64();
         match answer {
-            None => writeln!(out, "{at:6.2} s  {id} endpoint: {state}; no complete answer")?,
+            None => writeln!(out, "{at:.2} {id} {state}, no complete answer")?,
+            Some(Answer { status: 200, is_whole: true, .. }) => {
+                writeln!(out, "{at:.2} {id} {state}, 200 whole")?;
+            }
             Some(Answer { status, signature, bytes, is_whole }) => writeln!(
                 out,
-                "{at:6.2} s  {id} endpoint: {state}; status {status}, {bytes} bytes, \
-                 signature {signature:?}, whole: {is_whole}"
+                "{at:.2} {id} {state}, {status}, {bytes} bytes, signed {signature:?}, \
+                 whole: {is_whole}"
             )?,
         }
     }
--- a/review/stand-ins/endpoint.rs
+++ b/review/stand-ins/endpoint.rs
@@ -21,8 +21,8 @@
 pub enum Framing {
     /// By a length.
     Length,
-    /// By the end of its connection.
-    Connection,
+    /// By the end of its connection, for one request in three; by a length otherwise.
+    Mixed,
 }
 
 /// What an endpoint is and does.
@@ -51,7 +51,7 @@
 impl Options {
     /// The arguments of its process.
     pub fn to_args(&self) -> Vec<String> {
-        let framing = if self.framing == Framing::Length { "length" } else { "connection" };
+        let framing = if self.framing == Framing::Length { "length" } else { "mixed" };
         vec![
             "endpoint".to_owned(),
             self.id.clone(),
@@ -79,7 +79,7 @@
             log: log.clone(),
             slots: slots.parse().ok()?,
             work: Duration::from_millis(work.parse().ok()?),
-            framing: if framing == "length" { Framing::Length } else { Framing::Connection },
+            framing: if framing == "length" { Framing::Length } else { Framing::Mixed },
             body_bytes: body_bytes.parse().ok()?,
         })
     }
@@ -159,29 +159,26 @@
             return Ok(true);
         }
         self.record("run", id);
-        let answered = self.run(id, writer);
+        let has_length =
+            self.options.framing == Framing::Length || hash(id.as_bytes()).rem_euclid(3) != 0;
+        let answered = self.run(id, has_length, writer);
         self.active.fetch_sub(1, Ordering::SeqCst);
         answered?;
         self.record("done", id);
-        Ok(self.options.framing == Framing::Length)
+        Ok(has_length)
     }
 
-    fn run(&self, id: &str, writer: &mut TcpStream) -> io::Result<()> {
-        let Options { id: own, work, framing, body_bytes, .. } = &self.options;
+    fn run(&self, id: &str, has_length: bool, writer: &mut TcpStream) -> io::Result<()> {
+        let Options { id: own, work, body_bytes, .. } = &self.options;
         let body = body_of(id, *body_bytes);
-        let end = match framing {
-            Framing::Length => format!("Content-Length: {body_bytes}"),
-            Framing::Connection => "Connection: close".to_owned(),
+        let end = match has_length {
+            true => format!("Content-Length: {body_bytes}"),
+            false => "Connection: close".to_owned(),
         };
         let signature = sign(own, &body);
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nEngine-Signature: {signature}\r\n{end}\r\n\r\n"
         );
-        if *framing == Framing::Length {
-            sleep(*work);
-            writer.write_all(head.as_bytes())?;
-            return writer.write_all(&body);
-        }
         writer.write_all(head.as_bytes())?;
         for piece in body.chunks(body.len().div_ceil(PIECES)) {
             sleep(*work / PIECES as u32);
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -4,6 +4,7 @@
 //! held, and 2 if the case could not run. With the variable `TROUBLE` set to 0, the disruption is
 //! left out.
 
+mod crash;
 mod endpoint;
 mod engine;
 mod http;
@@ -11,7 +12,6 @@
 mod rot;
 mod sha256;
 mod store;
-mod unframed;
 mod world;
 
 use std::io;
@@ -49,9 +49,9 @@
         [case, folder, record] => {
             let (folder, record) = (Path::new(folder), Path::new(record));
             match case.as_str() {
+                "crash" => crash::play(folder, record, has_trouble),
                 "memory" => memory::play(folder, record, has_trouble),
                 "rot" => rot::play(folder, record, has_trouble),
-                "unframed" => unframed::play(folder, record, has_trouble),
                 _ => Err(io::ErrorKind::InvalidInput.into()),
             }
         }
