Agents log when chunks were verified and when an order was sent and answered

No logic changes. `Agent::plans` and `Agent::accepts_requests` and a public `Plans::merge` let tests drive an agent in simulated time.

--- a/src/cinderspoke/staging/load.rs
+++ b/src/cinderspoke/staging/load.rs
@@ -27,6 +27,11 @@
 /// Timeout for loading a version.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The milliseconds since an instant.
+fn millis(since: Instant) -> u64 {
+    since.elapsed().as_millis() as u64
+}
+
 /// One changeover of an engine.
 pub(super) struct Load<'a> {
     pub(super) engine: &'a dyn Engine,
@@ -53,10 +58,18 @@
             self.reporter.set_accepts_requests(false).await;
             self.drain(collected + changeover.abort_after()).await?;
         }
+        tracing::info!(%version, took_ms = millis(collected), "chunks staged and engine drained");
+        let verified = Instant::now();
         self.check_staged(manifest).await?;
+        tracing::info!(%version, took_ms = millis(verified), "staged chunks verified");
         let report = self.report().await?;
         let began = Instant::now();
-        match self.engine.start_load(model, *version, Switch::Abort, report.orders).await? {
+        let (orders, oldest_check_ms) = (report.orders, millis(verified));
+        tracing::info!(%version, orders, oldest_check_ms, "order sent");
+        let outcome = self.engine.start_load(model, *version, Switch::Abort, orders).await;
+        let oldest_check_ms = millis(verified);
+        tracing::info!(%version, orders, oldest_check_ms, ?outcome, "order answered");
+        match outcome? {
             OrderOutcome::Accepted => {}
             OrderOutcome::Rejected => bail!("the engine rejected the order: its state has changed"),
         }
--- a/src/cinderspoke/staging/mod.rs
+++ b/src/cinderspoke/staging/mod.rs
@@ -105,6 +105,7 @@
 /// A running agent; dropping it stops its tasks.
 pub struct Agent {
     plans: Arc<Plans>,
+    reporter: Arc<Reporter>,
     // Limits the rate of uploads.
     upload_pacer: Arc<Pacer>,
     stop: CancellationToken,
@@ -149,10 +150,22 @@
         };
         let fetcher = Fetcher::new(Arc::clone(&reporter), collector);
         tokio::spawn(stop::until(stop.clone(), Arc::clone(&reporter).run()));
-        tokio::spawn(stop::until(stop.clone(), reporter.listen()));
+        tokio::spawn(stop::until(stop.clone(), Arc::clone(&reporter).listen()));
         tokio::spawn(stop::until(stop.clone(), fetcher.run()));
         tracing::info!(instance = %*settings.instance, engine = %beside.address, "agent started");
-        Ok(Self { plans, upload_pacer, stop })
+        Ok(Self { plans, reporter, upload_pacer, stop })
+    }
+
+    /// The plan that the agent follows.
+    #[must_use]
+    pub fn plans(&self) -> &Plans {
+        &self.plans
+    }
+
+    /// Whether the engine is to receive new requests.
+    #[must_use]
+    pub fn accepts_requests(&self) -> bool {
+        self.reporter.accepts_requests()
     }
 
     /// Applies changed settings, as far as they may change while the agent runs.
--- a/src/cinderspoke/staging/plan.rs
+++ b/src/cinderspoke/staging/plan.rs
@@ -145,7 +145,7 @@
 
     /// Merges a plan. Versions never go back; the rest is taken from the plan with the highest
     /// revision.
-    fn merge(&self, plan: Plan) {
+    pub fn merge(&self, plan: Plan) {
         self.timeline().merge(&plan.ages, self.clock.now());
         self.plan.send_if_modified(|known| {
             let mut rollout = known.rollout.clone();
