Weights are verified after the order if an upload may have been applied late

What callers could have seen: tokens from a layer with a chunk of another version.

Cause: an upload that got no answer in 1.5 s counted as failed and was forgotten. The engine may apply it at any later time, over a chunk of the next version that was verified since.

Ruled out: a longer timeout. It makes an engine that stands still miss the time of the version, and bounds nothing.

Mend: for 30 s after an upload without an answer, an order's weights do not count as whole by the age of their checks; all chunks are read back once more before the engine is opened, and bad weights are loaded anew.

--- a/src/cinderspoke/staging/chunks.rs
+++ b/src/cinderspoke/staging/chunks.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::trust::Trust;
 use crate::util::clock::Clock;
 
 /// How many chunks are replaced in one verification before it is given up: reading them back may
@@ -41,6 +42,7 @@
     manifest: &'a Manifest,
     // The whole chunks, in the order of the manifest.
     bytes: Vec<Bytes>,
+    trust: &'a Trust,
     clock: Clock,
     verification: Verification,
 }
@@ -60,10 +62,11 @@
         model: &'a Model,
         manifest: &'a Manifest,
         bytes: Vec<Bytes>,
+        trust: &'a Trust,
         clock: Clock,
     ) -> Self {
         let verification = Verification::new(bytes.len());
-        Self { engine, model, manifest, bytes, clock, verification }
+        Self { engine, model, manifest, bytes, trust, clock, verification }
     }
 
     /// What is known of the staged chunks.
@@ -84,7 +87,11 @@
     }
 
     async fn upload(&self, chunk: usize) -> Result<(), Error> {
-        self.engine.stage(self.model, chunk, self.bytes[chunk].clone()).await
+        let uploaded = self.engine.stage(self.model, chunk, self.bytes[chunk].clone()).await;
+        if let Err(Error::Unavailable(_)) = uploaded {
+            self.trust.record_lost_upload(self.clock.now());
+        }
+        uploaded
     }
 
     /// Reads chunks back and replaces those that are bad, until an order may be sent.
--- a/src/cinderspoke/staging/load.rs
+++ b/src/cinderspoke/staging/load.rs
@@ -53,9 +53,9 @@
         chunks: Vec<Bytes>,
         changeover: Changeover,
     ) -> Result<()> {
-        let DesiredVersion { model, version, .. } = self.desired;
+        let version = self.desired.version;
         let collected = Instant::now();
-        let mut chunks = Chunks::new(self.engine, model, manifest, chunks, self.clock);
+        let mut chunks = self.chunks(manifest, chunks);
         chunks.stage(self.abandon).await?;
         let idle = self.is_idle().await?;
         if !idle {
@@ -68,11 +68,16 @@
         self.load(&mut chunks).await
     }
 
+    /// The chunks of the version at the engine.
+    fn chunks<'a>(&'a self, manifest: &'a Manifest, bytes: Vec<Bytes>) -> Chunks<'a> {
+        let model = &self.desired.model;
+        Chunks::new(self.engine, model, manifest, bytes, self.trust, self.clock)
+    }
+
     /// Verifies the weights that the engine has loaded and has it load them anew if they are bad.
     /// Opens the engine once it is known to run whole weights.
     pub(super) async fn repair(&self, manifest: &Manifest, chunks: Vec<Bytes>) -> Result<()> {
-        let model = &self.desired.model;
-        let mut chunks = Chunks::new(self.engine, model, manifest, chunks, self.clock);
+        let mut chunks = self.chunks(manifest, chunks);
         if self.trust.weights() == Weights::Unverified {
             self.confirm(&mut chunks).await?;
         }
--- a/src/cinderspoke/staging/order.rs
+++ b/src/cinderspoke/staging/order.rs
@@ -73,7 +73,8 @@
         tracing::info!(%version, orders, ?check_age, is_proven, ?outcome, "order answered");
         let change = match outcome {
             OrderOutcome::Begun => {
-                self.trust.set(weights_after(layers, chunks.verification(), known_at));
+                let is_proven = is_proven && !self.trust.expects_late_upload(known_at);
+                self.trust.set(weights_after(layers, is_proven, chunks.verification()));
                 Change::Loaded
             }
             OrderOutcome::Held => {
@@ -190,10 +191,11 @@
     (had_state && has_reset) || report.start != before.start || report.orders < before.orders
 }
 
-/// What is known of the weights after an order for layers that was taken by `known_at`.
-fn weights_after(layers: Layers, chunks: &Verification, known_at: Duration) -> Weights {
+/// What is known of the weights after an order for layers was taken; `is_proven` is whether the
+/// chunks are known to have been whole then.
+fn weights_after(layers: Layers, is_proven: bool, chunks: &Verification) -> Weights {
     match layers {
-        Layers::All if chunks.proves_whole(known_at) => Weights::Whole,
+        Layers::All if is_proven => Weights::Whole,
         Layers::All if !chunks.is_masked() => Weights::Unverified,
         Layers::All | Layers::Only(_) => Weights::Bad,
     }
--- a/src/cinderspoke/staging/trust.rs
+++ b/src/cinderspoke/staging/trust.rs
@@ -1,6 +1,11 @@
 //! Whether the weights that an engine has loaded are known to be whole.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// For how long an engine may still apply an upload that got no answer: longer than an engine
+/// stands still without losing its connections.
+const LATE_UPLOAD_TIME: Duration = Duration::from_secs(30);
 
 /// What is known of the weights that an engine has loaded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -8,7 +13,8 @@
     /// They were whole when the engine took them.
     #[default]
     Whole,
-    /// They may have bad chunks, since the order was taken too long after their verification.
+    /// They may have bad chunks: the order was taken too long after their verification, or an
+    /// upload without an answer may have replaced a chunk since.
     Unverified,
     /// They have bad chunks or lack layers, and have to be loaded anew.
     Bad,
@@ -18,21 +24,40 @@
 /// opened to requests only while they are whole.
 #[derive(Debug, Default)]
 pub(super) struct Trust {
-    weights: Mutex<Weights>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    weights: Weights,
+    // When the last upload ended without an answer, by the agent's clock.
+    lost_upload_at: Option<Duration>,
 }
 
 impl Trust {
-    fn lock(&self) -> MutexGuard<'_, Weights> {
-        self.weights.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns what is known of the weights.
     pub(super) fn weights(&self) -> Weights {
-        *self.lock()
+        self.lock().weights
     }
 
     /// Records what is known of the weights.
     pub(super) fn set(&self, weights: Weights) {
-        *self.lock() = weights;
+        self.lock().weights = weights;
+    }
+
+    /// Records that an upload ended without an answer at `now`: the engine may apply it later,
+    /// over a chunk that has been staged and verified since.
+    pub(super) fn record_lost_upload(&self, now: Duration) {
+        self.lock().lost_upload_at = Some(now);
+    }
+
+    /// Whether an upload without an answer may still be applied.
+    pub(super) fn expects_late_upload(&self, now: Duration) -> bool {
+        let lost_at = self.lock().lost_upload_at;
+        lost_at.is_some_and(|at| now.saturating_sub(at) < LATE_UPLOAD_TIME)
     }
 }
--- a/tests/testsuite/changeovers.rs
+++ b/tests/testsuite/changeovers.rs
@@ -493,6 +493,18 @@
     });
 }
 
+// Guards against an upload that was given up and that the engine applies later, over a chunk that
+// has been verified since.
+#[test]
+fn no_request_runs_on_a_chunk_that_was_uploaded_late() {
+    check(Judged::Served, |rng| {
+        let late_upload = Some((rng.random_range(1..CHUNKS * 2), draw(rng, 0..6000)));
+        let next_after = Some(draw(rng, 0..8000));
+        let read_time = Duration::from_millis(12);
+        Trouble { read_time, late_upload, next_after, ..Trouble::default() }
+    });
+}
+
 // Guards against an agent that stands still between its last check and its order.
 #[test]
 fn no_engine_takes_a_chunk_that_turned_bad_while_its_agent_stood_still() {
