The test of early signals runs in a process of its own

A signal whose handler is held up between the two is lost to the test, not to the programs, which install their handlers in the first statement of main.

The test now runs again in a process of its own, where nothing else handles signals, and raises each signal on its own thread, so that its handler has ended before the runtime listens. The checks are the same: a reload and a stop that came before have to be requests.

--- a/tests/testsuite/signals.rs
+++ b/tests/testsuite/signals.rs
@@ -18,6 +18,8 @@
 use cinderspoke_test_support::samples::small;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use signal_hook::consts::{SIGHUP, SIGTERM};
+use signal_hook::low_level::raise;
 use tempfile::TempDir;
 use tokio::time::timeout;
 use yare::parameterized;
@@ -278,12 +280,30 @@
     });
 }
 
+/// Set for a process that runs one test on its own.
+const OWN_PROCESS: &str = "CINDERSPOKE_TEST_OWN_PROCESS";
+
 // Guards against signals that the early handlers keep and nobody acts on.
-#[tokio::test]
-async fn signals_from_before_the_runtime_listens_are_requests() {
+//
+// The test runs again in a process of its own, since other tests let the runtime handle signals
+// first, and each handler has ended before the runtime listens, as in `main`.
+#[test]
+fn signals_from_before_the_runtime_listens_are_requests() {
+    const NAME: &str = "signals::signals_from_before_the_runtime_listens_are_requests";
+    if std::env::var_os(OWN_PROCESS).is_some() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        return runtime.block_on(receive_early_signals());
+    }
+    let mut command = Command::new(std::env::current_exe().unwrap());
+    let output = command.args(["--exact", NAME]).env(OWN_PROCESS, "1").output().unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success() && text.contains("1 passed"), "{}: {text}", output.status);
+}
+
+async fn receive_early_signals() {
     let handlers = Handlers::open().unwrap();
-    for name in ["-HUP", "-TERM"] {
-        signal(std::process::id(), name);
+    for signal in [SIGHUP, SIGTERM] {
+        raise(signal).unwrap();
     }
     let mut signals = handlers.listen().unwrap();
     timeout(TIMEOUT, signals.reload.requested()).await.unwrap();
