Answers that a gateway buffers share a budget of memory

What callers may see: bodies that come without end take the memory of a gateway until it is killed, and all its requests end.

Cause: each buffered answer was bounded by 8 MiB and its route's time, their sum by nothing. `limits.memory_mb` was read by no part of the programs.

A smaller limit for each answer refuses sound ones; giving up the largest answer of all may hit a sound one.

Mend: answers, and events of streams that are not whole, draw from a quarter of the process's memory as their bytes arrive, until the caller has them. If none is left, the endpoint whose unfinished answers hold most loses the largest of them; its connection is closed and it counts as failing. Others wait meanwhile.

--- a/crates/core/src/gateway/event.rs
+++ b/crates/core/src/gateway/event.rs
@@ -59,6 +59,12 @@
         Ok(Some(Events { bytes: whole, count, last_id }))
     }
 
+    /// Returns the number of bytes of the incomplete event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Whether the buffer holds an incomplete event.
     #[must_use]
     pub fn has_partial(&self) -> bool {
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -7,11 +7,11 @@
 use cinderspoke_core::gateway::catalog::Kind;
 use cinderspoke_core::gateway::health::Observation;
 use http::{Response, StatusCode, Version, header, response};
-use http_body_util::{BodyExt, Limited};
 
 use super::choose::{Position, Selected};
 use super::context::{Context, Withdrawal};
 use super::framing::{Completeness, Framing};
+use super::memory;
 use super::parse::Parsed;
 use super::record::Record;
 use super::send::{
@@ -101,7 +101,7 @@
     until: &Deadline,
     record: &mut Record,
 ) -> Attempt {
-    let (head, mut stream) = EventStream::new(answer);
+    let (head, mut stream) = EventStream::new(context, answer);
     if let Err(interrupted) = stream.wait_first(until).await {
         stream.target().observe(Observation::Silence, context.clock.now());
         return Attempt::Failed(interrupted.outcome(), None);
@@ -116,11 +116,14 @@
 async fn read(context: &Context, parsed: &Parsed, answer: Answer) -> Attempt {
     let Answer { head, body, connection, sent, .. } = answer;
     let framing = Framing::of(&head, &body);
-    let read = parsed.deadline.timeout(Limited::new(body, MAX_BUFFERED_ANSWER).collect()).await;
+    let share = context.memory.share(&sent.target.name);
+    let read = parsed.deadline.timeout(share.collect(body, MAX_BUFFERED_ANSWER)).await;
     let body = match read {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return broken_off(context, &sent.target),
-        Err(_) => return lost(context, &sent.target),
+        Ok(Err(memory::Error::BrokenOff(_) | memory::Error::TooLong)) => {
+            return broken_off(context, &sent.target);
+        }
+        Ok(Err(memory::Error::Exhausted)) | Err(_) => return lost(context, &sent.target),
     };
     let target = sent.finish();
     if framing.allows_reuse() {
@@ -133,7 +136,7 @@
     let good = !head.status.is_server_error();
     let sign = if good { Observation::Good } else { Observation::Failure };
     target.observe(sign, context.clock.now());
-    let response = Response::from_parts(strip_hop_by_hop(head), body.to_bytes());
+    let response = Response::from_parts(strip_hop_by_hop(head), body);
     if means_not_run(response.status()) {
         // The caller would conclude from the status that the request has not run.
         Attempt::Failed(Outcome::Failed, None)
--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -15,6 +15,7 @@
 use cinderspoke_ports::gateway::Dialect;
 use tokio_util::sync::CancellationToken;
 
+use super::memory::Memory;
 use super::record::Record;
 use super::state::State;
 use crate::util::clock::Clock;
@@ -27,6 +28,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The process's clock.
     pub clock: Clock,
+    /// The memory for answers that are buffered.
+    pub memory: Arc<Memory>,
     draining: AtomicBool,
     closing: CancellationToken,
     ending: CancellationToken,
@@ -105,10 +108,12 @@
     /// Creates the context of a gateway that has just started.
     #[must_use]
     pub fn new(state: Arc<State>, dialect: Arc<dyn Dialect>, clock: Clock) -> Self {
+        let memory = Memory::new(state.options().memory);
         Self {
             state,
             dialect,
             clock,
+            memory,
             draining: AtomicBool::new(false),
             closing: CancellationToken::new(),
             ending: CancellationToken::new(),
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -29,6 +29,7 @@
 //! - [`crash`] detects that an endpoint ended during a request, [`suspects`] tracks the requests
 //!   during which endpoints ended, and [`quarantine`] keeps in the store which of them are
 //!   quarantined.
+//! - [`memory`] bounds what answers that are buffered take together.
 //! - [`cut`] reports connections that are closed with a request in them.
 //! - [`context`] is shared by all requests, a [`target`] holds what is tracked of each endpoint,
 //!   and a [`record`] what is logged of each request.
@@ -50,6 +51,7 @@
 pub mod head;
 pub mod inner;
 pub mod limits;
+pub mod memory;
 pub mod message;
 pub mod notices;
 pub mod options;
@@ -167,7 +169,9 @@
 
     /// Applies new settings, as far as they may change while the gateway runs.
     pub fn reload(&self, settings: &settings::Node) {
-        self.context.state.set_options(Options::new(settings));
+        let options = Options::new(settings);
+        self.context.memory.set_limit(options.memory);
+        self.context.state.set_options(options);
     }
 
     /// Stops gracefully, without cutting off requests in progress or answers being sent, within the
--- a/src/cinderspoke/gateway/options.rs
+++ b/src/cinderspoke/gateway/options.rs
@@ -8,6 +8,7 @@
 use cinderspoke_core::gateway::cold;
 use cinderspoke_core::gateway::overlap::Overlap;
 use cinderspoke_schema::settings;
+use cinderspoke_types::size::Bytes;
 
 use crate::util::settings::{internal_address, seed_addresses};
 
@@ -16,6 +17,9 @@
 /// store, and many endpoints change at once.
 const BATCH_FRACTION: f64 = 0.2;
 
+/// The unit of `limits.memory_mb`, in bytes.
+const BYTES_IN_MEGABYTE: u64 = 1 << 20;
+
 /// The settings of a gateway that may change while it runs.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -36,6 +40,8 @@
     pub cold: Option<cold::Options>,
     /// Gateways to which this one announces itself while it knows of no others.
     pub seeds: Vec<SocketAddr>,
+    /// The memory that the process may take.
+    pub memory: Bytes,
 }
 
 impl Options {
@@ -65,6 +71,7 @@
                 .cold_overage
                 .map(|overage| cold::Options { overage, slack: bounds.cold_slack }),
             seeds: seed_addresses(settings).into_iter().filter(|seed| *seed != own).collect(),
+            memory: Bytes::new(settings.limits.memory_mb.saturating_mul(BYTES_IN_MEGABYTE)),
         }
     }
 }
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -144,12 +144,17 @@
         let Some(stream) = self.stream.take() else { return };
         stream.target().observe(Observation::Silence, self.context.clock.now());
         let mut paused = None;
-        if interrupted == Interrupted::BrokenOff {
-            self.record.attempt_failed(&stream.target().name, interrupted.outcome());
-            self.investigate(stream.target(), stream.sent_at()).await;
-            drop(stream);
-        } else {
-            paused = Some(stream);
+        match interrupted {
+            Interrupted::BrokenOff => {
+                self.record.attempt_failed(&stream.target().name, interrupted.outcome());
+                self.investigate(stream.target(), stream.sent_at()).await;
+                drop(stream);
+            }
+            Interrupted::Exhausted => {
+                self.record.attempt_failed(&stream.target().name, interrupted.outcome());
+                drop(stream);
+            }
+            Interrupted::TimedOut => paused = Some(stream),
         }
         // A stream without event numbers cannot be resumed.
         let Some(last) = self.last else { return };
@@ -237,7 +242,7 @@
         if !answer.head.status.is_success() || !answer.info.signed {
             return Err(Outcome::Failed);
         }
-        let (_, stream) = EventStream::new(answer);
+        let (_, stream) = EventStream::new(&self.context, answer);
         stream.started();
         Ok(Box::new(stream))
     }
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -6,10 +6,12 @@
 use cinderspoke_core::gateway::attempt::Outcome;
 use cinderspoke_core::gateway::event::{Events, Splitter};
 use http::response;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::error::Elapsed;
 
+use super::context::Context;
 use super::framing::{Completeness, Framing};
+use super::memory::{self, Share};
 use super::pool::Connection;
 use super::send::{Answer, Sent, keep_alive_timeout};
 use super::target::Target;
@@ -24,6 +26,8 @@
     // The idle timeout of the connection, as the endpoint says.
     idle_timeout: Option<Duration>,
     splitter: Splitter,
+    // The memory of the incomplete event that the splitter buffers.
+    share: Share,
     // Whole events that were received by `wait_first` and not yet returned by `next`.
     ready: Option<Events>,
     // The completeness of a stream that ended before any event.
@@ -37,6 +41,8 @@
     BrokenOff,
     /// No event was received in time.
     TimedOut,
+    /// No memory was left for an event that is not whole.
+    Exhausted,
 }
 
 impl Interrupted {
@@ -45,11 +51,26 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Self::BrokenOff => Outcome::BrokenOff,
-            Self::TimedOut => Outcome::Lost,
+            Self::TimedOut | Self::Exhausted => Outcome::Lost,
         }
     }
 }
 
+impl From<memory::Error> for Interrupted {
+    fn from(error: memory::Error) -> Self {
+        match error {
+            memory::Error::Exhausted => Self::Exhausted,
+            memory::Error::BrokenOff(_) | memory::Error::TooLong => Self::BrokenOff,
+        }
+    }
+}
+
+impl From<Elapsed> for Interrupted {
+    fn from(_: Elapsed) -> Self {
+        Self::TimedOut
+    }
+}
+
 /// The next item of a stream.
 pub enum Item {
     /// Whole events.
@@ -61,12 +82,15 @@
 impl EventStream {
     /// Creates the stream of an answer of which only the head was read; returns the head too.
     #[must_use]
-    pub fn new(answer: Answer) -> (response::Parts, Self) {
+    pub fn new(context: &Context, answer: Answer) -> (response::Parts, Self) {
+        let share = context.memory.share(&answer.sent.target.name);
         let Answer { head, body, connection, sent, .. } = answer;
         let idle_timeout = keep_alive_timeout(&head.headers);
         let framing = Framing::of(&head, &body);
         let (splitter, ready, ended) = (Splitter::default(), None, None);
-        (head, Self { sent, body, framing, connection, idle_timeout, splitter, ready, ended })
+        let stream =
+            Self { sent, body, framing, connection, idle_timeout, splitter, share, ready, ended };
+        (head, stream)
     }
 
     /// Returns the endpoint that sends the stream.
@@ -112,13 +136,15 @@
             return Ok(Item::End(completeness));
         }
         loop {
-            let frame =
-                until.timeout(self.body.frame()).await.map_err(|_| Interrupted::TimedOut)?;
-            let Some(frame) = frame else { return self.end(until).await };
-            let Ok(data) = frame.map_err(|_| Interrupted::BrokenOff)?.into_data() else { continue };
-            if let Some(events) = self.splitter.push(&data).map_err(|_| Interrupted::BrokenOff)? {
+            let data = until.timeout(self.share.next(&mut self.body)).await?;
+            let Some(data) = data? else { return self.end(until).await };
+            let events = self.splitter.push(&data).map_err(|_| Interrupted::BrokenOff)?;
+            let buffered = self.splitter.partial_bytes();
+            if let Some(events) = events {
+                self.share.release_to(buffered);
                 return Ok(Item::Events(events));
             }
+            until.timeout(self.share.hold(buffered)).await??;
         }
     }
 
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -8,6 +8,9 @@
 /// Requests from callers, by outcome and the size class of their prompt, answer or body.
 pub const REQUESTS_BY_SIZE: &str = "cinderspoke_requests_by_size_total";
 
+/// Answers of endpoints that were given up since no memory was left.
+pub const ANSWERS_GIVEN_UP: &str = "cinderspoke_answers_given_up_total";
+
 /// Callers' connections that the gateway closed before a request in them was answered, by cause.
 pub const CUT: &str = "cinderspoke_connections_cut_total";
 
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod link;
 mod listing;
 mod load;
+mod memory;
 mod notice;
 mod outage;
 mod overlap;
