--- a/crates/ports/src/gateway/engine.rs
+++ b/crates/ports/src/gateway/engine.rs
@@ -6,6 +6,7 @@
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::Model;
 use cinderspoke_core::gateway::rollout::Version;
+use cinderspoke_types::size;
 
 use crate::Error;
 
@@ -82,7 +83,12 @@
     /// Stages a chunk of a model's weights; `chunk` counts from zero.
     async fn stage(&self, model: &Model, chunk: usize, bytes: Bytes) -> Result<(), Error>;
 
-    /// Returns a staged chunk, or `None` if it is not staged. The bytes are not verified and
-    /// may have become corrupt.
-    async fn staged(&self, model: &Model, chunk: usize) -> Result<Option<Bytes>, Error>;
+    /// Returns a staged chunk of at most `limit` bytes, or `None` if it is not staged. The bytes
+    /// are not verified and may have become corrupt.
+    async fn staged(
+        &self,
+        model: &Model,
+        chunk: usize,
+        limit: size::Bytes,
+    ) -> Result<Option<Bytes>, Error>;
 }
--- a/src/cinderspoke/agent/fetch.rs
+++ b/src/cinderspoke/agent/fetch.rs
@@ -158,7 +158,9 @@
     let wait = if awaited { context.timeouts.wait } else { Duration::ZERO };
     let query = if awaited { format!("?wait_ms={}", wait.as_millis()) } else { String::new() };
     let call = Call::get(address, format!("/v1/chunks/{digest}{query}"));
-    let call = call.limit(usize::MAX).timeout(wait + context.timeouts.for_chunk(length(&range)));
+    let call = call
+        .limit(length(&range).as_usize())
+        .timeout(wait + context.timeouts.for_chunk(length(&range)));
     let bytes = context.client.fetch(call).await?;
     if awaited {
         // Paced only now, since the time of the transfer was not known in advance.
--- a/src/cinderspoke/staging/chunks.rs
+++ b/src/cinderspoke/staging/chunks.rs
@@ -154,9 +154,10 @@
     /// Reads chunks back, several at once, and returns those that are bad or missing.
     async fn read_back(&mut self, chunks: Vec<usize>) -> Result<Vec<usize>> {
         let (engine, model, clock) = (self.engine, self.model, self.clock);
+        let limit = self.manifest.as_raw().chunk_size;
         let read = async |chunk| {
             let began = clock.now();
-            let result = engine.staged(model, chunk).await;
+            let result = engine.staged(model, chunk, limit).await;
             Read { chunk, began, ended: clock.now(), result }
         };
         let (mut waiting, mut reads) = (chunks.into_iter(), FuturesUnordered::new());
--- a/src/cinderspoke/staging/collect.rs
+++ b/src/cinderspoke/staging/collect.rs
@@ -115,8 +115,10 @@
         if held.is_full() {
             return;
         }
+        let limit = manifest.as_raw().chunk_size;
         for chunk in (0..manifest.chunks()).filter(|chunk| !held.contains(*chunk)) {
-            let Ok(Some(bytes)) = self.engine.staged(&desired.model, chunk).await else { return };
+            let staged = self.engine.staged(&desired.model, chunk, limit).await;
+            let Ok(Some(bytes)) = staged else { return };
             let digest = manifest.algorithm().chunk(&bytes);
             if manifest.chunk(chunk) == Some(digest) {
                 cache.insert(digest, bytes);
--- a/tests/testsuite/changeovers.rs
+++ b/tests/testsuite/changeovers.rs
@@ -25,6 +25,7 @@
     Engine, EngineReport, Layers, Listing, OrderOutcome, Origin, Switch,
 };
 use cinderspoke_test_support::address::{self, shared_port};
+use cinderspoke_types::size;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::runtime::Builder;
@@ -313,7 +314,12 @@
         .await
     }
 
-    async fn staged(&self, _: &Model, number: usize) -> Result<Option<Bytes>, Error> {
+    async fn staged(
+        &self,
+        _: &Model,
+        number: usize,
+        _: size::Bytes,
+    ) -> Result<Option<Bytes>, Error> {
         let staged = self.lock().staged[number].clone();
         let read_time = self.trouble.read_time;
         call(async move {
--- a/tests/testsuite/staging.rs
+++ b/tests/testsuite/staging.rs
@@ -27,6 +27,7 @@
 };
 use cinderspoke_schema::settings::Node;
 use cinderspoke_test_support::address::{self, shared_port};
+use cinderspoke_types::size;
 use serde_json::json;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{sleep, timeout};
@@ -125,7 +126,12 @@
         Ok(())
     }
 
-    async fn staged(&self, _: &Model, number: usize) -> Result<Option<Bytes>, Error> {
+    async fn staged(
+        &self,
+        _: &Model,
+        number: usize,
+        _: size::Bytes,
+    ) -> Result<Option<Bytes>, Error> {
         Ok(self.staged.lock().unwrap().get(&number).cloned())
     }
 }
