An answer cut off by a kill no longer passes as whole while the listener resets

Cause: whether an answer without a length is whole is asked by a new connection, which a killed endpoint refuses. Its listener outlives its connections by some milliseconds, and a connection that is reset meanwhile ended the check without a result, which passes the answer as whole.

Ruled out: a longer timeout of the check; it did not time out.

Mend: a reset counts like a connection that ends at once, and the check makes up to six connections, 10 ms apart, instead of two.

Evidence: framing::…::reset_before_the_listener, plain and stream, with an endpoint that resets connections for 25 ms before it stops listening: both failed before, both hold now.

--- a/src/cinderspoke/gateway/pool.rs
+++ b/src/cinderspoke/gateway/pool.rs
@@ -37,9 +37,10 @@
 /// unframed answer waits for it.
 const MIN_CONNECTION_AGE: Duration = Duration::from_millis(10);
 
-/// Maximum number of connections that one check opens: an endpoint with too many connections ends
-/// new ones at once, too.
-const MAX_CHECK_CONNECTS: u32 = 2;
+/// Maximum number of connections that one check opens, [`MIN_CONNECTION_AGE`] apart. A process that
+/// is killed loses its connections some milliseconds before its listener, and an endpoint with too
+/// many connections ends new ones at once, too.
+const MAX_CHECK_CONNECTS: u32 = 6;
 
 /// Maximum number of idle connections.
 const MAX_IDLE: usize = 32;
@@ -176,17 +177,18 @@
         Some(refused)
     }
 
-    /// Connects, and connects again if the connection ends at once: an endpoint that is ending may
-    /// still accept one.
+    /// Connects, and connects again if the connection is reset or ends at once: the listener of an
+    /// endpoint that is ending may still accept connections.
     async fn check_refusal(&self) -> Option<bool> {
         for _ in 0..MAX_CHECK_CONNECTS {
             let connection = match timeout(CONNECT_TIMEOUT, connect(self.address)).await {
-                Ok(Ok(connection)) => connection,
+                Ok(Ok(connection)) => Some(connection),
                 Ok(Err(error)) if is_refusal(&error) => return Some(true),
-                Ok(Err(_)) | Err(_) => return None,
+                Ok(Err(_)) => None,
+                Err(_) => return None,
             };
             sleep(MIN_CONNECTION_AGE).await;
-            if !connection.is_closed() {
+            if let Some(connection) = connection.filter(|it| !it.is_closed()) {
                 self.check_in(connection, None);
                 return Some(false);
             }
