An engine is opened again after a changeover that was abandoned before its order

Cause: between the verification and the order an agent records that the weights may be unverified, and then looked whether the version is still desired. A changeover that ended there left the engine closed until the next version had come. Found by reading the difference.

Mend: the look comes first, and a verification ends between two passes once its version is given up.

Evidence: changeovers::an_engine_is_opened_again_…, an engine of 1.2 s a chunk, the next version named after 4 s and missing at the origin: closed in the end before, open now. With the next version named after 0.5 s the test passed before as well: the version was given up before its changeover, so the test names it later.

--- a/src/cinderspoke/gateway/memory.rs
+++ b/src/cinderspoke/gateway/memory.rs
@@ -1,9 +1,10 @@
 //! The memory for answers that a gateway buffers until they, or their next events, are whole.
 //!
-//! Each answer draws from one budget for the whole process as its bytes arrive. If none is left,
-//! the endpoint whose unfinished answers hold most of it loses the largest of them: an endpoint in
-//! trouble may send bytes without end, on many connections, and the answers of others must not
-//! wait for these. Who draws meanwhile waits, so that the sender is slowed down by its connection.
+//! The bytes of each answer are charged to one budget for the whole process as they arrive. If the
+//! budget is exhausted, the endpoint whose unfinished answers hold most of it loses the largest of
+//! them: an endpoint in trouble may send bytes without end, on many connections, and the answers of
+//! others must not wait for these. An answer that needs memory meanwhile is not read further, so
+//! that its sender is slowed down by its connection.
 
 use std::collections::BTreeMap;
 use std::pin::pin;
--- a/src/cinderspoke/staging/chunks.rs
+++ b/src/cinderspoke/staging/chunks.rs
@@ -94,10 +94,14 @@
         uploaded
     }
 
-    /// Reads chunks back and replaces those that are bad, until an order may be sent.
-    pub(super) async fn verify(&mut self) -> Result<Verified> {
+    /// Reads chunks back and replaces those that are bad, until an order may be sent. Stops between
+    /// two passes once `abandon` is cancelled.
+    pub(super) async fn verify(&mut self, abandon: &CancellationToken) -> Result<Verified> {
         let mut replacements = 0;
         loop {
+            if abandon.is_cancelled() {
+                bail!("abandoned while staged chunks were verified");
+            }
             let stale = match self.verification.step(self.clock.now()) {
                 Step::Order => return Ok(Verified::InTime),
                 Step::OrderThenVerify => return Ok(Verified::TooSlow),
--- a/src/cinderspoke/staging/order.rs
+++ b/src/cinderspoke/staging/order.rs
@@ -51,23 +51,19 @@
         let before = self.report().await?;
         self.reporter.set_accepts_requests(false).await;
         let began = Instant::now();
-        let verified = chunks.verify().await?;
+        let verified = chunks.verify(self.abandon).await?;
         tracing::info!(%version, took_ms = millis(began), ?verified, "staged chunks verified");
+        self.ensure_desired()?;
         let known = self.trust.weights();
         if known == Weights::Whole {
             self.trust.set(Weights::Unverified);
         }
-        self.ensure_desired()?;
         let (orders, check_age) = (before.orders, chunks.verification().age(self.clock.now()));
         tracing::info!(%version, ?layers, orders, ?check_age, "order sent");
         let settled = self.settle(chunks, &before, layers).await;
-        let Settled { outcome, known_at } = match settled {
-            Ok(settled) => settled,
-            Err(error) => {
-                self.trust.set(known);
-                return Err(error);
-            }
-        };
+        // Holds unless the engine has taken the order.
+        self.trust.set(known);
+        let Settled { outcome, known_at } = settled?;
         let check_age = chunks.verification().age(known_at);
         let is_proven = chunks.verification().proves_whole(known_at);
         tracing::info!(%version, orders, ?check_age, is_proven, ?outcome, "order answered");
@@ -77,14 +73,8 @@
                 self.trust.set(weights_after(layers, is_proven, chunks.verification()));
                 Change::Loaded
             }
-            OrderOutcome::Held => {
-                self.trust.set(known);
-                Change::None
-            }
-            OrderOutcome::Rejected => {
-                self.trust.set(known);
-                bail!("the engine rejected the order: its state has changed");
-            }
+            OrderOutcome::Held => Change::None,
+            OrderOutcome::Rejected => bail!("the engine rejected the order: its state has changed"),
         };
         Ok(Taken { before, change })
     }
--- a/tests/testsuite/changeovers.rs
+++ b/tests/testsuite/changeovers.rs
@@ -61,12 +61,17 @@
     Bytes::from(format!("chunk {number} of version {version}"))
 }
 
-/// An origin that serves all chunks at once.
-struct WholeOrigin;
+/// An origin that serves all chunks at once, but for a version that it lacks.
+struct FastOrigin {
+    lacks: Option<Version>,
+}
 
 #[async_trait]
-impl Origin for WholeOrigin {
+impl Origin for FastOrigin {
     async fn listing(&self, _: &Model, version: Version) -> Result<Listing, Error> {
+        if self.lacks == Some(version) {
+            return Err(Error::Unavailable("the version is missing".into()));
+        }
         let digests = (0..CHUNKS).map(|number| Algorithm::Sha256.chunk(&chunk(version, number)));
         Ok(Listing { chunk_bytes: 64, digests: digests.map(|it| *it.as_bytes()).collect() })
     }
@@ -93,6 +98,8 @@
     freeze: Option<(usize, Duration)>,
     /// How long after version 2 version 3 is named.
     next_after: Option<Duration>,
+    /// Whether the origin lacks version 3.
+    lacks_next: bool,
 }
 
 /// A chunk that lies at an engine.
@@ -339,6 +346,8 @@
     served: Option<Held>,
     /// How long after version 2 was named the newest version ran; none if it did not in time.
     took: Option<Duration>,
+    /// Whether the engine is open in the end.
+    is_open: bool,
 }
 
 impl Changeover {
@@ -362,11 +371,12 @@
 /// Has an agent bring version 2 to an engine, and version 3 if it is named.
 async fn change_over(trouble: Trouble) -> Changeover {
     let engine = ModelEngine::new(trouble.clone());
+    let lacks = trouble.lacks_next.then_some(Version(3));
     let own = address::free().unwrap();
     let seed = SocketAddr::new(address::free().unwrap().ip(), shared_port());
     let parts = Parts {
         engine: Arc::new(engine.clone()),
-        open_origin: Arc::new(|_| Arc::new(WholeOrigin)),
+        open_origin: Arc::new(move |_| Arc::new(FastOrigin { lacks })),
         client: Client::new(),
         metrics: None,
     };
@@ -397,9 +407,10 @@
         }
         sleep(POLL_INTERVAL).await;
     }
+    let is_open = agent.accepts_requests();
     agent.stop();
     let taken = engine.lock().taken.clone();
-    Changeover { taken, served, took }
+    Changeover { taken, served, took, is_open }
 }
 
 /// Runs a changeover in simulated time.
@@ -409,15 +420,15 @@
     runtime.block_on(change_over(trouble))
 }
 
-/// Draws a time in milliseconds.
-fn draw(rng: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
+/// Returns a random time in milliseconds.
+fn random(rng: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
 
-/// Draws chunks that turn bad within so many milliseconds after version 2 is named.
-fn draw_spoilt(rng: &mut ChaCha8Rng, within: u64) -> Vec<(Duration, usize)> {
+/// Returns random chunks that turn bad within so many milliseconds after version 2 is named.
+fn random_spoilt(rng: &mut ChaCha8Rng, within: u64) -> Vec<(Duration, usize)> {
     let count = rng.random_range(1..4);
-    let spoilt = (0..count).map(|_| (draw(rng, 0..within), rng.random_range(0..CHUNKS)));
+    let spoilt = (0..count).map(|_| (random(rng, 0..within), rng.random_range(0..CHUNKS)));
     spoilt.collect()
 }
 
@@ -430,11 +441,11 @@
     Served,
 }
 
-/// Checks changeovers with drawn troubles.
-fn check(judged: Judged, draw: impl Fn(&mut ChaCha8Rng) -> Trouble) {
+/// Checks changeovers with random troubles.
+fn check(judged: Judged, sample: impl Fn(&mut ChaCha8Rng) -> Trouble) {
     let mut failed = Vec::new();
     for seed in SEEDS {
-        let trouble = draw(&mut ChaCha8Rng::seed_from_u64(seed));
+        let trouble = sample(&mut ChaCha8Rng::seed_from_u64(seed));
         let result = run(trouble.clone());
         let takes_wrong = judged == Judged::Taken && !result.wrong().is_empty();
         if takes_wrong || result.served.is_some() || result.took.is_none() {
@@ -456,7 +467,7 @@
     let within = 3000 + read_time.as_millis() as u64 * CHUNKS as u64;
     check(Judged::Taken, |rng| Trouble {
         read_time,
-        spoilt_after: draw_spoilt(rng, within),
+        spoilt_after: random_spoilt(rng, within),
         ..Trouble::default()
     });
 }
@@ -466,9 +477,9 @@
 fn an_order_that_is_taken_late_finds_whole_weights() {
     check(Judged::Taken, |rng| Trouble {
         read_time: Duration::from_millis(12),
-        spoilt_after: draw_spoilt(rng, 8000),
-        order_delay: draw(rng, 0..6000),
-        next_after: Some(draw(rng, 0..8000)),
+        spoilt_after: random_spoilt(rng, 8000),
+        order_delay: random(rng, 0..6000),
+        next_after: Some(random(rng, 0..8000)),
         ..Trouble::default()
     });
 }
@@ -478,9 +489,9 @@
 fn an_order_without_an_answer_is_settled_before_anything_is_staged() {
     check(Judged::Taken, |rng| Trouble {
         read_time: Duration::from_millis(12),
-        order_delay: draw(rng, 0..1400),
+        order_delay: random(rng, 0..1400),
         is_answer_lost: true,
-        next_after: Some(draw(rng, 0..5000)),
+        next_after: Some(random(rng, 0..5000)),
         ..Trouble::default()
     });
 }
@@ -493,8 +504,8 @@
 fn a_newer_version_may_be_named_at_any_step(read_time: Duration) {
     check(Judged::Taken, |rng| Trouble {
         read_time,
-        order_delay: draw(rng, 0..1400),
-        next_after: Some(draw(rng, 0..8000)),
+        order_delay: random(rng, 0..1400),
+        next_after: Some(random(rng, 0..8000)),
         ..Trouble::default()
     });
 }
@@ -504,8 +515,8 @@
 #[test]
 fn no_request_runs_on_a_chunk_that_was_uploaded_late() {
     check(Judged::Served, |rng| {
-        let late_upload = Some((rng.random_range(1..CHUNKS * 2), draw(rng, 0..6000)));
-        let next_after = Some(draw(rng, 0..8000));
+        let late_upload = Some((rng.random_range(1..CHUNKS * 2), random(rng, 0..6000)));
+        let next_after = Some(random(rng, 0..8000));
         let read_time = Duration::from_millis(12);
         Trouble { read_time, late_upload, next_after, ..Trouble::default() }
     });
@@ -516,18 +527,28 @@
 fn no_engine_takes_a_chunk_that_turned_bad_while_its_agent_stood_still() {
     check(Judged::Taken, |rng| Trouble {
         read_time: Duration::from_millis(12),
-        spoilt_after: draw_spoilt(rng, 6000),
-        freeze: Some((rng.random_range(1..60), draw(rng, 3000..5000))),
+        spoilt_after: random_spoilt(rng, 6000),
+        freeze: Some((rng.random_range(1..60), random(rng, 3000..5000))),
         ..Trouble::default()
     });
 }
 
+// Guards against an engine that stays closed for a version that was given up before its order.
+#[test]
+fn an_engine_is_opened_again_after_a_changeover_was_abandoned() {
+    // While chunks are read back.
+    let next_after = Some(Duration::from_secs(4));
+    let read_time = Duration::from_millis(1200);
+    let result = run(Trouble { read_time, next_after, lacks_next: true, ..Trouble::default() });
+    assert!(result.is_open && result.taken.is_empty(), "{result:?}");
+}
+
 // Guards against weights that nobody verified once it was known when the engine took them.
 #[test]
 fn no_request_runs_on_chunks_whose_check_was_too_old_at_the_order() {
     check(Judged::Served, |rng| Trouble {
         read_time: Duration::from_millis(1200),
-        spoilt_after: draw_spoilt(rng, 20_000),
+        spoilt_after: random_spoilt(rng, 20_000),
         ..Trouble::default()
     });
 }
