Review case 6: fronts serve nothing once evacuate_ms appears in their settings

The platform changes the settings of running fronts, one after the other, so that bounds.evacuate_ms appears. From then on each answers 503 to everything and is not ready until its process ends: what reads the evacuated zones is started only at the start (Fault: no request is served).

--- a/review/rig/src/process.rs
+++ b/review/rig/src/process.rs
@@ -50,6 +50,15 @@
         Ok(())
     }
 
+    /// Replaces its settings file.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be written.
+    pub fn change(&self, settings: &str) -> io::Result<()> {
+        fs::write(&self.settings, settings)
+    }
+
     /// The number of its process; 0 if none runs.
     #[must_use]
     pub fn id(&self) -> u32 {
