Review case 4: a spoilt listing is believed, and engines serve mixed weights

Three of some 78 answers of the origin are spoilt: listings of a new version that lack the last 24 of 96 digests. Agents stage and verify 72 pieces, order their engines to take the version with 24 pieces of the old one, and open them; clients get tokens of mixed weights (WHOLE). A listing of the version before is believed as well (LISTING=older).

Ruled out: pieces that are spoilt on the way or turn bad at the engine (none are here, and each piece is verified against the listing), and an engine that takes an order late (it takes what lies there at once).

--- a/review/rig/src/bin/crowd.rs
+++ b/review/rig/src/bin/crowd.rs
@@ -126,7 +126,9 @@
         // Each third client of the zone sends small requests only, the others a page at times.
         let size = if number % 6 < 2 { SMALL_BODY } else { LARGE_BODY };
         let id = format!("{:08x}", world.next.fetch_add(1, Ordering::Relaxed));
-        world.record.line(format_args!("client {number} sends {id} ({size} bytes) to front {front}"));
+        world
+            .record
+            .line(format_args!("client {number} sends {id} ({size} bytes) to front {front}"));
         let status = exchange(&mut open, &id, size);
         world.record.line(format_args!("client {number} gets {status:?} for {id}"));
         let ended = Instant::now();
--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod engine;
 pub mod http;
+pub mod model;
 pub mod process;
 pub mod record;
+pub mod sha256;
 pub mod store;
 pub mod world;
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -47,8 +47,9 @@
     )
 }
 
-/// The text of a field of a JSON object.
-fn field<'a>(json: &'a str, name: &str) -> Option<&'a str> {
+/// The text of a field of a JSON object; none if it has no such field.
+#[must_use]
+pub fn field<'a>(json: &'a str, name: &str) -> Option<&'a str> {
     let bytes = json.as_bytes();
     let (mut depth, mut in_text, mut at) = (0, false, 0);
     let (mut key, mut text_from, mut value_from) = ("", 0, None);
--- a/review/rig/src/world.rs
+++ b/review/rig/src/world.rs
@@ -104,6 +104,28 @@
     )
 }
 
+/// The settings of the agent beside a model engine, in the form of `deploy/node.toml.in`.
+#[must_use]
+pub fn agent_settings(number: u8, ports: Ports, store: SocketAddr, service: &str) -> String {
+    let limits = Limits { memory_mb: 128, descriptors: 2048 };
+    let front = front_settings(number, ports, store, limits);
+    let (own, app) = (ip(2, number), ports.app);
+    let (before, rest) = front.split_once("[listen]").unwrap_or_default();
+    let (_, limits) = rest.split_once("[limits]").unwrap_or_default();
+    let before = before
+        .replace(&format!("\"front-{number}\""), &format!("\"side-{number}\""))
+        .replace(&format!("address = \"{}\"", ip(1, number)), &format!("address = \"{own}\""));
+    let limits = limits.replace("link_mbps = 1000.0", "link_mbps = 7.3");
+    let beside = format!("[beside]\naddress = \"{own}:{app}\"\nservice = \"{service}\"\n\n");
+    format!("{before}{beside}[limits]{limits}")
+}
+
+/// The program that the deploy file runs beside model engines.
+#[must_use]
+pub fn agent_program(root: &Path) -> PathBuf {
+    root.join("target/release/cinderspoke-agent")
+}
+
 /// The entry of a server.
 #[must_use]
 pub fn entry(service: &str, address: SocketAddr, slots: usize) -> String {
