--- a/review/rig/src/bin/appears.rs
+++ b/review/rig/src/bin/appears.rs
@@ -87,7 +87,7 @@
     while !world.stop.load(Ordering::Relaxed) {
         front = (front + 1) % world.fronts.len();
         let id = format!("{:08x}", world.next.fetch_add(1, Ordering::Relaxed));
-        let is_added = world.has_added.load(Ordering::Relaxed) && number % 2 == 0;
+        let is_added = world.has_added.load(Ordering::Relaxed) && number.is_multiple_of(2);
         let route = if is_added { ADDED } else { FIRST };
         let status = exchange(world.fronts[front], route, &id).unwrap_or(0);
         world.record.line(format_args!(
