--- a/review/rig/src/bin/server.rs
+++ b/review/rig/src/bin/server.rs
@@ -1,7 +1,7 @@
 //! A server as a process of its own, so that it can be killed: `server ADDRESS ID EVENTS GAP_MS`.
 //!
-//! Its answers are streams of events without a length and without chunks: they end with their
-//! connections.
+//! Its answers are streams of events. One in three has neither a length nor chunks and ends with its
+//! connection, the others come in chunks.
 
 use std::env;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -22,17 +22,21 @@
         );
         return connection.write(answer.as_bytes());
     }
+    let is_chunked = !u32::from_str_radix(request, 16).is_ok_and(|number| number.is_multiple_of(3));
+    let framing = if is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
     let answer = format!(
         "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nEngine-Signature: {id}.{request}\r\n\
-         Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+         Content-Type: text/event-stream\r\nConnection: close\r\n{framing}\r\n"
     );
     connection.write(answer.as_bytes())?;
     let seen: u64 = head.get("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
     for event in seen + 1..=events {
         thread::sleep(gap);
-        connection.write(format!("id: {event}\ndata: {request}\n\n").as_bytes())?;
+        let event = format!("id: {event}\ndata: {request}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        connection.write(if is_chunked { chunk.as_bytes() } else { event.as_bytes() })?;
     }
-    Ok(())
+    if is_chunked { connection.write(b"0\r\n\r\n") } else { Ok(()) }
 }
 
 fn main() {
