--- a/src/cinderspoke/staging/collect.rs
+++ b/src/cinderspoke/staging/collect.rs
@@ -112,21 +112,29 @@
     pub(super) async fn cache_staged(&self, desired: &DesiredVersion, manifest: &Manifest) {
         let cache = &self.transfers.cache;
         let held = cache.add_version(manifest);
+        let (version, cached) = (desired.version, held.count());
+        tracing::info!(%version, cached, chunks = held.len(), "chunks cached already");
         if held.is_full() {
             return;
         }
         let limit = manifest.as_raw().chunk_size;
+        let (mut matching, mut differing) = (0, Vec::new());
         for chunk in (0..manifest.chunks()).filter(|chunk| !held.contains(*chunk)) {
             let staged = self.engine.staged(&desired.model, chunk, limit).await;
-            let Ok(Some(bytes)) = staged else { return };
+            let Ok(Some(bytes)) = staged else { break };
             let digest = manifest.algorithm().chunk(&bytes);
             if manifest.chunk(chunk) == Some(digest) {
+                matching += 1;
                 cache.insert(digest, bytes);
-            } else if chunk == 0 {
-                // Most likely the staged chunks are of another version.
-                return;
+            } else {
+                differing.push(chunk);
+                if chunk == 0 {
+                    // Most likely the staged chunks are of another version.
+                    break;
+                }
             }
         }
+        tracing::info!(%version, matching, ?differing, "staged chunks compared with the listing");
     }
 
     /// The number of cached chunks and the total for a version, if the cache tracks it.
--- a/src/cinderspoke/staging/listings.rs
+++ b/src/cinderspoke/staging/listings.rs
@@ -86,7 +86,13 @@
             };
             let version = desired.version;
             match result {
-                Ok(()) => tracing::info!(%version, from, attempt, "listing known"),
+                Ok(()) => {
+                    let known = self.known(desired);
+                    let chunks = known.as_ref().map_or(0, Manifest::chunks);
+                    let manifest =
+                        known.map(|manifest| manifest.digest().to_short()).unwrap_or_default();
+                    tracing::info!(%version, from, attempt, chunks, manifest, "listing known");
+                }
                 Err(error) => {
                     let error = format!("{error:#}");
                     tracing::info!(%version, from, attempt, error, "no listing yet");
@@ -109,7 +115,10 @@
     ) -> Result<bool> {
         let before = self.known(desired);
         self.fetch_from_origin(desired, origin).await?;
-        Ok(self.known(desired) != before)
+        let after = self.known(desired);
+        let differing = differing(before.as_ref(), after.as_ref());
+        tracing::info!(version = %desired.version, differing, "listing fetched again");
+        Ok(after != before)
     }
 
     /// Fetches a listing from the origin.
@@ -164,6 +173,14 @@
     (desired.model.clone(), desired.version)
 }
 
+/// The number of chunks whose digests differ between two manifests.
+fn differing(one: Option<&Manifest>, other: Option<&Manifest>) -> usize {
+    let chunks = |manifest: Option<&Manifest>| manifest.map_or(0, Manifest::chunks);
+    let chunk = |manifest: Option<&Manifest>, number| manifest?.chunk(number);
+    let numbers = 0..chunks(one).max(chunks(other));
+    numbers.filter(|number| chunk(one, *number) != chunk(other, *number)).count()
+}
+
 /// Converts a listing to the manifest that transfers use.
 fn manifest(listing: &Listing) -> Manifest {
     let digests = listing.digests.iter().copied().map(Digest::new).collect();
