A listed chunk counts only once the origin's own chunk agrees

Cause: one answer of the origin, the listing of a version, was believed for good, handed on, and all later checks were made against it. Nothing compared it with the question or the declaration, and a digest that another version's chunk has was served from the cache or from what lay staged, so the origin was not even asked for the chunk.

Why this works: two answers of the origin have to agree on each chunk, the listing and the chunk read for this version and number, here or at the peer that gave it; no order before all are proven. The number of chunks, which no chunk can prove, is declared. A chunk that differs has the listing read again at once, and the new one is taken where it agrees with that chunk and with all that is proven.

--- a/crates/core/src/gateway/listing.rs
+++ b/crates/core/src/gateway/listing.rs
@@ -1,4 +1,5 @@
-//! The source from which an agent fetches the listing of a version's chunks.
+//! The source from which an agent fetches the listing of a version's chunks, and the comparison
+//! of a listing with what the configuration declares.
 //!
 //! A listing is about as large as a part of a chunk, and an origin accepts few connections: if
 //! all agents fetched from it, most connections would be reset, and again at each retry. So the
@@ -10,6 +11,8 @@
 use std::cmp::Reverse;
 
 use cinderspoke_schema::control::Peer;
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::rendezvous::{Key, weight};
 
@@ -21,6 +24,96 @@
 /// their ancestors have failed.
 const AGENTS_PER_ROUND: usize = 8;
 
+/// How the configuration declares that a version's weights are divided.
+// Invariant: neither is zero.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Layout {
+    /// The number of chunks.
+    pub chunks: u32,
+    /// The size of a chunk in bytes.
+    pub chunk_bytes: u32,
+}
+
+impl Layout {
+    /// Creates a layout; none if the configuration leaves one of the two out.
+    #[must_use]
+    pub fn new(chunks: u32, chunk_bytes: u32) -> Option<Self> {
+        (chunks > 0 && chunk_bytes > 0).then_some(Self { chunks, chunk_bytes })
+    }
+}
+
+/// What a listing has that it cannot have.
+#[derive(Debug, Clone, Display, PartialEq, Eq)]
+pub enum Misfit {
+    /// it is of model {0}
+    Model(String),
+    /// it is of version {0}
+    Version(u64),
+    /// it has {listed} chunks where {declared} are declared
+    Chunks {
+        /// The number of chunks in the listing.
+        listed: usize,
+        /// The number of chunks that the configuration declares.
+        declared: u32,
+    },
+    /// its chunks have {listed} bytes where {declared} are declared
+    ChunkBytes {
+        /// The size of a chunk in the listing.
+        listed: u64,
+        /// The size of a chunk that the configuration declares.
+        declared: u32,
+    },
+    /// it lists no chunk
+    Empty,
+    /// {chunks} chunks of {chunk_bytes} bytes are no weights
+    Size {
+        /// The number of chunks in the listing.
+        chunks: usize,
+        /// The size of a chunk in the listing.
+        chunk_bytes: u64,
+    },
+}
+
+/// All that a listing has and cannot have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Misfits(pub Vec<Misfit>);
+
+impl std::fmt::Display for Misfits {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let texts: Vec<_> = self.0.iter().map(ToString::to_string).collect();
+        formatter.write_str(&texts.join("; "))
+    }
+}
+
+impl std::error::Error for Misfits {}
+
+/// Compares a listing of `chunks` chunks of `chunk_bytes` bytes with what is declared.
+///
+/// # Errors
+///
+/// All that does not fit. Without a declaration, only what cannot be weights.
+pub fn check(chunks: usize, chunk_bytes: u64, declared: Option<Layout>) -> Result<(), Misfits> {
+    let mut misfits = Vec::new();
+    match declared {
+        Some(Layout { chunks: declared, .. }) if chunks as u64 != u64::from(declared) => {
+            misfits.push(Misfit::Chunks { listed: chunks, declared });
+        }
+        None if chunks == 0 => misfits.push(Misfit::Empty),
+        _ => {}
+    }
+    match declared {
+        Some(Layout { chunk_bytes: declared, .. }) if chunk_bytes != u64::from(declared) => {
+            misfits.push(Misfit::ChunkBytes { listed: chunk_bytes, declared });
+        }
+        // Sizes in bytes have to be positive and fit into 63 bits.
+        None if !(1..=i64::MAX as u64 / chunks.max(1) as u64).contains(&chunk_bytes) => {
+            misfits.push(Misfit::Size { chunks, chunk_bytes });
+        }
+        _ => {}
+    }
+    if misfits.is_empty() { Ok(()) } else { Err(Misfits(misfits)) }
+}
+
 /// The source of a listing.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Source<'a> {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 //!   the availability zones that receive no requests, and [`cold`] limits the requests to
 //!   an endpoint that has just started.
 //! - Weight rollouts: [`listing`] selects the source from which an agent fetches the list of a
-//!   version's chunks, [`changeover`] schedules when each engine switches, [`verification`]
+//!   version's chunks and checks it, [`changeover`] schedules when each engine switches, [`verification`]
 //!   decides whether its staged chunks may be loaded, [`overlap`] limits how long requests are
 //!   still sent to the old version, and [`link`] detects instances whose traffic may be delayed.
 //! - Retries: [`attempt`] records the outcome of each send of a request, and [`budget`] limits
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,7 +12,8 @@
 //!   to instances, [`drain`] to grant which replicas may drain, and [`lease`] to
 //!   elect the instance that writes the plan. [`object`] has the keys in the
 //!   platform's store.
-//! - Distribution of weights: [`manifest`] lists chunks, and [`swarm`] and
+//! - Distribution of weights: [`manifest`] lists chunks, [`proof`] decides which
+//!   of those that an origin lists are certain, and [`swarm`] and
 //!   [`transfer`] decide which chunk is fetched from where; [`replica`] turns
 //!   orders into steps for an agent.
 //! - Requests at an entry instance: [`admission`], [`route`] and [`outcome`].
@@ -34,6 +35,7 @@
 pub mod object;
 pub mod outcome;
 pub mod placement;
+pub mod proof;
 pub mod rendezvous;
 pub mod replica;
 pub mod route;
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -8,7 +8,7 @@
 use displaydoc::Display;
 use sha2::{Digest as _, Sha256};
 
-/// A manifest whose digest and number of chunks have been verified.
+/// A manifest: verified against the digest that names the version, or only listed by an origin.
 // Invariants: `digest` is the digest of `raw`, and the number of chunks in `raw`
 // matches its sizes.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,6 +16,9 @@
     digest: Digest,
     raw: control::Manifest,
     algorithm: Algorithm,
+    // The version that an origin lists the chunks for; none if `digest` names the version. A
+    // listing may be spoilt, so each of its chunks has to be proven (`crate::proof`).
+    listed_for: Option<Digest>,
 }
 
 /// The hash of chunks and of the complete weights.
@@ -75,7 +78,7 @@
             chunks: weights.chunks(chunk_size.as_usize()).map(Digest::of).collect(),
             whole: Digest::of(weights),
         };
-        Self { digest: digest(&raw), raw, algorithm: Algorithm::Blake3 }
+        Self { digest: digest(&raw), raw, algorithm: Algorithm::Blake3, listed_for: None }
     }
 
     /// Verifies a received manifest against the digest that identifies it.
@@ -95,7 +98,7 @@
         if raw.chunks.len() as u64 != chunks {
             return Err(Error::Layout { listed: raw.chunks.len(), wanted: chunks });
         }
-        Ok(Self { digest: found, raw, algorithm: Algorithm::Blake3 })
+        Ok(Self { digest: found, raw, algorithm: Algorithm::Blake3, listed_for: None })
     }
 
     /// Builds the manifest of weights from the SHA-256 digests of their chunks, all of them
@@ -106,7 +109,28 @@
         let mut hasher = Hasher::new(Algorithm::Sha256);
         chunks.iter().for_each(|chunk| hasher.add_hash(chunk));
         let raw = control::Manifest { size, chunk_size, chunks, whole: hasher.finish() };
-        Self { digest: digest(&raw), raw, algorithm: Algorithm::Sha256 }
+        Self { digest: digest(&raw), raw, algorithm: Algorithm::Sha256, listed_for: None }
+    }
+
+    /// Builds the manifest of a version from an origin's listing, as
+    /// [`Manifest::from_chunk_digests`] does. `version` identifies the model and the version.
+    #[must_use]
+    pub fn listed(version: Digest, chunk_size: Bytes, chunks: Vec<Digest>) -> Self {
+        let manifest = Self::from_chunk_digests(chunk_size, chunks);
+        Self { listed_for: Some(version), ..manifest }
+    }
+
+    /// Identifies the version among peers: the version that the chunks are listed for, whatever
+    /// its listing is, or the digest of the manifest.
+    #[must_use]
+    pub fn version(&self) -> Digest {
+        self.listed_for.unwrap_or(self.digest)
+    }
+
+    /// Whether an origin has listed the chunks, so that each of them has to be proven.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.listed_for.is_some()
     }
 
     /// The algorithm that hashes the chunks.
@@ -115,7 +139,7 @@
         self.algorithm
     }
 
-    /// The digest of the manifest, which identifies the version.
+    /// The digest of the manifest. It identifies the version unless the manifest is listed.
     #[must_use]
     pub fn digest(&self) -> Digest {
         self.digest
--- a/src/cinderspoke/agent/fetch.rs
+++ b/src/cinderspoke/agent/fetch.rs
@@ -11,6 +11,7 @@
 use cinderspoke_core::transfer::{Fetching, Source, Transfer};
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::size;
+use http::StatusCode;
 
 use super::transfer::Context;
 use crate::util::http::{Call, Error};
@@ -56,6 +57,8 @@
     pub(super) chunk: usize,
     /// The source that was requested.
     pub(super) source: Source,
+    /// The address of the peer that was requested; none for the origin.
+    pub(super) address: Option<SocketAddr>,
     /// The bytes and their digest.
     pub(super) result: Result<(Digest, Bytes)>,
     /// How long the request took; none if the peer was asked to wait for the chunk.
@@ -66,7 +69,11 @@
 
 /// A request for a chunk to a source.
 struct Request {
-    manifest: Digest,
+    // Identifies the version.
+    version: Digest,
+    chunk: usize,
+    // Whether peers have to have proven the chunk as one of the version.
+    is_listed: bool,
     // None for a chunk that the manifest does not have.
     digest: Option<Digest>,
     range: Range<u64>,
@@ -92,12 +99,15 @@
         Source::Peer(peer) => peers.find(|known| known.instance == *peer),
     };
     let request = Request {
-        manifest: manifest.digest(),
+        version: manifest.version(),
+        chunk,
+        is_listed: manifest.is_listed(),
         digest: manifest.chunk(chunk),
         range: manifest.range(chunk),
         address: peer.map(|peer| peer.address),
         awaited,
     };
+    let address = request.address;
     async move {
         let began = context.clock.now();
         let bytes = match source {
@@ -114,10 +124,16 @@
         };
         let result = bytes.map(|bytes| (algorithm.chunk(&bytes), bytes));
         let took = (!awaited).then_some(elapsed);
-        Fetched { chunk, source, result, took, observation }
+        Fetched { chunk, source, address, result, took, observation }
     }
 }
 
+/// Whether a peer has proven another chunk in the place of the requested one.
+pub(super) fn is_other_chunk(error: &anyhow::Error) -> bool {
+    let status = error.downcast_ref::<Error>().and_then(Error::status);
+    status == Some(StatusCode::CONFLICT)
+}
+
 /// Derives a link observation from a chunk request to a peer. `wait` is how long the peer was
 /// asked to wait for a chunk that it did not hold yet.
 fn observe_peer(result: &Result<Bytes>, elapsed: Duration, wait: Option<Duration>) -> Observation {
@@ -142,22 +158,21 @@
 
 /// Fetches a chunk from the origin.
 async fn from_origin(context: &Context, request: Request) -> Result<Bytes> {
-    let Request { manifest, range, .. } = request;
+    let Request { version, range, .. } = request;
     context.pacer.acquire(length(&range)).await;
-    Ok(context.origin.read(manifest, range).await?)
+    Ok(context.origin.read(version, range).await?)
 }
 
 /// Fetches a chunk from a peer, which waits for the chunk first if it is `awaited`.
 async fn from_peer(context: &Context, request: Request) -> Result<Bytes> {
-    let Request { digest, range, address, awaited, .. } = request;
+    let Request { range, address, awaited, .. } = &request;
+    let (range, awaited) = (range.clone(), *awaited);
     if !awaited {
         context.pacer.acquire(length(&range)).await;
     }
     let address = address.context("the peer has left the swarm")?;
-    let digest = digest.context("the manifest has no such chunk")?;
     let wait = if awaited { context.timeouts.wait } else { Duration::ZERO };
-    let query = if awaited { format!("?wait_ms={}", wait.as_millis()) } else { String::new() };
-    let call = Call::get(address, format!("/v1/chunks/{digest}{query}"));
+    let call = Call::get(address, path_at_peer(&request, wait)?);
     let call = call
         .limit(length(&range).as_usize())
         .timeout(wait + context.timeouts.for_chunk(length(&range)));
@@ -169,6 +184,18 @@
     Ok(bytes)
 }
 
+/// The path of a chunk at a peer, which waits so long for a chunk that it does not hold yet.
+fn path_at_peer(request: &Request, wait: Duration) -> Result<String> {
+    let Request { version, chunk, is_listed, digest, .. } = request;
+    let digest = digest.context("the manifest has no such chunk")?;
+    let (path, separator) = match is_listed {
+        true => (format!("/v1/versions/{version}/chunks/{chunk}?digest={digest}"), '&'),
+        false => (format!("/v1/chunks/{digest}"), '?'),
+    };
+    let wait_ms = wait.as_millis();
+    Ok(if wait.is_zero() { path } else { format!("{path}{separator}wait_ms={wait_ms}") })
+}
+
 /// The length of a chunk.
 fn length(range: &Range<u64>) -> size::Bytes {
     size::Bytes::new(range.end - range.start)
--- a/src/cinderspoke/agent/holdings.rs
+++ b/src/cinderspoke/agent/holdings.rs
@@ -13,6 +13,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
+use super::finding::{Finding, Findings};
 use crate::util::http::{Call, Client};
 
 /// How long a peer waits for more chunks before it answers. A connection may stop responding for
@@ -43,18 +44,24 @@
 pub(super) struct Followers {
     client: Client,
     sender: mpsc::Sender<PeerHoldings>,
+    findings: Findings,
     running: BTreeMap<Instance, (SocketAddr, AbortHandle)>,
 }
 
 impl Followers {
-    /// Creates followers of no peer yet; peers' holdings are sent to `sender`.
-    pub(super) fn new(client: Client, sender: mpsc::Sender<PeerHoldings>) -> Self {
-        Self { client, sender, running: BTreeMap::new() }
+    /// Creates followers of no peer yet; peers' holdings are sent to `sender`, and peers with
+    /// another listing to `findings`.
+    pub(super) fn new(
+        client: Client,
+        sender: mpsc::Sender<PeerHoldings>,
+        findings: Findings,
+    ) -> Self {
+        Self { client, sender, findings, running: BTreeMap::new() }
     }
 
     /// Follows a transfer's current neighbours, and stops following all others.
     pub(super) fn follow(&mut self, transfer: &Transfer<Fetching>) {
-        let manifest = transfer.manifest().digest();
+        let manifest = transfer.manifest();
         let neighbours = transfer.neighbours();
         let wanted: BTreeMap<_, _> =
             neighbours.iter().map(|peer| (peer.instance.clone(), peer.address)).collect();
@@ -67,9 +74,16 @@
         });
         for (instance, address) in wanted {
             if !self.running.contains_key(&instance) {
-                let (client, sender) = (self.client.clone(), self.sender.clone());
-                let task =
-                    tokio::spawn(follow(client, address, manifest, instance.clone(), sender));
+                let follower = Follower {
+                    client: self.client.clone(),
+                    address,
+                    version: manifest.version(),
+                    manifest: manifest.is_listed().then(|| manifest.digest()),
+                    peer: instance.clone(),
+                    sender: self.sender.clone(),
+                    findings: self.findings.clone(),
+                };
+                let task = tokio::spawn(follower.run());
                 self.running.insert(instance, (address, task.abort_handle()));
             }
         }
@@ -82,40 +96,60 @@
     }
 }
 
-/// Sends each change of a peer's holdings.
-async fn follow(
+/// Follows the holdings of one peer.
+struct Follower {
     client: Client,
     address: SocketAddr,
-    manifest: Digest,
+    // Identifies the version.
+    version: Digest,
+    // The digest of the manifest by which chunks are counted, if it is listed.
+    manifest: Option<Digest>,
     peer: Instance,
     sender: mpsc::Sender<PeerHoldings>,
-) {
-    let mut after = 0;
-    loop {
-        let wait = HOLDINGS_WAIT.as_millis();
-        let path = format!("/v1/holdings/{manifest}?after={after}&wait_ms={wait}");
-        let call = Call::get(address, path).timeout(HOLDINGS_WAIT + MARGIN);
-        let holdings = client.fetch_json::<Holdings>(call).await;
-        let read =
-            holdings.ok().and_then(|holdings| Some((holdings.chunks.parse().ok()?, holdings)));
-        let pause = match read {
-            Some((chunks, holdings)) => {
-                after = holdings.revision;
-                if sender
-                    .send(PeerHoldings { peer: peer.clone(), chunks, served_bytes: holdings.given })
-                    .await
-                    .is_err()
-                {
-                    return;
+    findings: Findings,
+}
+
+impl Follower {
+    /// Sends each change of the peer's holdings, for as long as they are received.
+    async fn run(self) {
+        let mut after = 0;
+        loop {
+            let pause = match self.read(after).await {
+                Some(holdings) if holdings.manifest == self.manifest => {
+                    after = holdings.revision;
+                    if self.send(&holdings).await.is_err() {
+                        return;
+                    }
+                    HOLDINGS_PAUSE
                 }
-                HOLDINGS_PAUSE
-            }
-            None => {
-                // A peer that has restarted counts its revisions from the start again.
-                after = 0;
-                RETRY_DELAY
-            }
-        };
-        sleep(pause).await;
+                Some(_) => {
+                    // Its chunks are not those of the same numbers here.
+                    after = 0;
+                    self.findings.report(Finding::OtherListing { peer: self.address });
+                    RETRY_DELAY
+                }
+                None => {
+                    // A peer that has restarted counts its revisions from the start again.
+                    after = 0;
+                    RETRY_DELAY
+                }
+            };
+            sleep(pause).await;
+        }
+    }
+
+    /// Reads the peer's holdings once their revision is not `after` any more.
+    async fn read(&self, after: u64) -> Option<Holdings> {
+        let (version, wait) = (self.version, HOLDINGS_WAIT.as_millis());
+        let path = format!("/v1/holdings/{version}?after={after}&wait_ms={wait}");
+        let call = Call::get(self.address, path).timeout(HOLDINGS_WAIT + MARGIN);
+        self.client.fetch_json(call).await.ok()
+    }
+
+    async fn send(&self, holdings: &Holdings) -> Result<(), mpsc::error::SendError<PeerHoldings>> {
+        // What cannot be parsed counts as nothing held.
+        let chunks = holdings.chunks.parse().unwrap_or_else(|_| Bitmap::new(0));
+        let (peer, served_bytes) = (self.peer.clone(), holdings.given);
+        self.sender.send(PeerHoldings { peer, chunks, served_bytes }).await
     }
 }
--- a/src/cinderspoke/agent/mod.rs
+++ b/src/cinderspoke/agent/mod.rs
@@ -9,6 +9,7 @@
 pub mod cache;
 pub mod control;
 pub mod fetch;
+pub mod finding;
 mod holdings;
 pub mod peers;
 pub mod requests;
@@ -34,6 +35,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use self::finding::Findings;
 use crate::endpoint::{Error, ModelEngine, PlainService};
 use crate::entry::{listen, serve};
 use crate::ports::{Origin, WeightStore};
@@ -241,6 +243,8 @@
         link: Arc::default(),
         initial_holdings_wait: Duration::ZERO,
         clock: Clock::start(),
+        began: None,
+        findings: Findings::default(),
     }
 }
 
--- a/src/cinderspoke/agent/peers.rs
+++ b/src/cinderspoke/agent/peers.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio::time::timeout;
 
-use super::cache::Cache;
+use super::cache::{Cache, Lookup};
 use crate::util::metrics::WEIGHTS_UPLOADED;
 use crate::util::pacer::Pacer;
 
@@ -60,7 +60,8 @@
 pub fn app(uploader: Arc<Uploader>) -> Router {
     Router::new()
         .route("/v1/chunks/{digest}", get(chunk))
-        .route("/v1/holdings/{manifest}", get(holdings))
+        .route("/v1/versions/{version}/chunks/{chunk}", get(listed_chunk))
+        .route("/v1/holdings/{version}", get(holdings))
         .with_state(uploader)
 }
 
@@ -91,10 +92,48 @@
 
 async fn upload(uploader: &Uploader, digest: Digest) -> Result<Bytes, StatusCode> {
     let bytes = uploader.cache.serve(digest).ok_or(StatusCode::NOT_FOUND)?;
+    Ok(pace(uploader, bytes).await)
+}
+
+/// Waits until an upload's bytes may be sent.
+async fn pace(uploader: &Uploader, bytes: Bytes) -> Bytes {
     let length = bytes.len() as u64;
     uploader.pacer.acquire(size::Bytes::new(length)).await;
     counter!(WEIGHTS_UPLOADED).increment(length);
-    Ok(bytes)
+    bytes
+}
+
+/// The query parameters of a request for a chunk of a version that an origin has listed.
+#[derive(Debug, Deserialize)]
+pub struct ListedChunkQuery {
+    // The digest that the peer's listing has.
+    digest: Digest,
+    // How long to wait for a chunk that is not held yet.
+    wait_ms: Option<u64>,
+}
+
+/// Serves a chunk that is proven to be the one of a version with this number; 503 when too many
+/// uploads are in progress, 404 when it is not held, 409 when another one is proven to be there.
+pub async fn listed_chunk(
+    State(uploader): State<Arc<Uploader>>,
+    Path((version, chunk)): Path<(Digest, usize)>,
+    Query(query): Query<ListedChunkQuery>,
+) -> Result<Bytes, StatusCode> {
+    let digest = query.digest;
+    let _upload = match query.wait_ms {
+        Some(wait) => {
+            let wait = Duration::from_millis(wait).min(MAX_WAIT);
+            // After a timeout, the lookup below returns 404.
+            let _ = timeout(wait, uploader.cache.wait_for_chunk(version, chunk, digest)).await;
+            uploader.uploads.acquire().await.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?
+        }
+        None => uploader.permit().await.ok_or(StatusCode::SERVICE_UNAVAILABLE)?,
+    };
+    match uploader.cache.serve_chunk(version, chunk, digest) {
+        Lookup::Held(bytes) => Ok(pace(&uploader, bytes).await),
+        Lookup::Missing => Err(StatusCode::NOT_FOUND),
+        Lookup::Other => Err(StatusCode::CONFLICT),
+    }
 }
 
 /// The query parameters of a request for holdings.
@@ -109,17 +148,16 @@
 /// Serves the chunks held of a version, as soon as they differ from the peer's revision.
 pub async fn holdings(
     State(uploader): State<Arc<Uploader>>,
-    Path(manifest): Path<Digest>,
+    Path(version): Path<Digest>,
     Query(query): Query<HoldingsQuery>,
 ) -> Result<Json<Holdings>, StatusCode> {
-    let (holdings, mut revision) =
-        uploader.cache.holdings(manifest).ok_or(StatusCode::NOT_FOUND)?;
+    let (holdings, mut revision) = uploader.cache.holdings(version).ok_or(StatusCode::NOT_FOUND)?;
     if holdings.revision != query.after {
         return Ok(Json(holdings));
     }
     let wait = Duration::from_millis(query.wait_ms).min(MAX_WAIT);
     // The newest holdings are served also when the wait times out.
     let _ = timeout(wait, revision.changed()).await;
-    let (holdings, _) = uploader.cache.holdings(manifest).ok_or(StatusCode::NOT_FOUND)?;
+    let (holdings, _) = uploader.cache.holdings(version).ok_or(StatusCode::NOT_FOUND)?;
     Ok(Json(holdings))
 }
--- a/src/cinderspoke/agent/transfer.rs
+++ b/src/cinderspoke/agent/transfer.rs
@@ -20,7 +20,8 @@
 use tokio::time::{interval, sleep};
 
 use super::cache::Cache;
-use super::fetch::{Fetched, Timeouts, fetch};
+use super::fetch::{Fetched, Timeouts, fetch, is_other_chunk};
+use super::finding::{Finding, Findings};
 use super::holdings::{Followers, PeerHoldings};
 use crate::ports::{Error, Origin, WeightStore};
 use crate::util::clock::Clock;
@@ -81,6 +82,11 @@
     pub initial_holdings_wait: Duration,
     /// The agent's clock.
     pub clock: Clock,
+    /// When the chunks were first collected, if that was by an earlier listing: the schedule for
+    /// the origin goes on.
+    pub began: Option<Duration>,
+    /// Receives what speaks against the listing of the chunks.
+    pub findings: Findings,
 }
 
 /// The members of a swarm, and the cost of bytes from the origin.
@@ -95,8 +101,8 @@
 }
 
 impl Members {
-    fn swarm(&self, manifest: Digest) -> Swarm {
-        Swarm::new(manifest, self.own.clone(), self.peers.clone())
+    fn swarm(&self, version: Digest) -> Swarm {
+        Swarm::new(version, self.own.clone(), self.peers.clone())
     }
 }
 
@@ -129,18 +135,17 @@
     mut members: watch::Receiver<Members>,
 ) -> Result<Transfer<Verified>> {
     let algorithm = manifest.algorithm();
-    let swarm = members.borrow_and_update().swarm(manifest.digest());
+    let swarm = members.borrow_and_update().swarm(manifest.version());
     let held = context.cache.add_version(&manifest);
-    let now = context.clock.now();
+    let now = context.began.unwrap_or_else(|| context.clock.now());
     let limits = limits(&context, &manifest, members.borrow().origin_weight);
     let mut transfer = Transfer::new(manifest, swarm, context.policy, limits, now);
     (0..held.len())
         .filter(|chunk| held.contains(*chunk))
         .for_each(|chunk| transfer.record_held(chunk));
     fetch_all(&context, &mut transfer, members).await;
-    let manifest = transfer.manifest().digest();
-    let chunks =
-        context.cache.all_chunks(manifest).context("chunks were evicted before loading")?;
+    let version = transfer.manifest().version();
+    let chunks = context.cache.all_chunks(version).context("chunks were evicted before loading")?;
     let whole = digest_of(algorithm, &chunks).await;
     Ok(transfer.verify(whole)?)
 }
@@ -203,7 +208,7 @@
     let is_spaced = !context.origin_spacing.is_zero();
     let mut ticks = interval(if is_spaced { SPACED_POLL_INTERVAL } else { POLL_INTERVAL });
     let (sender, mut holdings) = mpsc::channel(64);
-    let mut followers = Followers::new(context.client.clone(), sender);
+    let mut followers = Followers::new(context.client.clone(), sender, context.findings.clone());
     followers.follow(transfer);
     wait_holdings(context, transfer, &mut holdings).await;
     loop {
@@ -225,7 +230,7 @@
             Some(Ok(fetched)) = fetches.join_next() => apply_fetched(context, transfer, fetched),
             Some(held) = holdings.recv() => apply_holdings(transfer, &held),
             Ok(()) = members.changed() => {
-                let swarm = members.borrow_and_update().swarm(transfer.manifest().digest());
+                let swarm = members.borrow_and_update().swarm(transfer.manifest().version());
                 transfer.set_swarm(swarm);
                 followers.follow(transfer);
             }
@@ -259,7 +264,7 @@
 
 /// Applies the result of a request for a chunk.
 fn apply_fetched(context: &Context, transfer: &mut Transfer<Fetching>, fetched: Fetched) {
-    let Fetched { chunk, source, result, took, observation } = fetched;
+    let Fetched { chunk, source, address, result, took, observation } = fetched;
     let now = context.clock.now();
     if let Some(took) = took {
         transfer.record_download_time(took);
@@ -278,17 +283,25 @@
                 error = format!("{error:#}"),
                 "failed to fetch a chunk"
             );
+            if let Some(peer) = address.filter(|_| is_other_chunk(&error)) {
+                context.findings.report(Finding::OtherListing { peer });
+            }
             return transfer.record_failure(chunk, now);
         }
     };
     counter!(WEIGHTS_FETCHED, "source" => label).increment(bytes.len() as u64);
     tracing::debug!(chunk, ?source, "chunk arrived");
     match transfer.record_chunk(chunk, digest, now) {
-        Arrival::Accepted => context.cache.insert(digest, bytes),
+        Arrival::Accepted => {
+            context.cache.insert_chunk(transfer.manifest(), chunk, digest, bytes);
+        }
         Arrival::Unwanted => {}
         Arrival::Corrupt => {
             counter!(CORRUPT, "source" => label).increment(1);
             tracing::warn!(chunk, ?source, "received a corrupt chunk");
+            if source == Source::Origin {
+                context.findings.report(Finding::Unmatched { chunk, digest, bytes });
+            }
         }
     }
 }
--- a/src/cinderspoke/gateway/message.rs
+++ b/src/cinderspoke/gateway/message.rs
@@ -16,6 +16,7 @@
 use cinderspoke_core::gateway::fact::{Fact, Revision};
 use cinderspoke_core::gateway::fingerprint::Fingerprint;
 use cinderspoke_core::gateway::limit;
+use cinderspoke_core::gateway::listing::Layout;
 use cinderspoke_core::gateway::load::Report;
 use cinderspoke_core::gateway::name::{Region, Service, Zone};
 use cinderspoke_core::gateway::notice;
@@ -231,14 +232,48 @@
     pub origins: Vec<Origin>,
     /// The engines of the service.
     pub peers: Vec<Peer>,
+    /// How the weights of its models are divided, if that is declared. Follows the packed plan; an
+    /// earlier build neither sends nor reads it.
+    #[serde(skip)]
+    pub layout: Option<Layout>,
 }
 
 impl Plan {
     /// Hashes the plan without its revision and the ages of its versions.
     #[must_use]
     pub fn hash(&self) -> u64 {
+        let layout = self.layout.map(|layout| format!("{layout:?}")).unwrap_or_default();
+        Key::of(&(self.text() + &layout)).as_u64()
+    }
+
+    /// The hash by which a gateway of an earlier build, which sends no layout, names the plan.
+    #[must_use]
+    pub fn hash_without_layout(&self) -> u64 {
+        Key::of(&self.text()).as_u64()
+    }
+
+    fn text(&self) -> String {
         let Self { rollout, models, origins, peers, .. } = self;
-        Key::of(&format!("{rollout:?}{models:?}{origins:?}{peers:?}")).as_u64()
+        format!("{rollout:?}{models:?}{origins:?}{peers:?}")
+    }
+
+    /// Packs the plan for an agent.
+    #[must_use]
+    pub fn pack(&self) -> Vec<u8> {
+        let mut packed = pack(self);
+        packed.extend(pack(&self.layout));
+        packed
+    }
+
+    /// Unpacks a plan, which may be that of a build without layouts.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no plan.
+    pub fn unpack(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let (plan, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        let (layout, _) = unpack_field(rest)?;
+        Ok(Self { layout, ..plan })
     }
 }
 
@@ -272,7 +307,7 @@
 }
 
 /// Unpacks a field and returns what follows it; the default where no bytes are left.
-fn unpack_field<T: Default + DeserializeOwned>(
+pub(crate) fn unpack_field<T: Default + DeserializeOwned>(
     bytes: &[u8],
 ) -> Result<(T, &[u8]), postcard::Error> {
     if bytes.is_empty() { Ok((T::default(), bytes)) } else { postcard::take_from_bytes(bytes) }
--- a/src/cinderspoke/gateway/plan.rs
+++ b/src/cinderspoke/gateway/plan.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use cinderspoke_core::gateway::directory::{Directory, Entry};
+use cinderspoke_core::gateway::listing::Layout;
 use cinderspoke_core::gateway::name::Service;
 
 use super::message::{Peer, Plan};
@@ -60,6 +61,7 @@
             models: models.unwrap_or_default(),
             origins: origins.unwrap_or_default(),
             peers: self.peers(&directory.value, service),
+            layout: engine.and_then(|engine| Layout::new(engine.chunks, engine.chunk_bytes)),
         }
     }
 
--- a/src/cinderspoke/gateway/relay.rs
+++ b/src/cinderspoke/gateway/relay.rs
@@ -385,5 +385,5 @@
     if relay.state.view().catalog.is_none() {
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
-    Ok(pack(&relay.planner.plan(&query.service.into())).into())
+    Ok(relay.planner.plan(&query.service.into()).pack().into())
 }
--- a/src/cinderspoke/staging/fetch.rs
+++ b/src/cinderspoke/staging/fetch.rs
@@ -1,5 +1,6 @@
 //! Fetches the desired version and has the engine load it.
 
+use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,12 +9,13 @@
 use bytes::Bytes;
 use cinderspoke_core::gateway::changeover::{Changeover, should_close_early, wave};
 use cinderspoke_core::manifest::Manifest;
+use cinderspoke_core::proof::Unmatched;
 use cinderspoke_ports::gateway::Engine;
 use cinderspoke_types::digest::Digest;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::collect::Collector;
+use super::collect::{Collector, Staged};
 use super::load::Load;
 use super::plan::{DesiredVersion, Plans};
 use super::report::Reporter;
@@ -56,7 +58,7 @@
     engine: Arc<dyn Engine>,
     collector: Collector,
     trust: Trust,
-    // The manifest of the version being fetched or fetched last.
+    // Identifies the version being fetched or fetched last.
     current: Mutex<Option<Digest>>,
 }
 
@@ -156,8 +158,8 @@
 
     /// Whether a share of the current version's chunks is cached.
     fn has_share(&self, share: f64) -> bool {
-        let manifest = *self.current();
-        manifest.is_some_and(|manifest| self.collector.has_share(manifest, share))
+        let version = *self.current();
+        version.is_some_and(|version| self.collector.has_share(version, share))
     }
 
     /// Waits until all chunks of the current version are cached.
@@ -206,11 +208,19 @@
         // No chunk counts as cached before the listing is known.
         *self.current() = None;
         let manifest = self.collector.manifest(desired).await;
-        *self.current() = Some(manifest.digest());
-        let latest = self.reporter.subscribe().borrow().clone();
-        let runs = latest.is_some_and(|report| desired.runs_in(&report));
-        self.collector.cache_staged(desired, &manifest).await;
-        if runs && let Some(chunks) = self.collector.all_chunks(manifest.digest()) {
+        *self.current() = Some(manifest.version());
+        let runs = self.runs(desired).await;
+        match self.collector.compare_staged(desired, &manifest, runs).await {
+            Staged::Matching if runs => self.accept(&manifest).await,
+            Staged::Matching | Staged::Incomplete => {
+                // Other agents may have proven the chunks that are cached now.
+                if self.collector.ask_peers(desired, &Unmatched::new()).await {
+                    bail!("the version's listing was replaced");
+                }
+            }
+            Staged::Proven | Staged::Missing | Staged::Differing(_) => {}
+        }
+        if runs && let Some(chunks) = self.collector.all_chunks(manifest.version()) {
             if self.trust.weights() != Weights::Whole {
                 return Ok(Step::Repair(manifest, chunks));
             }
@@ -218,29 +228,52 @@
             return Ok(Step::Done);
         }
         let changeover = self.changeover(desired);
-        tokio::select! {
+        let manifest = tokio::select! {
             biased;
-            collected = self.collector.collect(desired, &manifest) => collected?,
-            () = self.collector.listing_changed(desired) => {
-                bail!("the origin replaced the version's listing")
+            collected = self.collector.collect(desired) => collected?,
+            never = self.close_early(desired, &manifest), if changeover == Changeover::First => {
+                match never {}
             }
-            () = self.close_early(desired, &manifest), if changeover == Changeover::First => {}
-        }
+        };
         tracing::info!(
             version = %desired.version,
             after_ms = desired.since.elapsed().as_millis() as u64,
             "weights collected"
         );
-        if runs {
+        let is_whole = self.trust.weights() == Weights::Whole;
+        if runs && is_whole {
             return Ok(Step::Done);
         }
         let chunks = self
             .collector
-            .all_chunks(manifest.digest())
+            .all_chunks(manifest.version())
             .context("chunks were evicted before loading")?;
+        if runs {
+            return Ok(Step::Repair(manifest, chunks));
+        }
         Ok(Step::Load(manifest, chunks, changeover))
     }
 
+    /// Whether the engine runs a version, by its latest report.
+    async fn runs(&self, desired: &DesiredVersion) -> bool {
+        let latest = self.reporter.subscribe().borrow().clone();
+        let report = match latest {
+            Some(report) => Some(report),
+            // It has not been polled yet, or does not answer.
+            None => self.engine.report().await.ok(),
+        };
+        report.is_some_and(|report| desired.runs_in(&report))
+    }
+
+    /// Takes the version that the engine runs as whole: what lies staged is what is listed.
+    async fn accept(&self, manifest: &Manifest) {
+        self.collector.accept(manifest);
+        if self.trust.weights() == Weights::Unverified {
+            self.trust.set(Weights::Whole);
+            self.reopen().await;
+        }
+    }
+
     /// Waits until the engine no longer runs the version, or another one is desired.
     async fn wait_outdated(&self, desired: &DesiredVersion) -> Result<()> {
         let mut reports = self.reporter.subscribe();
@@ -265,10 +298,10 @@
     }
 
     /// Closes the engine to new requests once its weights are nearly complete. Never completes.
-    async fn close_early(&self, desired: &DesiredVersion, manifest: &Manifest) {
+    async fn close_early(&self, desired: &DesiredVersion, manifest: &Manifest) -> Infallible {
         let spacing = self.collector.origin_spacing(manifest);
         let should_close = |(held, total)| should_close_early(held, total, spacing);
-        while !self.collector.progress(manifest.digest()).is_some_and(should_close) {
+        while !self.collector.progress(manifest.version()).is_some_and(should_close) {
             sleep(POLL_INTERVAL).await;
         }
         if self.plans.newest().peers.len() > 1 {
@@ -289,12 +322,8 @@
         let mut plans = self.plans.subscribe();
         loop {
             if let Some(next) = self.plans.desired().filter(|next| next != desired) {
-                let collected = async {
-                    let manifest = self.collector.manifest(&next).await;
-                    self.collector.collect(&next, &manifest).await
-                };
-                match collected.await {
-                    Ok(()) => break,
+                match self.collector.collect(&next).await {
+                    Ok(_) => break,
                     Err(error) => {
                         let error = format!("{error:#}");
                         tracing::debug!(
--- a/src/cinderspoke/staging/mod.rs
+++ b/src/cinderspoke/staging/mod.rs
@@ -46,6 +46,7 @@
 use self::swarm::peer;
 use crate::agent::cache::Cache;
 use crate::agent::fetch::Timeouts;
+use crate::agent::finding::Findings;
 use crate::agent::peers::{self, Uploader};
 use crate::agent::transfer;
 use crate::gateway::serve;
@@ -130,7 +131,10 @@
         let socket = listen::udp(own).await?;
         let stop = CancellationToken::new();
         let cache = Arc::new(Cache::new(Bytes::new(CACHED_VERSIONS * VERSION_MEMORY_BYTES)));
-        let listings = Arc::new(Listings::new(parts.client.clone()));
+        let service = beside.service.as_str().into();
+        let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
+        let (shared_cache, shared_plans) = (Arc::clone(&cache), Arc::clone(&plans));
+        let listings = Arc::new(Listings::new(shared_cache, shared_plans, parts.client.clone()));
         let upload_pacer = Arc::new(Pacer::new(upload_rate(settings)));
         let (shared_cache, pacer) = (Arc::clone(&cache), Arc::clone(&upload_pacer));
         let uploader = Uploader::new(shared_cache, pacer, UPLOADS, UPLOAD_QUEUE_TIMEOUT);
@@ -138,8 +142,6 @@
             .merge(listings.app())
             .merge(serve::metrics_router(parts.metrics));
         tokio::spawn(serve::router(listener, app, stop.clone()));
-        let service = beside.service.as_str().into();
-        let plans = Arc::new(Plans::new(settings, service, parts.client.clone()));
         let (shared_plans, engine) = (Arc::clone(&plans), Arc::clone(&parts.engine));
         let link = Arc::default();
         let reporter =
@@ -205,6 +207,8 @@
         link,
         initial_holdings_wait: INITIAL_HOLDINGS_WAIT,
         clock: Clock::start(),
+        began: None,
+        findings: Findings::default(),
     }
 }
 
--- a/src/cinderspoke/staging/plan.rs
+++ b/src/cinderspoke/staging/plan.rs
@@ -7,6 +7,7 @@
 
 use anyhow::{Context, Result};
 use arc_swap::ArcSwap;
+use cinderspoke_core::gateway::listing::Layout;
 use cinderspoke_core::gateway::name::{Model, Region, Service};
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::gateway::timeline::{Ages, Timeline};
@@ -102,6 +103,19 @@
         self.plan.borrow().clone()
     }
 
+    /// How the weights are divided, by the newest plan, if that is declared.
+    #[must_use]
+    pub fn layout(&self) -> Option<Layout> {
+        self.plan.borrow().layout
+    }
+
+    /// Whether a gateway names the newest plan by this hash.
+    #[must_use]
+    pub fn is_known(&self, plan_hash: u64) -> bool {
+        let plan = self.plan.borrow();
+        plan_hash == plan.hash() || plan_hash == plan.hash_without_layout()
+    }
+
     /// Subscribes to changes of the plan.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<Plan> {
@@ -139,7 +153,7 @@
         let path = format!("/v1/plan?service={}", self.service);
         let answer =
             self.client.fetch(Call::get(gateway, path).close_after().timeout(TIMEOUT)).await?;
-        self.merge(postcard::from_bytes(&answer).context("the plan cannot be decoded")?);
+        self.merge(Plan::unpack(&answer).context("the plan cannot be decoded")?);
         Ok(())
     }
 
@@ -151,8 +165,10 @@
             let mut rollout = known.rollout.clone();
             let advanced = rollout.merge(&plan.rollout);
             let newer = plan.revision >= known.revision;
+            // A gateway of an earlier build sends no layout.
+            let layout = plan.layout.filter(|_| newer).or(known.layout);
             if newer {
-                *known = plan;
+                *known = Plan { layout, ..plan };
             }
             known.rollout = rollout;
             advanced || newer
--- a/src/cinderspoke/staging/report.rs
+++ b/src/cinderspoke/staging/report.rs
@@ -298,9 +298,7 @@
                 Datagram::Query { from, number, sent_at, prompt_tokens } => {
                     self.answer_query(from, number, sent_at, prompt_tokens).await;
                 }
-                Datagram::Hint { from, region, plan_hash }
-                    if plan_hash != self.plans.newest().hash() =>
-                {
+                Datagram::Hint { from, region, plan_hash } if !self.plans.is_known(plan_hash) => {
                     let is_local = self.plans.is_local(&region);
                     let delay = if is_local { Duration::ZERO } else { OTHER_REGION_DELAY };
                     tokio::spawn(Arc::clone(&self).read_hinted(from, plan_hash, delay));
@@ -314,7 +312,7 @@
     /// concurrent reads is reached.
     async fn read_hinted(self: Arc<Self>, from: SocketAddr, plan_hash: u64, delay: Duration) {
         sleep(delay).await;
-        if plan_hash == self.plans.newest().hash() {
+        if self.plans.is_known(plan_hash) {
             return;
         }
         let Some(permit) = self.reads.try_acquire() else { return };
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -53,6 +53,12 @@
 /// Chunks that were received corrupt, by source.
 pub const CORRUPT: &str = "cinderspoke_chunks_corrupt_total";
 
+/// Listings of a version's chunks that were refused, by why.
+pub const LISTINGS_REFUSED: &str = "cinderspoke_listings_refused_total";
+
+/// Listings of a version's chunks that were replaced by others, by what showed that they are wrong.
+pub const LISTINGS_REPLACED: &str = "cinderspoke_listings_replaced_total";
+
 /// Generation of the configuration in force.
 pub const GENERATION: &str = "cinderspoke_generation";
 
--- a/tests/testsuite/changeovers/engine.rs
+++ b/tests/testsuite/changeovers/engine.rs
@@ -21,8 +21,11 @@
 use crate::staging::model;
 
 /// The number of chunks of a version, and of the layers that they make up.
-pub(super) const CHUNKS: usize = 96;
-pub(super) const LAYERS: u32 = 16;
+pub(crate) const CHUNKS: usize = 96;
+pub(crate) const LAYERS: u32 = 16;
+/// The declared size of a chunk, in bytes.
+pub(crate) const CHUNK_BYTES: u64 = 64;
+
 const CHUNKS_IN_LAYER: usize = CHUNKS / LAYERS as usize;
 
 /// How long a chunk may have been corrupt when an engine takes it.
@@ -34,13 +37,14 @@
 /// How long a call to an engine may take, as the client of the platform has it.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
-fn chunk(version: Version, number: usize) -> Bytes {
+/// A chunk: different for each version and number.
+pub(crate) fn chunk(version: Version, number: usize) -> Bytes {
     Bytes::from(format!("chunk {number} of version {version}"))
 }
 
 /// An origin that serves all chunks at once, but for a version that it lacks.
-pub(super) struct FastOrigin {
-    pub(super) lacks: Option<Version>,
+pub(crate) struct FastOrigin {
+    pub(crate) lacks: Option<Version>,
 }
 
 #[async_trait]
@@ -50,7 +54,10 @@
             return Err(Error::Unavailable("the version is missing".into()));
         }
         let digests = (0..CHUNKS).map(|number| Algorithm::Sha256.chunk(&chunk(version, number)));
-        Ok(Listing { chunk_bytes: 64, digests: digests.map(|it| *it.as_bytes()).collect() })
+        Ok(Listing {
+            chunk_bytes: CHUNK_BYTES,
+            digests: digests.map(|it| *it.as_bytes()).collect(),
+        })
     }
 
     async fn chunk(&self, _: &Model, version: Version, number: usize) -> Result<Bytes, Error> {
@@ -60,23 +67,23 @@
 
 /// What disturbs a changeover.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Trouble {
+pub(crate) struct Trouble {
     /// How long the engine takes to read a chunk back.
-    pub(super) read_time: Duration,
+    pub(crate) read_time: Duration,
     /// How long after version 2 is named chunks turn bad.
-    pub(super) spoilt_after: Vec<(Duration, usize)>,
+    pub(crate) spoilt_after: Vec<(Duration, usize)>,
     /// How long the engine takes to take its first order.
-    pub(super) order_delay: Duration,
+    pub(crate) order_delay: Duration,
     /// Whether its answer to the first order is lost.
-    pub(super) is_answer_lost: bool,
+    pub(crate) is_answer_lost: bool,
     /// The number of the upload that is applied late, and how late.
-    pub(super) late_upload: Option<(usize, Duration)>,
+    pub(crate) late_upload: Option<(usize, Duration)>,
     /// The number of the report after which the agent stands still, and for how long.
-    pub(super) freeze: Option<(usize, Duration)>,
+    pub(crate) freeze: Option<(usize, Duration)>,
     /// How long after version 2 version 3 is named.
-    pub(super) next_after: Option<Duration>,
+    pub(crate) next_after: Option<Duration>,
     /// Whether the origin lacks version 3.
-    pub(super) lacks_next: bool,
+    pub(crate) lacks_next: bool,
 }
 
 /// A chunk that lies at an engine.
@@ -89,7 +96,7 @@
 
 /// What is wrong with a chunk of taken weights.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Wrong {
+pub(crate) enum Wrong {
     /// The chunk is missing or of another version.
     Other(usize),
     /// The chunk had been corrupt for so long.
@@ -106,10 +113,10 @@
 
 /// Layers that an engine holds, all of one version.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Held {
-    pub(super) version: Version,
-    pub(super) layers: Range<u32>,
-    pub(super) wrong: Vec<Wrong>,
+pub(crate) struct Held {
+    pub(crate) version: Version,
+    pub(crate) layers: Range<u32>,
+    pub(crate) wrong: Vec<Wrong>,
 }
 
 #[derive(Debug)]
@@ -164,7 +171,7 @@
 
 /// A model engine in memory. Work that it has begun goes on when the caller gives the call up.
 #[derive(Debug, Clone)]
-pub(super) struct ModelEngine {
+pub(crate) struct ModelEngine {
     state: Arc<Mutex<State>>,
     trouble: Arc<Trouble>,
 }
@@ -179,11 +186,22 @@
 
 impl ModelEngine {
     /// Creates an engine that runs version 1, which lies there too.
-    pub(super) fn new(trouble: Trouble) -> Self {
-        let staged = |number| Some(Staged { bytes: chunk(Version(1), number), spoilt: None });
+    pub(crate) fn new(trouble: Trouble) -> Self {
+        Self::with_chunks_of(trouble, Version(1), |_| Version(1))
+    }
+
+    /// Creates an engine that says that it runs a version, and took chunks of these versions for
+    /// it, which lie there too.
+    pub(crate) fn with_chunks_of(
+        trouble: Trouble,
+        version: Version,
+        of: impl Fn(usize) -> Version,
+    ) -> Self {
+        let staged = |number| Some(Staged { bytes: chunk(of(number), number), spoilt: None });
+        let wrong = (0..CHUNKS).filter(|number| of(*number) != version).map(Wrong::Other);
         let state = State {
             staged: (0..CHUNKS).map(staged).collect(),
-            running: Held { version: Version(1), layers: 0..LAYERS, wrong: Vec::new() },
+            running: Held { version, layers: 0..LAYERS, wrong: wrong.collect() },
             loading: None,
             orders: 0,
             taken: Vec::new(),
@@ -202,17 +220,17 @@
     }
 
     /// Sets which chunks turn bad, and when.
-    pub(super) fn spoil_at(&self, spoiling: Vec<(Instant, usize)>) {
+    pub(crate) fn spoil_at(&self, spoiling: Vec<(Instant, usize)>) {
         self.lock().spoiling = spoiling;
     }
 
     /// What it held after each order.
-    pub(super) fn taken(&self) -> Vec<Held> {
+    pub(crate) fn taken(&self) -> Vec<Held> {
         self.lock().taken.clone()
     }
 
     /// The weights that requests run on; none while it loads.
-    pub(super) fn running(&self) -> Option<Held> {
+    pub(crate) fn running(&self) -> Option<Held> {
         let state = self.lock();
         state.loading.is_none().then(|| state.running.clone())
     }
@@ -303,7 +321,11 @@
             if let Some((_, delay)) = late {
                 sleep(delay).await;
             }
-            engine.lock().staged[number] = Some(Staged { bytes, spoilt: None });
+            let mut state = engine.lock();
+            if state.staged.len() <= number {
+                state.staged.resize(number + 1, None);
+            }
+            state.staged[number] = Some(Staged { bytes, spoilt: None });
         })
         .await
     }
@@ -314,7 +336,7 @@
         number: usize,
         _: size::Bytes,
     ) -> Result<Option<Bytes>, Error> {
-        let staged = self.lock().staged[number].clone();
+        let staged = self.lock().staged.get(number).cloned().flatten();
         let read_time = self.trouble.read_time;
         call(async move {
             sleep(read_time).await;
--- a/tests/testsuite/changeovers/mod.rs
+++ b/tests/testsuite/changeovers/mod.rs
@@ -5,7 +5,7 @@
 //! [`TOLERANCE`] or longer, or belongs to another version: the agent had verified the chunks some
 //! seconds before, or had begun to stage another version while an order was under way.
 
-mod engine;
+pub(crate) mod engine;
 
 use std::net::SocketAddr;
 use std::ops::Range;
--- a/tests/testsuite/silent_peer.rs
+++ b/tests/testsuite/silent_peer.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use cinderspoke::agent::cache::Cache;
 use cinderspoke::agent::fetch::Timeouts;
+use cinderspoke::agent::finding::Findings;
 use cinderspoke::agent::peers::{self, Uploader};
 use cinderspoke::agent::transfer::{Context, Members, collect};
 use cinderspoke::util::clock::Clock;
@@ -103,6 +104,8 @@
         link: Arc::default(),
         initial_holdings_wait: Duration::from_millis(40),
         clock: Clock::start(),
+        began: None,
+        findings: Findings::default(),
     }
 }
 
