An agent that starts beside wrong weights has them loaded anew

Cause: what is known of loaded weights began as whole, and an agent whose engine said that it ran the version was done, although it had just found staged chunks that do not match. It also did not wait for the first report, and took an engine that answered that it held the version already for its own work.

With 96 a verification gave up at 32 replaced chunks, so they are staged before the order.

Why this works: staged chunks outlive both processes and are what the engine took. If they differ, the listing is read again; if it stays, the engine is closed, every chunk is proven, and the version is loaded anew. If all match, nothing is read: agents that start anew read no chunk and close no engine (its own test).

--- a/src/cinderspoke/staging/collect.rs
+++ b/src/cinderspoke/staging/collect.rs
@@ -145,6 +145,24 @@
         self.transfers.cache.accept(manifest);
     }
 
+    /// Reads the listing of a version again, since chunks that should be listed are not: from
+    /// other agents, which may have proven theirs, and from the origin. Returns whether the
+    /// listing was replaced.
+    pub(super) async fn review(&self, desired: &DesiredVersion, unmatched: &Unmatched) -> bool {
+        if self.ask_peers(desired, unmatched).await {
+            return true;
+        }
+        if self.is_proven(desired) {
+            return false;
+        }
+        let origin = self.origin().map(|origin| self.open(origin));
+        let reviewed = self.listings.review(desired, origin, unmatched, false).await;
+        reviewed.unwrap_or_else(|error| {
+            log_review(desired, &error);
+            false
+        })
+    }
+
     /// Takes over the proofs of another agent, the nearest that answers. Returns whether the
     /// listing was replaced by its.
     pub(super) async fn ask_peers(&self, desired: &DesiredVersion, unmatched: &Unmatched) -> bool {
@@ -161,6 +179,14 @@
         false
     }
 
+    /// Whether all chunks of the known listing of a version are proven.
+    fn is_proven(&self, desired: &DesiredVersion) -> bool {
+        self.listings.known(desired).is_some_and(|manifest| {
+            let proofs = self.transfers.cache.proofs(manifest.version());
+            (0..manifest.chunks()).all(|chunk| proofs.confirm(&manifest, chunk))
+        })
+    }
+
     /// The number of cached chunks and the total for a version, if the cache tracks it.
     pub(super) fn progress(&self, version: Digest) -> Option<(usize, usize)> {
         self.transfers.cache.progress(version)
--- a/src/cinderspoke/staging/fetch.rs
+++ b/src/cinderspoke/staging/fetch.rs
@@ -12,6 +12,7 @@
 use cinderspoke_core::proof::Unmatched;
 use cinderspoke_ports::gateway::Engine;
 use cinderspoke_types::digest::Digest;
+use metrics::counter;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +21,7 @@
 use super::plan::{DesiredVersion, Plans};
 use super::report::Reporter;
 use super::trust::{Trust, Weights};
+use crate::util::metrics::WEIGHTS_SUSPECTED;
 
 /// Delay before another attempt after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -212,6 +214,11 @@
         let runs = self.runs(desired).await;
         match self.collector.compare_staged(desired, &manifest, runs).await {
             Staged::Matching if runs => self.accept(&manifest).await,
+            Staged::Differing(chunks) if runs => {
+                if self.suspect(desired, &chunks).await {
+                    bail!("the version's listing was replaced");
+                }
+            }
             Staged::Matching | Staged::Incomplete => {
                 // Other agents may have proven the chunks that are cached now.
                 if self.collector.ask_peers(desired, &Unmatched::new()).await {
@@ -274,6 +281,24 @@
         }
     }
 
+    /// Handles staged chunks that are not those of the version that the engine runs: reads the
+    /// listing again, and closes the engine if it stays. Returns whether it was replaced.
+    ///
+    /// Nothing shows whether the chunks turned bad since the engine has loaded them.
+    async fn suspect(&self, desired: &DesiredVersion, chunks: &Unmatched) -> bool {
+        if self.collector.review(desired, chunks).await {
+            return true;
+        }
+        counter!(WEIGHTS_SUSPECTED).increment(1);
+        let (version, chunks) = (desired.version, chunks.len());
+        tracing::warn!(%version, chunks, "engine closed: its chunks are not those listed");
+        if self.trust.weights() == Weights::Whole {
+            self.trust.set(Weights::Unverified);
+        }
+        self.reporter.set_accepts_requests(false).await;
+        false
+    }
+
     /// Waits until the engine no longer runs the version, or another one is desired.
     async fn wait_outdated(&self, desired: &DesiredVersion) -> Result<()> {
         let mut reports = self.reporter.subscribe();
--- a/src/cinderspoke/staging/load.rs
+++ b/src/cinderspoke/staging/load.rs
@@ -82,6 +82,8 @@
             self.confirm(&mut chunks).await?;
         }
         if self.trust.weights() == Weights::Bad {
+            // All of them may be those of another version.
+            chunks.stage(self.abandon).await?;
             return self.load(&mut chunks).await;
         }
         self.reporter.set_accepts_requests(true).await;
--- a/src/cinderspoke/staging/order.rs
+++ b/src/cinderspoke/staging/order.rs
@@ -70,10 +70,17 @@
         let change = match outcome {
             OrderOutcome::Begun => {
                 let is_proven = is_proven && !self.trust.expects_late_upload(known_at);
-                self.trust.set(weights_after(layers, is_proven, chunks.verification()));
+                let weights = weights_after(layers, is_proven, chunks.verification());
+                self.trust.record_taken(version, weights);
                 Change::Loaded
             }
-            OrderOutcome::Held => Change::None,
+            OrderOutcome::Held => {
+                if !self.trust.has_ordered(version) {
+                    // By an order of another agent, from chunks that may have been others.
+                    self.trust.set(Weights::Bad);
+                }
+                Change::None
+            }
             OrderOutcome::Rejected => bail!("the engine rejected the order: its state has changed"),
         };
         Ok(Taken { before, change })
@@ -167,7 +174,7 @@
                 return Ok(());
             }
             if has_restarted(&taken.before, &report) {
-                self.trust.set(Weights::Whole);
+                self.trust.record_restart();
                 bail!("the engine restarted while it loaded the version");
             }
         }
--- a/src/cinderspoke/staging/trust.rs
+++ b/src/cinderspoke/staging/trust.rs
@@ -3,6 +3,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cinderspoke_core::gateway::rollout::Version;
+
 /// For how long an engine may still apply an upload that got no answer: longer than an engine
 /// stands still without losing its connections.
 const LATE_UPLOAD_TIME: Duration = Duration::from_secs(30);
@@ -30,6 +32,8 @@
 #[derive(Debug, Default)]
 struct State {
     weights: Weights,
+    // The version that the engine loaded by this agent's last order, if it has not restarted since.
+    loaded: Option<Version>,
     // When the last upload ended without an answer, by the agent's clock.
     lost_upload_at: Option<Duration>,
 }
@@ -49,6 +53,25 @@
         self.lock().weights = weights;
     }
 
+    /// Records that the engine has taken an order for layers of a version, and what is known of the
+    /// weights now.
+    pub(super) fn record_taken(&self, version: Version, weights: Weights) {
+        let mut state = self.lock();
+        (state.weights, state.loaded) = (weights, Some(version));
+    }
+
+    /// Records that the engine has restarted, so that it holds no weights.
+    pub(super) fn record_restart(&self) {
+        let mut state = self.lock();
+        (state.weights, state.loaded) = (Weights::Whole, None);
+    }
+
+    /// Whether the engine has loaded the version by an order of this agent. Of other weights it is
+    /// not known from which chunks they were loaded.
+    pub(super) fn has_ordered(&self, version: Version) -> bool {
+        self.lock().loaded == Some(version)
+    }
+
     /// Records that an upload ended without an answer at `now`: the engine may apply it later,
     /// over a chunk that has been staged and verified since.
     pub(super) fn record_lost_upload(&self, now: Duration) {
--- a/src/cinderspoke/util/metrics.rs
+++ b/src/cinderspoke/util/metrics.rs
@@ -59,6 +59,9 @@
 /// Listings of a version's chunks that were replaced by others, by what showed that they are wrong.
 pub const LISTINGS_REPLACED: &str = "cinderspoke_listings_replaced_total";
 
+/// Engines whose staged chunks were not those of the version that they ran when the agent started.
+pub const WEIGHTS_SUSPECTED: &str = "cinderspoke_weights_suspected_total";
+
 /// Generation of the configuration in force.
 pub const GENERATION: &str = "cinderspoke_generation";
 
--- a/tests/testsuite/listings/mod.rs
+++ b/tests/testsuite/listings/mod.rs
@@ -86,6 +86,20 @@
     assert!(answers <= MAX_ANSWERS, "{spoiling:?}: {answers} answers of the origin");
 }
 
+// Guards against an agent that starts beside an engine with chunks of another version and leaves
+// them there, although what lies staged does not match the listing.
+#[parameterized(
+    last_older = { CHUNKS - 12 },
+    all_older = { 0 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn an_agent_that_starts_beside_wrong_weights_has_them_loaded_anew(first_older: usize) {
+    let of = |number| if number < first_older { Version(2) } else { Version(1) };
+    let world = World::with_engines(World::engines_with_chunks_of(of)).await;
+    let outcome = world.roll_out(Version(2), ARRIVAL_TIMEOUT).await;
+    assert!(outcome.took.is_some(), "engines go on with wrong weights");
+}
+
 // Guards against chunks that are read from the origin, and engines that are closed, although
 // nothing is spoilt: what engines have and what agents have proven is taken over.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/testsuite/listings/world.rs
+++ b/tests/testsuite/listings/world.rs
@@ -65,6 +65,12 @@
         world
     }
 
+    /// Engines that say that they run version 2 and took chunks of these versions for it.
+    pub(super) fn engines_with_chunks_of(of: impl Fn(usize) -> Version + Copy) -> Vec<ModelEngine> {
+        let engine = |_| ModelEngine::with_chunks_of(Trouble::default(), Version(2), of);
+        (0..AGENTS).map(engine).collect()
+    }
+
     /// Ends all agents and starts others in their place.
     pub(super) async fn restart(&mut self) {
         self.agents.clear();
