--- a/crates/bench/src/soak/world.rs
+++ b/crates/bench/src/soak/world.rs
@@ -110,7 +110,7 @@
             programs: programs.to_owned(),
             out: out.to_owned(),
             store_address,
-            origin: origin::spawn().await?,
+            origin: origin::spawn(seed).await?,
             seeds: Vec::new(),
             parts: if options.retries { FIRST_PARTS } else { 1 },
             slack: configuration::slack(options),
