Rollouts with restarts, spoilt first listings and no declared layout

Tests only: agents that start anew in the midst of a rollout (40 seeds, up to six spoilt listings), listings of the running version that are spoilt when agents start, and plans without a layout.

--- a/tests/testsuite/listings/mod.rs
+++ b/tests/testsuite/listings/mod.rs
@@ -35,6 +35,12 @@
 const SEEDS: Range<u64> = 0..60;
 const AT_ONCE: usize = 4;
 
+/// The random rollouts in which agents start anew.
+const RESTART_SEEDS: Range<u64> = 0..40;
+
+/// How often engines are looked at after the start of their agents.
+const START_LOOKS: u32 = 60;
+
 /// How many of the first listings may be spoilt.
 const SPOILT: usize = 3;
 
@@ -131,20 +137,109 @@
     assert!(failed.is_empty(), "{} of {SEEDS:?} failed, the first: {first:#?}", failed.len());
 }
 
-/// Plays a rollout whose spoilt answers a seed lays out; returns what was wrong.
-async fn play(seed: u64) -> Option<String> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    // Either one way for all, as a single cause has it, or one for each.
-    let same = rng.random_bool(0.5).then(|| Spoilt::random(&mut rng));
+/// Spoils some of the first listings, in one way for all, as a single cause has it, or in one for
+/// each.
+fn random_spoiling(rng: &mut ChaCha8Rng, count: usize) -> Spoiling {
+    let same = rng.random_bool(0.5).then(|| Spoilt::random(rng));
     let mut spoiling = Spoiling::new();
-    for number in 0..SPOILT {
+    for number in 0..count {
         if rng.random_bool(0.7) {
-            spoiling.push((number, same.unwrap_or_else(|| Spoilt::random(&mut rng))));
+            spoiling.push((number, same.unwrap_or_else(|| Spoilt::random(rng))));
         }
     }
+    spoiling
+}
+
+/// Plays a rollout whose spoilt answers a seed lays out; returns what was wrong.
+async fn play(seed: u64) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let spoiling = random_spoiling(&mut rng, SPOILT);
     let chunks = (0..rng.random_range(0..4)).map(|_| rng.random_range(0..CHUNKS)).collect();
     let (outcome, answers) = roll_out(&spoiling, chunks).await;
     let is_right = outcome.wrong.is_empty() && outcome.served.is_none() && outcome.took.is_some();
     let fails = !is_right || answers > MAX_ANSWERS;
     fails.then(|| format!("seed {seed}, {spoiling:?}, {answers} answers: {outcome:?}"))
 }
+
+// Guards against agents that forget proofs, orders and listings in the midst of a rollout, and
+// believe what lies staged or a spoilt listing after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn agents_may_start_anew_in_the_midst_of_a_rollout() {
+    let failed = stream::iter(RESTART_SEEDS).map(play_with_restart).buffer_unordered(AT_ONCE);
+    let failed: Vec<_> = failed.filter_map(async |failed| failed).collect().await;
+    let first = failed.first();
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} of {RESTART_SEEDS:?} failed, the first: {first:#?}");
+}
+
+/// Plays a rollout in which all agents start anew; returns what was wrong.
+async fn play_with_restart(seed: u64) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut world = World::start().await;
+    let spoiling = random_spoiling(&mut rng, SPOILT * 2);
+    for (number, how) in &spoiling {
+        world.origin.spoil(Version(2), *number, *how);
+    }
+    world.name(Version(1));
+    sleep(BEFORE).await;
+    let mut before = world.roll_out(Version(2), random_time(&mut rng)).await;
+    world.restart().await;
+    let after = world.roll_out(Version(2), ARRIVAL_TIMEOUT).await;
+    before.wrong.extend(after.wrong.iter().cloned());
+    let is_right = before.wrong.is_empty()
+        && before.served.is_none()
+        && after.served.is_none()
+        && after.took.is_some();
+    (!is_right).then(|| format!("seed {seed}, {spoiling:?}: {before:?}, {after:?}"))
+}
+
+/// A time at which a rollout is under way.
+fn random_time(rng: &mut ChaCha8Rng) -> Duration {
+    Duration::from_millis(rng.random_range(0..1500))
+}
+
+// Guards against engines that are closed or load anew since the listing of the version that they
+// have run all along is spoilt when their agents start.
+#[parameterized(
+    short = { Spoilt::Short(12) },
+    repeated = { Spoilt::Repeated(12) },
+    flipped = { Spoilt::Flipped(40) },
+    exchanged = { Spoilt::Exchanged(3, 70) },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_spoilt_listing_at_the_start_of_agents_closes_no_engine(how: Spoilt) {
+    let world = World::start().await;
+    (0..SPOILT).for_each(|number| world.origin.spoil(Version(1), number, how));
+    world.name(Version(1));
+    let mut outcome = Outcome::default();
+    for _ in 0..START_LOOKS {
+        world.look(&mut outcome, Version(1));
+        sleep(BEFORE / START_LOOKS).await;
+    }
+    assert_eq!(outcome.served, None);
+    assert_eq!(world.loads(), 0, "an engine with whole weights loaded anew");
+    let outcome = world.roll_out(Version(2), ARRIVAL_TIMEOUT).await;
+    assert!(outcome.wrong.is_empty() && outcome.served.is_none(), "{outcome:?}");
+    assert!(outcome.took.is_some(), "not all engines run the version");
+}
+
+// Guards against wrong weights beside gateways of a build, or a configuration, that does not say
+// how weights are divided: chunks have to be proven all the same.
+#[parameterized(
+    older = { Spoilt::LastOlder(CHUNKS) },
+    repeated = { Spoilt::Repeated(12) },
+    empty = { Spoilt::Short(CHUNKS) },
+    huge_chunks = { Spoilt::ChunkBytes(1 << 63) },
+    no_chunk_bytes = { Spoilt::ChunkBytes(0) },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn weights_are_whole_although_their_layout_is_not_declared(how: Spoilt) {
+    let mut world = World::start().await;
+    world.layout = None;
+    (0..SPOILT).for_each(|number| world.origin.spoil(Version(2), number, how));
+    world.name(Version(1));
+    sleep(BEFORE).await;
+    let outcome = world.roll_out(Version(2), ARRIVAL_TIMEOUT).await;
+    assert!(outcome.wrong.is_empty() && outcome.served.is_none(), "{outcome:?}");
+    assert!(outcome.took.is_some(), "not all engines run the version");
+}
--- a/tests/testsuite/listings/world.rs
+++ b/tests/testsuite/listings/world.rs
@@ -32,6 +32,8 @@
     seed: SocketAddr,
     engines: Vec<ModelEngine>,
     agents: Vec<Agent>,
+    // What the configuration declares of the weights.
+    pub(super) layout: Option<Layout>,
 }
 
 /// What came of a rollout.
@@ -60,7 +62,8 @@
         let addresses = engines.iter().map(|_| address::free().unwrap()).collect();
         let seed = SocketAddr::new(address::free().unwrap().ip(), shared_port());
         let (origin, agents) = (SpoilingOrigin::default(), Vec::new());
-        let mut world = Self { origin, addresses, seed, engines, agents };
+        let layout = Layout::new(CHUNKS as u32, CHUNK_BYTES as u32);
+        let mut world = Self { origin, addresses, seed, engines, agents, layout };
         world.start_agents().await;
         world
     }
@@ -115,7 +118,7 @@
             models: vec!["m".into()],
             origins: vec![Declared { address: self.addresses[0], rate: 1e9 }],
             peers: self.addresses.iter().enumerate().map(peer).collect(),
-            layout: Layout::new(CHUNKS as u32, CHUNK_BYTES as u32),
+            layout: self.layout,
             ..Plan::default()
         };
         self.agents.iter().for_each(|agent| agent.plans().merge(plan.clone()));
@@ -139,8 +142,13 @@
         taken.filter(|taken| !taken.wrong.is_empty()).collect()
     }
 
+    /// How many orders engines have taken.
+    pub(super) fn loads(&self) -> usize {
+        self.engines.iter().map(|engine| engine.taken().len()).sum()
+    }
+
     /// Looks at all engines; returns whether all run the version whole and are open.
-    fn look(&self, outcome: &mut Outcome, version: Version) -> bool {
+    pub(super) fn look(&self, outcome: &mut Outcome, version: Version) -> bool {
         let mut all_run = true;
         for (engine, agent) in self.engines.iter().zip(&self.agents) {
             let is_open = agent.accepts_requests();
