Staged chunks that cannot be of the version before are loaded after all processes ended

Cause: agents forget what is proven when all of them end, engines lose their layers and keep what is staged, and a service read all of it from the origin again.

Change: staged chunks that are listed, and differ from those that the listing of the version before has in the same places, are taken: agents stage proven chunks only, and what lay there before was of the version before. It costs a listing for each zone after such an end. Test: staged_chunks_of_the_new_version_are_loaded_ after_all_agents_have_ended (not run before the change). Chunks taken in this way, and those of engines that agents started beside, are given to agents with the same listing and contradict no other one.

The review of listings is a module of its own.

--- a/src/cinderspoke/agent/cache.rs
+++ b/src/cinderspoke/agent/cache.rs
@@ -149,9 +149,10 @@
         self.change_proofs(version, |version| version.proofs.add(chunk, digest));
     }
 
-    /// Records that an engine runs a listed version and has exactly its chunks.
-    pub fn accept(&self, manifest: &Manifest) {
-        self.change_proofs(manifest.version(), |version| version.proofs.accept(manifest));
+    /// Records that these chunks of a listed manifest lie at an engine, and that they can only be
+    /// those of the version.
+    pub fn accept(&self, manifest: &Manifest, chunks: impl IntoIterator<Item = usize>) {
+        self.change_proofs(manifest.version(), |version| version.proofs.accept(manifest, chunks));
     }
 
     fn change_proofs(&self, version: Digest, change: impl FnOnce(&mut Version)) {
@@ -185,7 +186,7 @@
         let state = self.lock();
         let Some(version) = state.versions.get(&version) else { return Lookup::Missing };
         let is_listed = version.manifest.chunk(chunk) == Some(digest);
-        if !is_listed && version.proofs.confirm(&version.manifest, chunk) {
+        if !is_listed && version.proofs.is_read(&version.manifest, chunk) {
             return Lookup::Other;
         }
         let bytes = state.chunks.get(&digest).filter(|_| is_listed && version.held.contains(chunk));
--- a/src/cinderspoke/staging/collect.rs
+++ b/src/cinderspoke/staging/collect.rs
@@ -1,8 +1,6 @@
 //! Collects the chunks of versions from peers, the origin and the engine itself.
 
-use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,20 +11,19 @@
 use cinderspoke_core::gateway::name::Model;
 use cinderspoke_core::gateway::rollout::Version;
 use cinderspoke_core::manifest::Manifest;
-use cinderspoke_core::proof::{Recheck, Unmatched};
 use cinderspoke_core::rendezvous::Key;
 use cinderspoke_ports::gateway::{Engine, Origin};
 use cinderspoke_schema::control::Peer;
 use cinderspoke_types::digest::Digest;
-use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::sync::watch;
 
 use super::OpenOrigin;
 use super::listings::Listings;
 use super::plan::{DesiredVersion, Plans};
+use super::review::Review;
 use super::source::VersionSource;
 use super::swarm::peer;
-use crate::agent::finding::{Finding, Findings};
+use crate::agent::finding::Findings;
 use crate::agent::transfer::{self, Members, collect};
 use crate::gateway::message::Plan;
 
@@ -38,13 +35,6 @@
 /// rate of its link.
 const MAX_SPACING_S: f64 = 1.0;
 
-/// How many other agents are asked for their proofs of chunks that are staged, if the first ones
-/// do not answer.
-const PEERS_ASKED: usize = 3;
-
-/// How long a listing is not compared with another agent's after it was.
-const COMPARE_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Collects versions of weights for one engine.
 pub(super) struct Collector {
     /// This agent, as a member of swarms.
@@ -83,110 +73,15 @@
     }
 
     /// The origin that the newest plan declares.
-    fn origin(&self) -> Result<Declared> {
+    pub(super) fn origin(&self) -> Result<Declared> {
         self.plans.newest().origins.first().copied().context("no origin is known")
     }
 
     /// Connects to a declared origin.
-    fn open(&self, origin: Declared) -> Arc<dyn Origin> {
+    pub(super) fn open(&self, origin: Declared) -> Arc<dyn Origin> {
         (self.open_origin)(origin.address)
     }
 
-    /// Compares the chunks that are staged already with a listing, and adds those that match to the
-    /// cache: staged chunks outlive the processes of the agent and the engine. They prove nothing,
-    /// since the listing may have the digests of another version.
-    ///
-    /// `all` is whether to go on after the first chunk if that one differs: most likely all of
-    /// them are of another version then.
-    pub(super) async fn compare_staged(
-        &self,
-        desired: &DesiredVersion,
-        manifest: &Manifest,
-        all: bool,
-    ) -> Staged {
-        let cache = &self.transfers.cache;
-        let held = cache.add_version(manifest);
-        let (version, cached) = (desired.version, held.count());
-        tracing::info!(%version, cached, chunks = held.len(), "chunks cached already");
-        if held.is_full() {
-            return Staged::Proven;
-        }
-        let limit = manifest.as_raw().chunk_size;
-        let (mut matching, mut differing, mut is_whole) = (0, Unmatched::new(), true);
-        for chunk in 0..manifest.chunks() {
-            let staged = self.engine.staged(&desired.model, chunk, limit).await;
-            let Ok(Some(bytes)) = staged else {
-                is_whole = false;
-                break;
-            };
-            let digest = manifest.algorithm().chunk(&bytes);
-            if manifest.chunk(chunk) == Some(digest) {
-                matching += 1;
-                cache.insert(digest, bytes);
-                continue;
-            }
-            differing.insert(chunk, digest);
-            if chunk == 0 && !all {
-                break;
-            }
-        }
-        let chunks: Vec<_> = differing.keys().collect();
-        tracing::info!(%version, matching, ?chunks, "staged chunks compared with the listing");
-        match (differing.is_empty(), is_whole) {
-            (true, true) => Staged::Matching,
-            (true, false) if matching == 0 => Staged::Missing,
-            (true, false) => Staged::Incomplete,
-            (false, _) => Staged::Differing(differing),
-        }
-    }
-
-    /// Counts the chunks of a manifest as proven: an engine runs the version and has just these.
-    pub(super) fn accept(&self, manifest: &Manifest) {
-        self.transfers.cache.accept(manifest);
-    }
-
-    /// Reads the listing of a version again, since chunks that should be listed are not: from
-    /// other agents, which may have proven theirs, and from the origin. Returns whether the
-    /// listing was replaced.
-    pub(super) async fn review(&self, desired: &DesiredVersion, unmatched: &Unmatched) -> bool {
-        if self.ask_peers(desired, unmatched).await {
-            return true;
-        }
-        if self.is_proven(desired) {
-            return false;
-        }
-        let origin = self.origin().map(|origin| self.open(origin));
-        let reviewed = self.listings.review(desired, origin, unmatched, false).await;
-        reviewed.unwrap_or_else(|error| {
-            log_review(desired, &error);
-            false
-        })
-    }
-
-    /// Takes over the proofs of another agent, the nearest that answers. Returns whether the
-    /// listing was replaced by its.
-    pub(super) async fn ask_peers(&self, desired: &DesiredVersion, unmatched: &Unmatched) -> bool {
-        let own = &self.own;
-        let mut peers = self.members(&self.plans.newest()).peers;
-        peers.retain(|peer| peer.instance != own.instance);
-        peers.sort_by_key(|peer| (peer.zone != own.zone, peer.region != own.region));
-        for peer in peers.iter().take(PEERS_ASKED) {
-            match self.listings.compare(desired, peer.address, unmatched).await {
-                Ok(is_replaced) => return is_replaced,
-                Err(error) => log_review(desired, &error),
-            }
-        }
-        false
-    }
-
-    /// Whether all chunks of the known listing of a version are proven.
-    fn is_proven(&self, desired: &DesiredVersion) -> bool {
-        self.listings.known(desired).is_some_and(|manifest| {
-            let proofs = self.transfers.cache.proofs(manifest.version());
-            (0..manifest.chunks()).all(|chunk| proofs.confirm(&manifest, chunk))
-        })
-    }
-
     /// The number of cached chunks and the total for a version, if the cache tracks it.
     pub(super) fn progress(&self, version: Digest) -> Option<(usize, usize)> {
         self.transfers.cache.progress(version)
@@ -234,76 +129,6 @@
         }
     }
 
-    /// Adds chunks that did not match an earlier listing and match this one.
-    fn add_unmatched(&self, manifest: &Manifest, review: &mut Review) {
-        for (chunk, (digest, bytes)) in std::mem::take(&mut review.unmatched) {
-            if manifest.chunk(chunk) == Some(digest) {
-                self.transfers.cache.insert_chunk(manifest, chunk, digest, bytes);
-            } else {
-                review.unmatched.insert(chunk, (digest, bytes));
-            }
-        }
-    }
-
-    /// Reads the listing of a version again whenever something speaks against it, and when its
-    /// chunks have not come for long. Returns once it was replaced.
-    async fn review_listing(
-        &self,
-        desired: &DesiredVersion,
-        review: &mut Review,
-        mut findings: mpsc::Receiver<Finding>,
-    ) {
-        let clock = self.transfers.clock;
-        loop {
-            let wait = review.recheck.due_at().saturating_sub(clock.now());
-            let is_replaced = tokio::select! {
-                biased;
-                Some(finding) = findings.recv() => match finding {
-                    Finding::Unmatched { chunk, digest, bytes } => {
-                        review.unmatched.insert(chunk, (digest, bytes));
-                        review.recheck.suspect();
-                        false
-                    }
-                    Finding::OtherListing { peer } if review.compares_at(clock.now()) => {
-                        self.compare_with(desired, peer, review).await
-                    }
-                    Finding::OtherListing { .. } => false,
-                },
-                () = sleep(wait) => {
-                    let origin = self.origin().map(|origin| self.open(origin));
-                    let (unmatched, is_stuck) = (review.digests(), review.recheck.is_stuck());
-                    let read = self.listings.review(desired, origin, &unmatched, is_stuck).await;
-                    review.recheck.record_read(clock.now(), read.is_ok());
-                    read.unwrap_or_else(|error| {
-                        log_review(desired, &error);
-                        false
-                    })
-                }
-            };
-            if is_replaced {
-                return;
-            }
-            if self.listings.is_contradicted(desired) {
-                review.recheck.suspect();
-            }
-        }
-    }
-
-    /// Compares the listing of a version with that of another agent. Returns whether it was
-    /// replaced.
-    async fn compare_with(
-        &self,
-        desired: &DesiredVersion,
-        peer: SocketAddr,
-        review: &Review,
-    ) -> bool {
-        let compared = self.listings.compare(desired, peer, &review.digests()).await;
-        compared.unwrap_or_else(|error| {
-            log_review(desired, &error);
-            false
-        })
-    }
-
     /// Creates the context for the transfer of one version, whose collection `began` then.
     fn context(
         &self,
@@ -349,7 +174,7 @@
     }
 
     /// The swarm's members: this agent and those of all engines of the service.
-    fn members(&self, plan: &Plan) -> Members {
+    pub(super) fn members(&self, plan: &Plan) -> Members {
         let peers = plan.peers.iter();
         let peers =
             peers.map(|other| peer(other.engine.ip(), self.port, &other.zone, &other.region));
@@ -357,56 +182,6 @@
     }
 }
 
-/// How the chunks staged at an engine compare with a listing.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Staged {
-    /// Not compared: all chunks are proven and cached.
-    Proven,
-    /// They are those of the listing.
-    Matching,
-    /// None could be read.
-    Missing,
-    /// The first ones are those of the listing, and the next one could not be read.
-    Incomplete,
-    /// These chunks have other digests.
-    Differing(Unmatched),
-}
-
-/// What speaks against a listing while its chunks are collected.
-struct Review {
-    // The chunks from the origin that were not those listed.
-    unmatched: BTreeMap<usize, (Digest, Bytes)>,
-    recheck: Recheck,
-    // When the listing was last compared with another agent's.
-    compared_at: Option<Duration>,
-}
-
-impl Review {
-    fn new(now: Duration) -> Self {
-        Self { unmatched: BTreeMap::new(), recheck: Recheck::new(now), compared_at: None }
-    }
-
-    /// Whether the listing is compared with another agent's at `now`, and records it. What is not
-    /// compared is found again while it lasts.
-    fn compares_at(&mut self, now: Duration) -> bool {
-        let is_due = self.compared_at.is_none_or(|at| now.saturating_sub(at) >= COMPARE_INTERVAL);
-        if is_due {
-            self.compared_at = Some(now);
-        }
-        is_due
-    }
-
-    fn digests(&self) -> Unmatched {
-        self.unmatched.iter().map(|(chunk, (digest, _))| (*chunk, *digest)).collect()
-    }
-}
-
-/// Logs that a listing could not be read again.
-fn log_review(desired: &DesiredVersion, error: &anyhow::Error) {
-    let error = format!("{error:#}");
-    tracing::debug!(version = %desired.version, error, "failed to fetch a listing again");
-}
-
 /// The time between two chunks from the origin: as long as its link takes for one chunk at `rate`,
 /// the declared rate in bytes per second. Zero if no rate is known.
 fn spacing(chunk_bytes: u64, rate: f64) -> Duration {
--- a/src/cinderspoke/staging/fetch.rs
+++ b/src/cinderspoke/staging/fetch.rs
@@ -16,10 +16,11 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::sync::CancellationToken;
 
-use super::collect::{Collector, Staged};
+use super::collect::Collector;
 use super::load::Load;
 use super::plan::{DesiredVersion, Plans};
 use super::report::Reporter;
+use super::review::Staged;
 use super::trust::{Trust, Weights};
 use crate::util::metrics::WEIGHTS_SUSPECTED;
 
--- a/src/cinderspoke/staging/listings.rs
+++ b/src/cinderspoke/staging/listings.rs
@@ -144,10 +144,11 @@
         is_stuck: bool,
     ) -> Result<bool> {
         let listing = self.read_origin(desired, origin).await?;
-        Ok(self.replace(desired, listing, unmatched, is_stuck, "origin"))
+        Ok(self.replace(desired, listing, unmatched, is_stuck, "origin") == Verdict::Replace)
     }
 
-    /// Fetches another agent's listing and proofs, and returns whether it replaces the known one.
+    /// Fetches another agent's listing and proofs, and returns whether it replaces the known one,
+    /// or why not.
     ///
     /// # Errors
     ///
@@ -157,7 +158,7 @@
         desired: &DesiredVersion,
         peer: SocketAddr,
         unmatched: &Unmatched,
-    ) -> Result<bool> {
+    ) -> Result<Verdict> {
         let PeerListing { listing, proven } = self.read_peer(desired, peer, Duration::ZERO).await?;
         self.prove(desired, &listing, &proven);
         Ok(self.replace(desired, listing, unmatched, false, "agent"))
@@ -169,7 +170,7 @@
             .is_some_and(|known| !self.cache.proofs(known.version()).contradict(&known).is_empty())
     }
 
-    /// Replaces the known listing by another one, if there is reason to.
+    /// Replaces the known listing by another one, if there is reason to; returns what was decided.
     fn replace(
         &self,
         desired: &DesiredVersion,
@@ -177,25 +178,26 @@
         unmatched: &Unmatched,
         is_stuck: bool,
         from: &'static str,
-    ) -> bool {
+    ) -> Verdict {
         let other = manifest(&key(desired), &listing);
         let Some(known) = self.known(desired) else {
             self.insert(desired, listing);
-            return true;
+            return Verdict::Replace;
         };
         let proofs = self.cache.proofs(known.version());
         let (version, differing) = (desired.version, differing(&known, &other));
-        let why = match weigh(&known, &other, &proofs, unmatched, is_stuck) {
+        let verdict = weigh(&known, &other, &proofs, unmatched, is_stuck);
+        let why = match &verdict {
             Verdict::Same => {
                 tracing::info!(%version, from, "listing confirmed");
-                return false;
+                return verdict;
             }
             Verdict::Replace => {
                 counter!(LISTINGS_REPLACED, "by" => from).increment(1);
                 let unmatched = unmatched.len();
                 tracing::warn!(%version, from, ?differing, unmatched, is_stuck, "listing replaced");
                 self.insert(desired, listing);
-                return true;
+                return verdict;
             }
             Verdict::Contradicted(chunks) => {
                 tracing::warn!(%version, from, ?differing, ?chunks, "listing refused: contradicted");
@@ -207,7 +209,7 @@
             }
         };
         counter!(LISTINGS_REFUSED, "why" => why).increment(1);
-        false
+        verdict
     }
 
     /// Fetches a listing from the origin.
@@ -294,7 +296,7 @@
         let proofs = self.cache.proofs(manifest.version());
         let mut proven = Bitmap::new(manifest.chunks());
         let chunks = 0..manifest.chunks();
-        chunks.filter(|chunk| proofs.confirm(&manifest, *chunk)).for_each(|it| proven.insert(it));
+        chunks.filter(|chunk| proofs.is_read(&manifest, *chunk)).for_each(|it| proven.insert(it));
         let mut packed = pack(listing);
         packed.extend(pack(&proven.to_string()));
         packed.into()
--- a/src/cinderspoke/staging/mod.rs
+++ b/src/cinderspoke/staging/mod.rs
@@ -5,7 +5,7 @@
 //! - [`plan`] holds the service's plan as gateways serve it, and the version desired by it;
 //!   `reads` limits how many copies of a plan are read at once.
 //! - [`fetch`] installs the desired version in the engine: `listings` finds the digests of its
-//!   chunks, `collect` fetches the chunks from peers (`swarm`) and the origin (`source`), and
+//!   chunks, `review` looks for what speaks against them, `collect` fetches the chunks from peers (`swarm`) and the origin (`source`), and
 //!   `load` has the engine switch over to them in its rollout wave. `chunks` stages and verifies
 //!   them, `order` sends the engine an order, and `trust` records whether the weights that the
 //!   engine has loaded are known to be whole.
@@ -19,6 +19,7 @@
 pub mod plan;
 mod reads;
 pub mod report;
+mod review;
 mod source;
 mod swarm;
 mod trust;
