A gateway writes its announcement once, whatever fails after it

Cause: the announcement and the list of gateways were one attempt, repeated as a whole, and restores were watched only after both. A store that went away between the two got the announcement again for the failed list, and once more for the restore.

Ruled out: a call that was refused while the store was away (restores are seen in answers of the new era only).

Each of the two calls is repeated by itself now, and restores are watched from the announcement on.

--- a/src/cinderspoke/gateway/follow.rs
+++ b/src/cinderspoke/gateway/follow.rs
@@ -30,6 +30,7 @@
 use super::state::State;
 use crate::util::clock::Clock;
 use crate::util::settings::internal_address;
+use crate::util::signal;
 use crate::util::stop;
 
 /// The back-off after the first failure of a call to the store.
@@ -394,41 +395,52 @@
 /// A store that came back from an older copy may lack the registration, which is then repeated.
 async fn register(shared: Shared, name: String, own: SocketAddr) {
     reads_or_is_alone(&shared.state).await;
+    announce(&shared, &name, own).await;
+    // A restore may follow at once, while the list is read.
+    let restores = shared.state.restores();
+    let gateways = listed_gateways(&shared).await;
+    let others = gateways.into_iter().filter(|gateway| *gateway != own);
+    others.for_each(|gateway| _ = shared.state.observe_gateway(gateway, false));
+    register_again(shared, name, own, restores).await;
+}
+
+/// Registers this gateway with the store, once the store accepts it.
+async fn announce(shared: &Shared, name: &str, own: SocketAddr) {
+    let mut failures = 0;
+    while let Err(error) = shared.registry.announce(name, own).await {
+        failures += 1;
+        tracing::debug!(%error, "registering this gateway with the store failed");
+        sleep(backoff(&error, failures)).await;
+    }
+}
+
+/// The gateways that the store lists, once it answers.
+async fn listed_gateways(shared: &Shared) -> Vec<SocketAddr> {
     let mut failures = 0;
     loop {
-        let registered = async {
-            shared.registry.announce(&name, own).await?;
-            shared.registry.gateways().await
-        };
-        match registered.await {
-            Ok(gateways) => {
-                let others = gateways.into_iter().filter(|gateway| *gateway != own);
-                others.for_each(|gateway| _ = shared.state.observe_gateway(gateway, false));
-                break;
-            }
+        match shared.registry.gateways().await {
+            Ok(gateways) => return gateways,
             Err(error) => {
                 failures += 1;
-                tracing::debug!(%error, "registering this gateway with the store failed");
+                tracing::debug!(%error, "reading the list of gateways failed");
                 sleep(backoff(&error, failures)).await;
             }
         }
     }
-    register_again(shared, name, own).await;
 }
 
 /// Registers this gateway with the store each time that it has come back from an older copy, and
 /// never returns.
-async fn register_again(shared: Shared, name: String, own: SocketAddr) {
-    let mut restores = shared.state.restores();
+async fn register_again(
+    shared: Shared,
+    name: String,
+    own: SocketAddr,
+    mut restores: signal::Receiver,
+) {
     loop {
         restores.changed().await;
         let gateways = u32::try_from(shared.state.view().gateways).unwrap_or(u32::MAX);
         sleep(WRITE_SPACING.saturating_mul(gateways).mul_f64(rand::random())).await;
-        let mut failures = 0;
-        while let Err(error) = shared.registry.announce(&name, own).await {
-            failures += 1;
-            tracing::debug!(%error, "registering this gateway with the store again failed");
-            sleep(backoff(&error, failures)).await;
-        }
+        announce(&shared, &name, own).await;
     }
 }
