An answer counts as whole only if its head marks the end of the body

What callers saw: a success, whole, with a body that is not the endpoint's: chunks with their sizes, a body with other bytes behind it, the rest of the head, or nothing at all under 204. With a coding and a length, release builds passed the engine's length on above another body, debug builds ended the task.

Cause: hyper's client reads any body whose end it does not know until the connection ends, and Framing::of repeated that reading. Nothing asked whether the head says where the body ends. ports::client, which reads the answers of the store, the origin, agents and endpoints, did not either.

Ruled out, each by tests that passed before any change (38 rows, four routes): lines that are no field, lengths that are no number, status lines that are none. Nothing was changed for these.

Change: ports::framing reads from a head how the end of the body is marked, and refuses it unless there is exactly one mark. The gateway's send and ports::client ask it before they use anything else of a head. The end of the connection is a mark only if the head says that it closes. The outcome is `spoilt`: the request may have run, so Not-Executed in such a head promises nothing.

--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -17,6 +17,9 @@
     Stale,
     /// Like [`Outcome::Lost`], and the connection broke off: the endpoint may have ended.
     BrokenOff,
+    /// Like [`Outcome::Lost`], and an answer arrived whose head cannot be relied on. It says
+    /// nothing of the request, whatever becomes of the endpoint.
+    Spoilt,
     /// The endpoint ran the request and answered with a failure.
     Failed,
 }
@@ -63,9 +66,13 @@
         if outcome != Outcome::NotSent {
             self.sends += 1;
         }
-        if matches!(outcome, Outcome::Lost | Outcome::Stale | Outcome::BrokenOff | Outcome::Failed)
-        {
-            self.runs += 1;
+        match outcome {
+            Outcome::NotSent | Outcome::Refused => {}
+            Outcome::Lost
+            | Outcome::Stale
+            | Outcome::BrokenOff
+            | Outcome::Spoilt
+            | Outcome::Failed => self.runs += 1,
         }
     }
 
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -22,6 +22,8 @@
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::framing::{Fault, Framing};
+
 /// The timeout of connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -127,18 +129,29 @@
         address: SocketAddr,
         request: Request<Body>,
     ) -> Result<Response<Body>, Error> {
+        let method = request.method().clone();
         let response = self.pool.request(request).await.map_err(|error| {
             let text = with_causes(&error);
             if error.is_connect() {
-                Error::Connect(address, text)
-            } else {
-                Error::Broken(address, text)
+                return Error::Connect(address, text);
             }
+            Error::Broken(address, text)
         })?;
-        Ok(response.map(Body::new))
+        let (head, body) = response.into_parts();
+        match Framing::read(&method, &head) {
+            Ok(_) => Ok(Response::from_parts(head, Body::new(body))),
+            Err(fault) => Err(spoilt(address, fault)),
+        }
     }
 }
 
+/// Logs and counts an answer with a spoilt head; returns that no whole answer came.
+fn spoilt(address: SocketAddr, fault: Fault) -> Error {
+    fault.count();
+    tracing::warn!(%address, fault = fault.as_str(), why = %fault, "answer with a spoilt head");
+    Error::Broken(address, format!("the head of its answer is spoilt: {fault}"))
+}
+
 /// Sends requests to other processes.
 #[derive(Debug, Clone)]
 pub struct Client {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -4,9 +4,11 @@
 //!
 //! The traits here are for programs that keep their configuration in the object API; [`http`]
 //! implements them. The traits of [`gateway`] are for programs on a platform that keeps the
-//! configuration, versions and the list of endpoints. [`client`] sends requests for both.
+//! configuration, versions and the list of endpoints. [`client`] sends requests for both, and
+//! [`framing`] says what the head of an answer means for its body.
 
 pub mod client;
+pub mod framing;
 pub mod gateway;
 pub mod http;
 pub mod work;
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -9,8 +9,8 @@
 use http::{Response, StatusCode, Version, header, response};
 
 use super::choose::{Position, Selected};
+use super::completeness::Completeness;
 use super::context::{Context, Withdrawal};
-use super::framing::{Completeness, Framing};
 use super::memory;
 use super::parse::Parsed;
 use super::record::Record;
@@ -55,7 +55,7 @@
         Ok(answer) => answer,
         Err(outcome) => return Attempt::Failed(outcome, None),
     };
-    record.set_framing(Framing::of(&answer.head, &answer.body));
+    record.set_framing(answer.framing);
     if answer.info.request.as_ref() != Some(&parsed.call.id) {
         // The answer belongs to another request or is not from an endpoint, so the outcome of
         // this request is unknown.
@@ -114,8 +114,7 @@
 
 /// Reads a whole answer.
 async fn read(context: &Context, parsed: &Parsed, answer: Answer) -> Attempt {
-    let Answer { head, body, connection, sent, .. } = answer;
-    let framing = Framing::of(&head, &body);
+    let Answer { head, framing, body, connection, sent, .. } = answer;
     let share = context.memory.share(&sent.target.name);
     let read = parsed.deadline.timeout(share.collect(body, MAX_BUFFERED_ANSWER)).await;
     let body = match read {
@@ -129,7 +128,7 @@
     if framing.allows_reuse() {
         target.pool.check_in(connection, keep_alive_timeout(&head.headers));
     }
-    let completeness = framing.completeness(&target.pool, &parsed.deadline).await;
+    let completeness = Completeness::determine(framing, &target.pool, &parsed.deadline).await;
     if completeness == Completeness::BrokenOff {
         return broken_off(context, &target);
     }
--- a/src/cinderspoke/gateway/crash.rs
+++ b/src/cinderspoke/gateway/crash.rs
@@ -6,10 +6,10 @@
 use cinderspoke_core::gateway::fingerprint::{Fingerprint, Identity};
 use cinderspoke_core::gateway::name::Request;
 use cinderspoke_core::gateway::suspect::{Crash, Subject};
+use cinderspoke_ports::framing::Framing;
 use tokio::time::{Instant, timeout};
 
 use super::context::Context;
-use super::framing::Framing;
 use super::parse::Parsed;
 use super::target::Target;
 
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -12,9 +12,9 @@
 
 use super::answer::{Attempt, attempt};
 use super::choose::Attempts;
+use super::completeness::Completeness;
 use super::context::Context;
 use super::crash;
-use super::framing::Completeness;
 use super::parse::{self, Parsed};
 use super::passthrough;
 use super::record::Record;
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -15,9 +15,9 @@
 
 use super::answer::{is_encoded, strip_hop_by_hop};
 use super::choose::{Attempts, Position, Selected};
+use super::completeness::Completeness;
 use super::context::{Context, Withdrawal};
 use super::crash;
-use super::framing::{Completeness, Framing};
 use super::parse::Parsed;
 use super::record::Record;
 use super::refusal::Body;
@@ -227,7 +227,7 @@
             record,
         )
         .await?;
-        self.record.set_framing(Framing::of(&answer.head, &answer.body));
+        self.record.set_framing(answer.framing);
         if answer.info.request.as_ref() != Some(&self.parsed.call.id) {
             return Err(Outcome::Lost);
         }
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -13,6 +13,7 @@
 use cinderspoke_core::gateway::shedding::Rank;
 use cinderspoke_core::gateway::size::Class;
 use cinderspoke_core::gateway::suspect::{Part, Subject};
+use cinderspoke_ports::framing::{Fault, Framing};
 use cinderspoke_ports::gateway::Invalid;
 use http::StatusCode;
 use metrics::{counter, histogram};
@@ -20,7 +21,6 @@
 
 use super::choose::{Selected, Unavailable};
 use super::context::{Exhausted, InProgress};
-use super::framing::Framing;
 use super::refusal::Refusal;
 use super::suspects::kind;
 use crate::util::metrics::{
@@ -277,6 +277,7 @@
             attempt::Outcome::Lost => "lost",
             attempt::Outcome::Stale => "stale",
             attempt::Outcome::BrokenOff => "broken-off",
+            attempt::Outcome::Spoilt => "spoilt",
             attempt::Outcome::Failed => "failed",
         };
         counter!(ATTEMPTS, "result" => label).increment(1);
@@ -284,6 +285,13 @@
         tracing::info!(id = self.id(), %endpoint, fate = label, after_ms, "attempt failed");
     }
 
+    /// Logs and counts an answer of an endpoint with a spoilt head.
+    pub fn head_spoilt(&self, endpoint: &Endpoint, fault: Fault) {
+        fault.count();
+        let (name, id) = (fault.as_str(), self.id());
+        tracing::warn!(id, %endpoint, fault = name, why = %fault, "answer with a spoilt head");
+    }
+
     /// Sets how the end of the last attempt's answer is marked.
     pub fn set_framing(&mut self, framing: Framing) {
         self.framing = Some(framing);
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cinderspoke_core::gateway::attempt::Outcome;
 use cinderspoke_core::gateway::health::Observation;
+use cinderspoke_ports::framing::{Fault, Framing};
 use cinderspoke_ports::gateway::{AnswerHead, Attempt};
 use http::{HeaderMap, Request, response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -86,6 +87,8 @@
 pub struct Answer {
     /// The head.
     pub head: response::Parts,
+    /// How the end of the body is marked.
+    pub framing: Framing,
     /// The protocol's fields in the head.
     pub info: AnswerHead,
     /// The body, of which nothing was read yet.
@@ -147,9 +150,14 @@
     match until.timeout(connection.try_send_request(request)).await {
         Ok(Ok(response)) => {
             let (head, body) = response.into_parts();
+            let framing = match Framing::read(&parsed.head.method, &head) {
+                Ok(framing) => framing,
+                // The connection ends with what is dropped here.
+                Err(fault) => return Err(spoilt(context, target, record, fault)),
+            };
             let info = context.dialect.parse_answer(&head);
             context.observe_answer_head(parsed, target, &info);
-            Ok(Answer { head, info, body, connection, sent })
+            Ok(Answer { head, framing, info, body, connection, sent })
         }
         Ok(Err(mut error)) => {
             let unsent = error.take_message().is_some();
@@ -170,6 +178,13 @@
     }
 }
 
+/// Records an answer with a spoilt head.
+fn spoilt(context: &Context, target: &Target, record: &Record, fault: Fault) -> Outcome {
+    target.observe(Observation::Silence, context.clock.now());
+    record.head_spoilt(&target.name, fault);
+    Outcome::Spoilt
+}
+
 /// Returns after how long without an answer a reused connection counts as stale; none if the
 /// request may not be repeated.
 ///
@@ -222,7 +237,7 @@
 /// Records that an endpoint refused a request without running it, and reuses the connection if
 /// the rest of the refusal is received in time.
 pub async fn record_refusal(context: &Context, parsed: &Parsed, answer: Answer) {
-    let Answer { head, info, body, connection, sent } = answer;
+    let Answer { head, framing, info, body, connection, sent } = answer;
     let target = &sent.target;
     target.record_refusal(context.clock.now());
     tracing::info!(
@@ -234,6 +249,7 @@
     );
     if let Ok(Ok(_)) =
         timeout(REFUSAL_BODY_TIMEOUT, Limited::new(body, MAX_BUFFERED_ANSWER).collect()).await
+        && framing.allows_reuse()
     {
         target.pool.check_in(connection, keep_alive_timeout(&head.headers));
     }
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -5,12 +5,13 @@
 
 use cinderspoke_core::gateway::attempt::Outcome;
 use cinderspoke_core::gateway::event::{Events, Splitter};
+use cinderspoke_ports::framing::Framing;
 use http::response;
 use hyper::body::Incoming;
 use tokio::time::error::Elapsed;
 
+use super::completeness::Completeness;
 use super::context::Context;
-use super::framing::{Completeness, Framing};
 use super::memory::{self, Share};
 use super::pool::Connection;
 use super::send::{Answer, Sent, keep_alive_timeout};
@@ -84,9 +85,8 @@
     #[must_use]
     pub fn new(context: &Context, answer: Answer) -> (response::Parts, Self) {
         let share = context.memory.share(&answer.sent.target.name);
-        let Answer { head, body, connection, sent, .. } = answer;
+        let Answer { head, framing, body, connection, sent, .. } = answer;
         let idle_timeout = keep_alive_timeout(&head.headers);
-        let framing = Framing::of(&head, &body);
         let (splitter, ready, ended) = (Splitter::default(), None, None);
         let stream =
             Self { sent, body, framing, connection, idle_timeout, splitter, share, ready, ended };
@@ -153,7 +153,7 @@
         if self.splitter.has_partial() {
             return Err(Interrupted::BrokenOff);
         }
-        match self.framing.completeness(&self.target().pool, until).await {
+        match Completeness::determine(self.framing, &self.target().pool, until).await {
             Completeness::BrokenOff => Err(Interrupted::BrokenOff),
             completeness => Ok(Item::End(completeness)),
         }
--- a/tests/testsuite/gateway/attempt.rs
+++ b/tests/testsuite/gateway/attempt.rs
@@ -2,18 +2,19 @@
 
 use cinderspoke_core::gateway::attempt::{Guarantee, History, Next, Outcome};
 
-const OUTCOMES: [Outcome; 6] = [
+const OUTCOMES: [Outcome; 7] = [
     Outcome::NotSent,
     Outcome::Refused,
     Outcome::Lost,
     Outcome::Stale,
     Outcome::BrokenOff,
+    Outcome::Spoilt,
     Outcome::Failed,
 ];
 
 /// Whether a request may have run in a send with this outcome.
 fn may_have_run(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::Lost | Outcome::Stale | Outcome::BrokenOff | Outcome::Failed)
+    !matches!(outcome, Outcome::NotSent | Outcome::Refused)
 }
 
 /// All histories of at most `length` sends, each with its outcomes.
--- /dev/null
+++ b/tests/testsuite/heads.rs
@@ -0,0 +1,73 @@
+//! Guards against answers of the store, of the origin and of other processes that are taken as whole
+//! although their heads contradict themselves, or do not say where the body ends.
+
+use std::net::SocketAddr;
+
+use axum::body::Body;
+use cinderspoke_ports::client::{Call, Client, Error};
+use cinderspoke_test_support::address;
+use http::{Method, Request};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Starts a server that answers each request with the same bytes and closes the connection.
+async fn server(answer: String) -> SocketAddr {
+    let address = address::free().unwrap();
+    let listener = TcpListener::bind(address).await.unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let Ok(byte) = stream.read_u8().await else { break };
+                head.push(byte);
+            }
+            stream.write_all(answer.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+/// The body of a sound answer.
+const BODY: &str = "[1]";
+
+#[yare::parameterized(
+    unknown_coding = { "200 OK\r\nTransfer-Encoding: chonked", "3\r\n[1]\r\n0\r\n\r\n" },
+    coding_before_chunks = { "200 OK\r\nTransfer-Encoding: gzip, chunked", "3\r\n[1]\r\n0\r\n\r\n" },
+    coding_and_length = { "200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3", "3\r\n[1]\r\n0\r\n\r\n" },
+    misspelt_length = { "200 OK\r\nContent-Lenqth: 3\r\nConnection: close", "[1]2" },
+    no_length = { "200 OK\r\nOdd: 1", BODY },
+    early_end = { "200 OK\r\n\r\nContent-Length: 3", BODY },
+    no_content_and_a_length = { "204 No Content\r\nContent-Length: 3", BODY },
+)]
+#[test_macro(tokio::test)]
+async fn an_answer_with_a_spoilt_head_is_no_answer(head: &str, body: &str) {
+    let address = server(format!("HTTP/1.1 {head}\r\n\r\n{body}")).await;
+    let fetched = Client::new().fetch(Call::get(address, "/")).await;
+    assert!(matches!(fetched, Err(Error::Broken(..))), "{fetched:?}");
+}
+
+#[yare::parameterized(
+    length = { "200 OK\r\nContent-Length: 3", BODY },
+    length_and_close = { "200 OK\r\nContent-Length: 3\r\nConnection: close", BODY },
+    chunked = { "200 OK\r\nTransfer-Encoding: chunked", "3\r\n[1]\r\n0\r\n\r\n" },
+    ended_by_its_connection = { "200 OK\r\nConnection: close", BODY },
+)]
+#[test_macro(tokio::test)]
+async fn a_sound_answer_is_read(head: &str, body: &str) {
+    let address = server(format!("HTTP/1.1 {head}\r\n\r\n{body}")).await;
+    let fetched = Client::new().fetch(Call::get(address, "/")).await;
+    assert_eq!(fetched.unwrap(), BODY);
+}
+
+// The length that an answer to HEAD names is that of another answer.
+#[tokio::test]
+async fn an_answer_to_head_has_no_body_whatever_length_it_names() {
+    let address = server("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n".into()).await;
+    let uri = format!("http://{address}/");
+    let request = Request::builder().method(Method::HEAD).uri(uri).body(Body::empty()).unwrap();
+    let answer = Client::new().send(address, request).await.unwrap();
+    assert_eq!(answer.headers()["content-length"], "3");
+    let body = axum::body::to_bytes(answer.into_body(), 9).await.unwrap();
+    assert!(body.is_empty(), "{body:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod files;
 mod follow;
 mod gateway;
+mod heads;
 mod hints;
 mod kills;
 mod late;
