A status that is none of a final answer is not passed on

What callers saw: 101, 600 and 999 as an engine's answer; 101 although nobody asked for another protocol. Status 000 and the other nine rows of status lines that are none were refused before (tests only).

Cause: hyper's client hands over any number of three digits, and nothing asked which of them end an exchange.

--- a/crates/ports/src/framing.rs
+++ b/crates/ports/src/framing.rs
@@ -8,6 +8,8 @@
 //!
 //! [RFC 9112, section 6.3]: https://www.rfc-editor.org/rfc/rfc9112#section-6.3
 
+use std::ops::RangeInclusive;
+
 use displaydoc::Display;
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, StatusCode, Version, response};
@@ -16,6 +18,12 @@
 /// The metric that counts answers with a spoilt head, by what is wrong with it.
 pub const SPOILT_HEADS: &str = "cinderspoke_heads_spoilt_total";
 
+/// The statuses of final answers ([RFC 9110, section 15]). A request never asks for another
+/// protocol, so that 101 is none of them.
+///
+/// [RFC 9110, section 15]: https://www.rfc-editor.org/rfc/rfc9110#section-15
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How the end of an answer's body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -32,6 +40,8 @@
 /// What is wrong with the head of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Fault {
+    /// the status is none of a final answer
+    Status,
     /// the transfer coding is not exactly one that is chunked
     Coding,
     /// a transfer coding stands beside a length
@@ -53,6 +63,7 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Status => "status",
             Self::Coding => "coding",
             Self::CodingAndLength => "coding-and-length",
             Self::Length => "length",
@@ -76,6 +87,9 @@
     /// What is wrong with the head, if it contradicts itself or does not say where the body ends.
     pub fn read(method: &Method, head: &response::Parts) -> Result<Self, Fault> {
         let headers = &head.headers;
+        if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+            return Err(Fault::Status);
+        }
         let is_chunked = is_chunked(headers)?;
         let length = length(headers, is_chunked)?;
         if head.status == StatusCode::NO_CONTENT && (is_chunked || length.unwrap_or(0) > 0) {
--- a/tests/testsuite/heads.rs
+++ b/tests/testsuite/heads.rs
@@ -38,6 +38,8 @@
     misspelt_length = { "200 OK\r\nContent-Lenqth: 3\r\nConnection: close", "[1]2" },
     no_length = { "200 OK\r\nOdd: 1", BODY },
     early_end = { "200 OK\r\n\r\nContent-Length: 3", BODY },
+    switching_protocols = { "101 Switching Protocols\r\nContent-Length: 3", BODY },
+    status_above_all = { "600 OK\r\nContent-Length: 3", BODY },
     no_content_and_a_length = { "204 No Content\r\nContent-Length: 3", BODY },
 )]
 #[test_macro(tokio::test)]
