A head that cannot be read makes its request no suspect

What callers would see: a sound request quarantined everywhere, since endpoints in trouble sent heads that cannot be read and ended soon after.

Cause: an answer that hyper cannot parse counted as a connection that broke off, which has the gateway look whether the endpoint crashed. An answer came, so the endpoint outlived the request as far as its head.

Change: it is a spoilt head (`unreadable`), in the gateway and in ports::client, with a line and a count; nothing is looked for. Health counts it as before.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -3,6 +3,7 @@
 //! A [`Client`] sends [`Call`]s over a [`Transport`], by default pooled TCP connections, and
 //! reads whole answers, whose bytes a [`Progress`] counts.
 
+use std::error::Error as _;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -135,20 +136,31 @@
             if error.is_connect() {
                 return Error::Connect(address, text);
             }
+            if is_unreadable(&error) {
+                return spoilt(address, Fault::Unreadable, Some(&text));
+            }
             Error::Broken(address, text)
         })?;
         let (head, body) = response.into_parts();
         match Framing::read(&method, &head) {
             Ok(_) => Ok(Response::from_parts(head, Body::new(body))),
-            Err(fault) => Err(spoilt(address, fault)),
+            Err(fault) => Err(spoilt(address, fault, None)),
         }
     }
 }
 
-/// Logs and counts an answer with a spoilt head; returns that no whole answer came.
-fn spoilt(address: SocketAddr, fault: Fault) -> Error {
+/// Returns whether something came that is no head of an answer.
+fn is_unreadable(error: &hyper_util::client::legacy::Error) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref::<hyper::Error>());
+    cause.is_some_and(hyper::Error::is_parse)
+}
+
+/// Logs and counts an answer with a spoilt head; returns that no whole answer came. `detail` says
+/// more of what is wrong with the head, where more is known.
+fn spoilt(address: SocketAddr, fault: Fault, detail: Option<&str>) -> Error {
     fault.count();
-    tracing::warn!(%address, fault = fault.as_str(), why = %fault, "answer with a spoilt head");
+    let name = fault.as_str();
+    tracing::warn!(%address, fault = name, why = %fault, detail, "answer with a spoilt head");
     Error::Broken(address, format!("the head of its answer is spoilt: {fault}"))
 }
 
--- a/crates/ports/src/framing.rs
+++ b/crates/ports/src/framing.rs
@@ -40,6 +40,8 @@
 /// What is wrong with the head of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Fault {
+    /// the head cannot be read
+    Unreadable,
     /// the status is none of a final answer
     Status,
     /// the transfer coding is not exactly one that is chunked
@@ -63,6 +65,7 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
+            Self::Unreadable => "unreadable",
             Self::Status => "status",
             Self::Coding => "coding",
             Self::CodingAndLength => "coding-and-length",
--- a/src/cinderspoke/gateway/record.rs
+++ b/src/cinderspoke/gateway/record.rs
@@ -285,11 +285,12 @@
         tracing::info!(id = self.id(), %endpoint, fate = label, after_ms, "attempt failed");
     }
 
-    /// Logs and counts an answer of an endpoint with a spoilt head.
-    pub fn head_spoilt(&self, endpoint: &Endpoint, fault: Fault) {
+    /// Logs and counts an answer of an endpoint with a spoilt head. `detail` says more of what is
+    /// wrong with it, where more is known.
+    pub fn head_spoilt(&self, endpoint: &Endpoint, fault: Fault, detail: Option<&str>) {
         fault.count();
         let (name, id) = (fault.as_str(), self.id());
-        tracing::warn!(id, %endpoint, fault = name, why = %fault, "answer with a spoilt head");
+        tracing::warn!(id, %endpoint, fault = name, why = %fault, detail, "answer with a spoilt head");
     }
 
     /// Sets how the end of the last attempt's answer is marked.
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -153,7 +153,7 @@
             let framing = match Framing::read(&parsed.head.method, &head) {
                 Ok(framing) => framing,
                 // The connection ends with what is dropped here.
-                Err(fault) => return Err(spoilt(context, target, record, fault)),
+                Err(fault) => return Err(spoilt(context, target, record, fault, None)),
             };
             let info = context.dialect.parse_answer(&head);
             context.observe_answer_head(parsed, target, &info);
@@ -163,6 +163,9 @@
             let unsent = error.take_message().is_some();
             let cause = error.error().to_string();
             tracing::debug!(endpoint = %target.name, unsent, cause, "sending");
+            if !unsent && error.error().is_parse() {
+                return Err(spoilt(context, target, record, Fault::Unreadable, Some(&cause)));
+            }
             target.observe(Observation::Silence, context.clock.now());
             if !unsent {
                 return Err(Outcome::BrokenOff);
@@ -179,9 +182,15 @@
 }
 
 /// Records an answer with a spoilt head.
-fn spoilt(context: &Context, target: &Target, record: &Record, fault: Fault) -> Outcome {
+fn spoilt(
+    context: &Context,
+    target: &Target,
+    record: &Record,
+    fault: Fault,
+    detail: Option<&str>,
+) -> Outcome {
     target.observe(Observation::Silence, context.clock.now());
-    record.head_spoilt(&target.name, fault);
+    record.head_spoilt(&target.name, fault, detail);
     Outcome::Spoilt
 }
 
--- a/tests/testsuite/heads.rs
+++ b/tests/testsuite/heads.rs
@@ -7,6 +7,7 @@
 use cinderspoke_ports::client::{Call, Client, Error};
 use cinderspoke_test_support::address;
 use http::{Method, Request};
+use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -49,6 +50,21 @@
     assert!(matches!(fetched, Err(Error::Broken(..))), "{fetched:?}");
 }
 
+#[tokio::test]
+async fn spoilt_heads_are_counted() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let counts = recorder.handle();
+    // All of this test's tasks run on its thread.
+    let _recorder = metrics::set_default_local_recorder(&recorder);
+    for (line, fault) in [("no field at all", "unreadable"), ("Odd: 1", "no-end")] {
+        let address = server(format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n{BODY}")).await;
+        let fetched = Client::new().fetch(Call::get(address, "/")).await;
+        assert!(matches!(fetched, Err(Error::Broken(..))), "{fetched:?}");
+        let counted = format!("cinderspoke_heads_spoilt_total{{fault=\"{fault}\"}} 1");
+        assert!(counts.render().contains(&counted), "{counted}: {}", counts.render());
+    }
+}
+
 #[yare::parameterized(
     length = { "200 OK\r\nContent-Length: 3", BODY },
     length_and_close = { "200 OK\r\nContent-Length: 3\r\nConnection: close", BODY },
