A body that is passed on is framed by the body, not by another hop's head

Cause: each hop removed its own list of fields, one of them none, and kept what the head said of a body that it had already decoded.

Change: framing::strip for all hops; util::body::Guarded keeps a body's length where it is passed on with a guard, so that sound answers keep theirs. Ruled out: the length of a 304 (handled, test only).

--- a/crates/ports/src/framing.rs
+++ b/crates/ports/src/framing.rs
@@ -4,7 +4,7 @@
 //! was read up to there is no evidence that the head was understood. So [`Framing::read`] accepts
 //! only heads that name one end of the body, by the rules of [RFC 9112, section 6.3], and returns
 //! what is wrong with any other one as a [`Fault`]. Every reader of answers asks it before it uses
-//! anything of the head or the body.
+//! anything of the head or the body, and whoever passes a body on frames it anew, after [`strip`].
 //!
 //! [RFC 9112, section 6.3]: https://www.rfc-editor.org/rfc/rfc9112#section-6.3
 
@@ -24,6 +24,17 @@
 /// [RFC 9110, section 15]: https://www.rfc-editor.org/rfc/rfc9110#section-15
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// The fields that concern one connection only.
+const HOP_BY_HOP: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
 /// How the end of an answer's body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -131,6 +142,19 @@
     }
 }
 
+/// Removes what the head of an answer says of its connection and of the framing of its body, both
+/// of which whoever sends the answer on writes anew. The length that an answer to HEAD names is
+/// that of another answer, and stays.
+pub fn strip(method: &Method, head: &mut response::Parts) {
+    for name in HOP_BY_HOP {
+        head.headers.remove(name);
+    }
+    if *method != Method::HEAD {
+        head.headers.remove(CONTENT_LENGTH);
+    }
+    head.version = Version::HTTP_11;
+}
+
 /// Returns whether a status allows no body ([RFC 9112, section 6.3], rule 1).
 ///
 /// [RFC 9112, section 6.3]: https://www.rfc-editor.org/rfc/rfc9112#section-6.3
--- a/src/cinderspoke/agent/requests.rs
+++ b/src/cinderspoke/agent/requests.rs
@@ -21,6 +21,7 @@
 use super::{Endpoint, Shared};
 use crate::endpoint::{Error, ModelEngine, Piece, Pieces, PlainService};
 use crate::entry::callers::{MANIFEST, OUTCOME, PRIORITY};
+use crate::util::body::Guarded;
 
 /// Handles a request that an entry instance forwarded.
 pub async fn handle(
@@ -126,10 +127,5 @@
     let response = plain.call(Request::from_parts(head, body)).await?;
     let (mut head, body) = response.into_parts();
     head.headers.insert(OUTCOME, HeaderValue::from_static(Outcome::Answered.as_str()));
-    let stream = body.into_data_stream().map(move |frame| {
-        // Moves the guard into the stream, so that it lives as long as the body.
-        let _guard = &guard;
-        frame
-    });
-    Ok(Response::from_parts(head, Body::from_stream(stream)))
+    Ok(Response::from_parts(head, Body::new(Guarded::new(body, guard))))
 }
--- a/src/cinderspoke/endpoint/http.rs
+++ b/src/cinderspoke/endpoint/http.rs
@@ -21,6 +21,7 @@
 use async_trait::async_trait;
 use axum::body::Body;
 use bytes::{Bytes, BytesMut};
+use cinderspoke_ports::framing;
 use cinderspoke_schema::control::{Generate, Load};
 use cinderspoke_types::counter::Fence;
 use cinderspoke_types::digest::Digest;
@@ -152,7 +153,11 @@
     async fn call(&self, mut request: Request<Body>) -> Result<Response<Body>, Error> {
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         *request.uri_mut() = uri(self.address, path);
-        self.client.send(self.address, request).await.map_err(classify)
+        let method = request.method().clone();
+        let response = self.client.send(self.address, request).await.map_err(classify)?;
+        let (mut head, body) = response.into_parts();
+        framing::strip(&method, &mut head);
+        Ok(Response::from_parts(head, body))
     }
 
     async fn is_ready(&self) -> bool {
--- a/src/cinderspoke/entry/callers/attempt.rs
+++ b/src/cinderspoke/entry/callers/attempt.rs
@@ -8,10 +8,10 @@
 use axum::response::Response;
 use cinderspoke_core::outcome::{self, Failure, Next};
 use cinderspoke_core::route;
+use cinderspoke_ports::framing;
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::id::Instance;
-use futures::StreamExt;
-use http::{HeaderValue, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use metrics::counter;
 use tokio::time::timeout;
 
@@ -19,6 +19,7 @@
 use super::refusal::Refusal;
 use super::{Admitted, Context, INSTANCE, MANIFEST, OUTCOME, PRIORITY, RETRY_AFTER, route_of};
 use crate::entry::view::{Route, Target};
+use crate::util::body::Guarded;
 use crate::util::http::{Error, uri};
 use crate::util::metrics::ATTEMPTS;
 
@@ -162,11 +163,10 @@
     response: http::Response<Body>,
     responder: Responder,
     admitted: Admitted,
+    method: &Method,
 ) -> Response {
     let (mut head, body) = response.into_parts();
-    for name in HOP_BY_HOP {
-        head.headers.remove(name);
-    }
+    framing::strip(method, &mut head);
     if let Ok(instance) = HeaderValue::try_from(responder.instance.as_str()) {
         head.headers.insert(INSTANCE, instance);
     }
@@ -175,11 +175,5 @@
     {
         head.headers.insert(MANIFEST, manifest);
     }
-    let guards = (responder, admitted);
-    let stream = body.into_data_stream().map(move |frame| {
-        // Moves the guards into the closure.
-        let _guards = &guards;
-        frame
-    });
-    Response::from_parts(head, Body::from_stream(stream))
+    Response::from_parts(head, Body::new(Guarded::new(body, (responder, admitted))))
 }
--- a/src/cinderspoke/entry/callers/mod.rs
+++ b/src/cinderspoke/entry/callers/mod.rs
@@ -125,7 +125,7 @@
     let admitted = admit(context, &view, &parsed, route)?;
     let claimed = claim(context, &parsed).await?;
     match attempt_all(context, &parsed).await {
-        Ok((response, target)) => Ok(respond(response, target, admitted)),
+        Ok((response, target)) => Ok(respond(response, target, admitted, &parsed.method)),
         Err(refusal) => {
             if let (Some(attempt), Outcome::NotRun) = (claimed, refusal.outcome) {
                 attempt.release(context.parts.store.as_ref()).await;
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -6,7 +6,8 @@
 use cinderspoke_core::gateway::attempt::Outcome;
 use cinderspoke_core::gateway::catalog::Kind;
 use cinderspoke_core::gateway::health::Observation;
-use http::{Response, StatusCode, Version, header, response};
+use cinderspoke_ports::framing;
+use http::{Response, StatusCode, header, response};
 
 use super::choose::{Position, Selected};
 use super::completeness::Completeness;
@@ -114,7 +115,7 @@
 
 /// Reads a whole answer.
 async fn read(context: &Context, parsed: &Parsed, answer: Answer) -> Attempt {
-    let Answer { head, framing, body, connection, sent, .. } = answer;
+    let Answer { mut head, framing, body, connection, sent, .. } = answer;
     let share = context.memory.share(&sent.target.name);
     let read = parsed.deadline.timeout(share.collect(body, MAX_BUFFERED_ANSWER)).await;
     let body = match read {
@@ -135,7 +136,8 @@
     let good = !head.status.is_server_error();
     let sign = if good { Observation::Good } else { Observation::Failure };
     target.observe(sign, context.clock.now());
-    let response = Response::from_parts(strip_hop_by_hop(head), body);
+    framing::strip(&parsed.head.method, &mut head);
+    let response = Response::from_parts(head, body);
     if means_not_run(response.status()) {
         // The caller would conclude from the status that the request has not run.
         Attempt::Failed(Outcome::Failed, None)
@@ -156,12 +158,3 @@
             | StatusCode::SERVICE_UNAVAILABLE
     )
 }
-
-/// Removes hop-by-hop headers from the head of an answer.
-pub fn strip_hop_by_hop(mut head: response::Parts) -> response::Parts {
-    for name in ["connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade"] {
-        head.headers.remove(name);
-    }
-    head.version = Version::HTTP_11;
-    head
-}
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -9,11 +9,12 @@
 use cinderspoke_core::gateway::attempt::{Next, Outcome};
 use cinderspoke_core::gateway::event::Events;
 use cinderspoke_core::gateway::health::Observation;
-use http::{Response, StatusCode, header, response};
+use cinderspoke_ports::framing;
+use http::{Response, StatusCode, response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
-use super::answer::{is_encoded, strip_hop_by_hop};
+use super::answer::is_encoded;
 use super::choose::{Attempts, Position, Selected};
 use super::completeness::Completeness;
 use super::context::{Context, Withdrawal};
@@ -48,10 +49,10 @@
     parsed: Parsed,
     mut attempts: Attempts,
     record: Record,
-    head: response::Parts,
+    mut head: response::Parts,
     stream: Box<EventStream>,
 ) -> Response<Body> {
-    let head = strip_hop_by_hop(head);
+    framing::strip(&parsed.head.method, &mut head);
     // The running attempt counts as one that has run.
     attempts.record(Outcome::Lost);
     let last = parsed.call.last_event;
@@ -73,10 +74,7 @@
         }
     });
     let body: Body = StreamBody::new(events).boxed_unsync();
-    let mut response = Response::from_parts(head, body);
-    // A stream that another endpoint resumes may have another length.
-    response.headers_mut().remove(header::CONTENT_LENGTH);
-    response
+    Response::from_parts(head, body)
 }
 
 impl Passthrough {
--- a/src/cinderspoke/util/mod.rs
+++ b/src/cinderspoke/util/mod.rs
@@ -1,5 +1,6 @@
 //! Utilities shared by the programs.
 
+pub mod body;
 pub mod clock;
 pub mod listen;
 pub mod log;
--- a/tests/testsuite/heads.rs
+++ b/tests/testsuite/heads.rs
@@ -4,9 +4,14 @@
 use std::net::SocketAddr;
 
 use axum::body::Body;
+use cinderspoke::endpoint::http::Endpoint;
+use cinderspoke::endpoint::{self, ModelEngine, PlainService};
 use cinderspoke_ports::client::{Call, Client, Error};
+use cinderspoke_schema::control::Generate;
 use cinderspoke_test_support::address;
+use cinderspoke_types::digest::Digest;
 use http::{Method, Request};
+use hyper::body::Body as _;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -78,6 +83,52 @@
     assert_eq!(fetched.unwrap(), BODY);
 }
 
+// Guards against answers of plain services in own deployments that are passed on with the framing of
+// another hop.
+#[yare::parameterized(
+    length = { "Content-Length: 3", BODY, true },
+    chunked = { "Transfer-Encoding: chunked", "3\r\n[1]\r\n0\r\n\r\n", false },
+    ended_by_its_connection = { "Connection: close", BODY, false },
+)]
+#[test_macro(tokio::test)]
+async fn an_answer_of_a_plain_service_has_no_framing_but_its_bodys(
+    line: &str,
+    body: &str,
+    has_length: bool,
+) {
+    let address = server(format!(
+        "HTTP/1.1 200 OK\r\nTrailer: Odd\r\nKeep-Alive: timeout=9\r\n{line}\r\n\r\n{body}"
+    ))
+    .await;
+    let service = Endpoint::new(Client::new(), address);
+    let request = Request::get("/x").body(Body::empty()).unwrap();
+    let (head, body) = service.call(request).await.unwrap().into_parts();
+    for name in ["content-length", "transfer-encoding", "connection", "trailer", "keep-alive"] {
+        assert!(!head.headers.contains_key(name), "{head:?}");
+    }
+    assert_eq!(body.size_hint().exact(), has_length.then_some(BODY.len() as u64));
+    assert_eq!(axum::body::to_bytes(body, 9).await.unwrap(), BODY);
+}
+
+#[yare::parameterized(
+    unknown_coding = { "Transfer-Encoding: chonked" },
+    coding_and_length = { "Transfer-Encoding: chunked\r\nContent-Length: 3" },
+    no_end = { "Odd: 1" },
+    no_field = { "no field at all" },
+)]
+#[test_macro(tokio::test)]
+async fn what_became_of_a_call_with_a_spoilt_head_is_not_known(line: &str) {
+    let piece = "{\"token\":{\"position\":0,\"text\":\"a\"}}\n{\"done\":{\"tokens\":1}}\n";
+    let address = server(format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n{piece}")).await;
+    let endpoint = Endpoint::new(Client::new(), address);
+    let request = Request::get("/x").body(Body::empty()).unwrap();
+    let called = endpoint.call(request).await.map(drop);
+    assert!(matches!(called, Err(endpoint::Error::Unknown(_))), "{called:?}");
+    let asked: Generate = serde_json::from_str("{\"prompt\":\"a\",\"max_tokens\":1}").unwrap();
+    let generated = endpoint.generate(Digest::of(b"x"), &asked).await.map(drop);
+    assert!(matches!(generated, Err(endpoint::Error::Unknown(_))), "{generated:?}");
+}
+
 // The length that an answer to HEAD names is that of another answer.
 #[tokio::test]
 async fn an_answer_to_head_has_no_body_whatever_length_it_names() {
