A request that becomes whole late in a stop is refused and not cut off

What callers saw: requests whose heads came before connections were closed and whose bodies became whole late in the grace period were passed on, run, and cut off with no answer, also on routes that may not repeat.

Cause: whether the gateway stops was asked when the head had arrived, and not after its body.

Ruled out (tests pass before): requests refused by their heads while their bodies are on the way, 12 plays on four routes.

Change: once connections are being closed, a request that has certainly not run is sent only if its own timeout is over before the stop is; else 503 with its promise, at once. Asked when the body is whole, before each choice, and before the first send.

Evidence: grace.rs, grace period 8 s, endpoint 3 s, 24 plays on four routes: before, the first play got no answer and ran once; now 24 of 24 get 503 with retry-after and none runs; what is whole at 0.45 and 1.95 s is served (8 plays), and what fits by its timeout (2 plays). kept, stop and cut: 20 of 20 as before.

--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
 use cinderspoke_core::gateway::budget::Budget;
@@ -19,7 +19,11 @@
 use super::memory::Memory;
 use super::record::Record;
 use super::state::State;
-use crate::util::clock::Clock;
+use crate::util::clock::{Clock, Deadline};
+
+/// What is left between the timeout of the last request and the end of a stop: its response is
+/// written meanwhile.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
 /// State that all of a gateway's requests share.
 pub struct Context {
@@ -34,6 +38,8 @@
     draining: AtomicBool,
     closing: CancellationToken,
     ending: CancellationToken,
+    // When a stop ends, once it has begun.
+    stop_end: OnceLock<Deadline>,
     in_progress: AtomicUsize,
     // Connections on which a response may still be being written.
     open_connections: AtomicUsize,
@@ -119,6 +125,7 @@
             draining: AtomicBool::new(false),
             closing: CancellationToken::new(),
             ending: CancellationToken::new(),
+            stop_end: OnceLock::new(),
             in_progress: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             next_attempt: AtomicU64::new(1),
@@ -139,8 +146,10 @@
         !self.is_draining() && has_state && self.state.is_informed()
     }
 
-    /// Makes the gateway report that it is not ready for new connections.
-    pub fn start_draining(&self) {
+    /// Makes the gateway report that it is not ready for new connections, before a stop that ends
+    /// after `grace`.
+    pub fn start_draining(&self, grace: Duration) {
+        self.stop_end.get_or_init(|| self.clock.after(grace));
         self.draining.store(true, Ordering::Relaxed);
     }
 
@@ -176,6 +185,14 @@
         self.closing.is_cancelled()
     }
 
+    /// Returns whether a request with this timeout can no longer be sent: connections are being
+    /// closed, and the stop might end before the request does.
+    #[must_use]
+    pub fn is_too_late(&self, timeout: &Deadline) -> bool {
+        let is_cut = |end: &Deadline| timeout.left() + RESPONSE_MARGIN > end.left();
+        self.is_closing() && self.stop_end.get().is_none_or(is_cut)
+    }
+
     /// Returns the number of requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/src/cinderspoke/gateway/forward.rs
+++ b/src/cinderspoke/gateway/forward.rs
@@ -18,7 +18,7 @@
 use super::parse::{self, Parsed};
 use super::passthrough;
 use super::record::Record;
-use super::refusal::{Body, RETRY_AFTER, Refusal, full};
+use super::refusal::{Body, RETRY_AFTER, RETRY_AFTER_ELSEWHERE, Refusal, STOPPING, full};
 use super::suspects::Quarantined;
 
 /// Minimum remaining time for another attempt: an endpoint can do nothing in less.
@@ -88,6 +88,10 @@
     context.record_rank(&parsed.service, record.rank, parsed.route.target);
     let mut attempts = Attempts::default();
     let (stopped, retry_after) = loop {
+        let has_not_run = attempts.history.guarantee() == Guarantee::NotRun;
+        if has_not_run && context.is_too_late(&parsed.deadline) {
+            break (Stopped::Closing, RETRY_AFTER_ELSEWHERE);
+        }
         if let Some(Quarantined { subject, left }) = context.quarantine(&parsed) {
             record.quarantined(subject, parsed.fingerprint());
             break (Stopped::Quarantined(subject), left);
@@ -154,6 +158,8 @@
 enum Stopped {
     /// No endpoint can take it, or it may not be sent again.
     NoEndpoint,
+    /// The gateway stops, and might do so before the request ends.
+    Closing,
     /// The retry budget allows no further send.
     Budget,
     /// It, or a part of its prompt, is quarantined because endpoints crashed while they ran it.
@@ -164,6 +170,7 @@
     const fn as_str(self) -> &'static str {
         match self {
             Self::NoEndpoint => "no endpoint can take the request now",
+            Self::Closing => STOPPING,
             Self::Budget => "the retry budget allows no further send",
             Self::Quarantined(Subject::Request(_)) => {
                 "endpoints ended when they began this request"
--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -180,9 +180,10 @@
     /// grace period of the settings.
     pub async fn stop(self) {
         let (began, grace) = (Instant::now(), self.context.state.options().grace);
-        let end = began + grace.saturating_sub(EXIT_MARGIN);
+        let grace_left = grace.saturating_sub(EXIT_MARGIN);
+        let end = began + grace_left;
         tracing::info!(in_progress = self.context.in_progress(), "stopping");
-        self.context.start_draining();
+        self.context.start_draining(grace_left);
         self.context.state.resign();
         sleep(DEREGISTRATION.min(grace / 2)).await;
         self.context.close_connections();
--- a/src/cinderspoke/gateway/parse.rs
+++ b/src/cinderspoke/gateway/parse.rs
@@ -19,7 +19,7 @@
 
 use super::context::Context;
 use super::record::Record;
-use super::refusal::{RETRY_AFTER, RETRY_AFTER_ELSEWHERE, Refusal};
+use super::refusal::{RETRY_AFTER, Refusal};
 use crate::util::clock::Deadline;
 
 /// A request that was read whole, with its route and settings.
@@ -105,7 +105,7 @@
 ) -> Result<Parsed, Refusal> {
     if context.is_closing() {
         // The request might not be finished before the process has to end.
-        return Err(Refusal::not_run("the gateway is stopping", RETRY_AFTER_ELSEWHERE));
+        return Err(Refusal::stopping());
     }
     let view = context.state.view();
     let Some(catalog) = &view.catalog else {
@@ -127,6 +127,9 @@
     (record.target_latency, record.target_gap) = (route.target, route.target_gap);
     let limits = catalog.declared().limits;
     let body = read_body(body, &limits, &deadline).await?;
+    if context.is_too_late(&deadline) {
+        return Err(Refusal::stopping());
+    }
     record.body_bytes = Some(body.len() as u64);
     let arrived = context.clock.now();
     let fingerprint = OnceLock::new();
--- a/src/cinderspoke/gateway/refusal.rs
+++ b/src/cinderspoke/gateway/refusal.rs
@@ -16,6 +16,9 @@
 /// The retry delay in responses to callers when another gateway can serve them at once.
 pub const RETRY_AFTER_ELSEWHERE: Duration = Duration::from_millis(20);
 
+/// The reason for refusing a request while the gateway stops.
+pub const STOPPING: &str = "the gateway is stopping";
+
 /// The body of a response to a caller.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -45,6 +48,14 @@
     }
 }
 
+impl Refusal {
+    /// The refusal of a request that has not run while the gateway stops.
+    #[must_use]
+    pub fn stopping() -> Self {
+        Self::not_run(STOPPING, RETRY_AFTER_ELSEWHERE)
+    }
+}
+
 impl Context {
     /// Converts a refusal to the response that the caller receives.
     pub fn refuse(&self, refusal: &Refusal) -> Response<Body> {
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -132,8 +132,10 @@
             return Err(Outcome::NotSent);
         }
     };
-    if !context.admits(parsed) {
-        // What is wrong with it became known while it waited for an endpoint or a connection.
+    let is_first = withdrawal.is_none();
+    if !context.admits(parsed) || (is_first && context.is_too_late(&parsed.deadline)) {
+        // What is wrong with it became known while it waited for an endpoint or a connection, or
+        // the gateway has begun to close connections meanwhile.
         target.pool.check_in(connection, None);
         selected.reservation.iter().for_each(|number| release(target, *number, &context.state));
         return Err(Outcome::NotSent);
