A body in small pieces takes about its bytes

Cause: pieces were charged by their bytes and kept one by one: 32 bytes for each, and the read buffer that it came with. ports::client and the reading of requests did the same.

Ruled out (tests pass before, 14 to 25 MB): chunk extensions, trailers, interim answers, fields of a head, comments of a stream, without end.

Change: bodies are copied into one buffer as they come; the body of a refusal is dropped as it comes.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -23,6 +23,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::body;
 use crate::framing::{Fault, Framing};
 
 /// The timeout of connecting.
@@ -260,8 +261,8 @@
             progress.advance(frame.data_ref().map_or(0, Bytes::len));
             frame
         });
-        let body = Limited::new(counted, limit).collect().await;
-        let bytes = body.map_err(|error| Error::Broken(address, error.to_string()))?.to_bytes();
+        let bytes = body::collect(counted, limit).await;
+        let bytes = bytes.map_err(|error| Error::Broken(address, error.to_string()))?;
         if head.status.is_success() {
             return Ok(Response::from_parts(head, bytes));
         }
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -4,9 +4,10 @@
 //!
 //! The traits here are for programs that keep their configuration in the object API; [`http`]
 //! implements them. The traits of [`gateway`] are for programs on a platform that keeps the
-//! configuration, versions and the list of endpoints. [`client`] sends requests for both, and
-//! [`framing`] says what the head of an answer means for its body.
+//! configuration, versions and the list of endpoints. [`client`] sends requests for both,
+//! [`framing`] says what the head of an answer means for its body, and [`body`] reads one whole.
 
+pub mod body;
 pub mod client;
 pub mod framing;
 pub mod gateway;
--- a/src/cinderspoke/gateway/memory.rs
+++ b/src/cinderspoke/gateway/memory.rs
@@ -22,8 +22,8 @@
 
 use crate::util::metrics::ANSWERS_GIVEN_UP;
 
-/// The share of a process's memory that answers may take, in percent. An answer that consists of
-/// several pieces takes up to twice its size for a moment, and requests' bodies need memory too.
+/// The share of a process's memory that answers may take, in percent. An answer takes up to twice
+/// its size while it grows, and requests' bodies need memory too.
 const ANSWERS_PERCENT: u64 = 25;
 
 /// Why a body was not buffered.
@@ -251,25 +251,24 @@
 
     /// Reads a body of at most `limit` bytes whole. Its bytes are held until it is dropped.
     ///
+    /// Its pieces are copied: each keeps the memory of the read that it came with, which may be many
+    /// times its size.
+    ///
     /// # Errors
     ///
     /// If the body is not received whole, is too long, or is given up for others.
     pub async fn collect(mut self, mut body: Incoming, limit: usize) -> Result<Bytes, Error> {
-        let (mut pieces, mut length) = (Vec::new(), 0);
+        let mut bytes = Vec::new();
         while let Some(piece) = self.next(&mut body).await? {
-            length += piece.len();
+            let length = bytes.len() + piece.len();
             if length > limit {
                 return Err(Error::TooLong);
             }
             self.hold(length).await?;
-            pieces.push(piece);
+            bytes.extend_from_slice(&piece);
         }
         self.finish()?;
-        let bytes = match pieces.len() {
-            1 => pieces.remove(0),
-            _ => Bytes::from(pieces.concat()),
-        };
-        Ok(Bytes::from_owner(Held { bytes, _share: self }))
+        Ok(Bytes::from_owner(Held { bytes: bytes.into_boxed_slice(), _share: self }))
     }
 
     /// Records that the answer is whole, so that it is not given up any more.
@@ -304,7 +303,7 @@
 
 /// The bytes of a whole answer, and the memory that they hold.
 struct Held {
-    bytes: Bytes,
+    bytes: Box<[u8]>,
     _share: Share,
 }
 
--- a/src/cinderspoke/gateway/parse.rs
+++ b/src/cinderspoke/gateway/parse.rs
@@ -13,8 +13,8 @@
 use cinderspoke_core::gateway::returns::Return;
 use cinderspoke_core::gateway::shedding::Rank;
 use cinderspoke_core::rendezvous::Key;
+use cinderspoke_ports::body;
 use http::{StatusCode, request};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
 use super::context::Context;
@@ -186,12 +186,12 @@
     deadline: &Deadline,
 ) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
-    let read = deadline.timeout(Limited::new(body, limit).collect()).await;
+    let read = deadline.timeout(body::collect(body, limit)).await;
     let Ok(read) = read else {
         return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "the request did not come in time"));
     };
     match read {
-        Ok(body) => Ok(body.to_bytes()),
+        Ok(body) => Ok(body),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
         }
@@ -206,15 +206,5 @@
 /// response.
 pub async fn discard(context: &Context, body: &mut Incoming, until: &Deadline) -> bool {
     let limit = usize::try_from(context.limits().body_bytes).unwrap_or(usize::MAX);
-    let mut body = Limited::new(body, limit);
-    let read = async {
-        loop {
-            match body.frame().await {
-                None => return true,
-                Some(Ok(_)) => {}
-                Some(Err(_)) => return false,
-            }
-        }
-    };
-    until.timeout(read).await.unwrap_or(false)
+    until.timeout(body::discard(body, limit)).await.unwrap_or(false)
 }
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use cinderspoke_core::gateway::attempt::Outcome;
 use cinderspoke_core::gateway::health::Observation;
+use cinderspoke_ports::body;
 use cinderspoke_ports::framing::{Fault, Framing};
 use cinderspoke_ports::gateway::{AnswerHead, Attempt};
 use http::{HeaderMap, Request, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -258,10 +259,8 @@
         rest_ms = info.backoff.map(|rest| rest.as_millis() as u64),
         "an endpoint refused a request"
     );
-    if let Ok(Ok(_)) =
-        timeout(REFUSAL_BODY_TIMEOUT, Limited::new(body, MAX_BUFFERED_ANSWER).collect()).await
-        && framing.allows_reuse()
-    {
+    let read = timeout(REFUSAL_BODY_TIMEOUT, body::discard(body, MAX_BUFFERED_ANSWER)).await;
+    if read == Ok(true) && framing.allows_reuse() {
         target.pool.check_in(connection, keep_alive_timeout(&head.headers));
     }
 }
