--- a/crates/bench/src/soak/caller.rs
+++ b/crates/bench/src/soak/caller.rs
@@ -241,11 +241,14 @@
     let (signed, answered) = (signed_by(headers).is_some(), request_id(headers));
     let expected = if is_stream(path) { events(id) } else { answer(id) };
     let got = String::from_utf8_lossy(body);
-    let wrong = if status == 200 && !signed {
+    let is_success = (200..300).contains(&status);
+    let wrong = if !(200..600).contains(&status) {
+        Some(format!("a status that is none: {status}"))
+    } else if is_success && !signed {
         Some("a success that no endpoint signed".to_owned())
     } else if answered.is_some_and(|other| other != id) {
         Some(format!("the answer to {}", answered.unwrap_or_default()))
-    } else if status == 200 && without_versions(&got) != expected {
+    } else if is_success && without_versions(&got) != expected {
         Some(format!("another body: {got:?}"))
     } else {
         None
--- a/crates/bench/src/soak/endpoint.rs
+++ b/crates/bench/src/soak/endpoint.rs
@@ -33,6 +33,7 @@
 use super::oracle::{Oracle, Work};
 use super::parts::{self, Fate};
 use super::sized;
+use super::spoil;
 
 /// How many events a stream has.
 pub(crate) const EVENTS: u64 = 12;
@@ -394,7 +395,10 @@
         }
         None => place.work(pace.first).await,
     };
-    let signed = request::sign(answered, &shared.name);
+    let mut signed = request::sign(answered, &shared.name);
+    if fate.is_none() {
+        signed = spoil::mark(signed, shared.seed, &id, &shared.name);
+    }
     if !is_stream(path) {
         let (body, bytes) = (Body::from(answer(&id)), answer(&id).len());
         return framing.frame(with(signed, 200, body), bytes);
--- a/crates/bench/src/soak/framing.rs
+++ b/crates/bench/src/soak/framing.rs
@@ -1,5 +1,5 @@
 //! How endpoints frame their answers: with a length, in chunks, or with neither, so that an answer
-//! ends with its connection.
+//! ends with its connection. Some heads are [spoilt](spoil) as they are written.
 
 use std::io;
 use std::net::SocketAddr;
@@ -7,13 +7,15 @@
 use std::task::{Context, Poll};
 
 use axum::body::Body;
-use http::header::CONTENT_LENGTH;
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
 use http::{Response, Version};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::spoil;
+
 /// Random numbers of a request's own, by the soak's seed and the request's id.
 pub(crate) fn drawn(seed: u64, id: &str) -> ChaCha8Rng {
     /// The prime of the FNV hash of 64 bits.
@@ -44,7 +46,10 @@
             Self::Length => _ = head.headers.insert(CONTENT_LENGTH, bytes.into()),
             Self::Chunks => {}
             // The server uses no chunks in this version; the connection writes the usual one.
-            Self::Neither => head.version = Version::HTTP_10,
+            Self::Neither => {
+                head.version = Version::HTTP_10;
+                head.headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
         }
         Response::from_parts(head, body)
     }
@@ -91,10 +96,12 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let stream = Pin::new(&mut self.0);
-        match bytes.strip_prefix(OLD) {
-            Some(rest) => stream.poll_write(context, &[USUAL, rest].concat()),
-            None => stream.poll_write(context, bytes),
+        if !bytes.starts_with(OLD) && !bytes.starts_with(USUAL) {
+            return stream.poll_write(context, bytes);
         }
+        let usual = [USUAL, &bytes[USUAL.len()..]].concat();
+        let spoilt = spoil::spoil(&usual);
+        stream.poll_write(context, &spoilt.unwrap_or(usual))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -22,6 +22,7 @@
 mod player;
 mod program;
 mod sized;
+mod spoil;
 mod world;
 
 use std::collections::BTreeMap;
