A colon inside the name of the length no longer hides it

What callers saw: with `C:ntent-Length: 22` and `Connection: close`, the body and the other bytes behind it as one whole answer.

Cause: the parser ends the name at the first colon, so that neither part is nearly the name of the length.

--- a/crates/ports/src/framing.rs
+++ b/crates/ports/src/framing.rs
@@ -11,7 +11,7 @@
 use std::ops::RangeInclusive;
 
 use displaydoc::Display;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING};
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, StatusCode, Version, response};
 use metrics::counter;
 
@@ -115,7 +115,7 @@
             Ok(Self::Chunked)
         } else if length.is_some() {
             Ok(Self::Length)
-        } else if headers.keys().any(is_nearly_framing) {
+        } else if headers.iter().any(is_nearly_framing) {
             Err(Fault::Misspelt)
         } else if !closes(head) {
             Err(Fault::NoEnd)
@@ -214,12 +214,16 @@
     }
 }
 
-/// Returns whether a name differs by one byte from that of a field that marks the end of a body.
-fn is_nearly_framing(name: &HeaderName) -> bool {
+/// Returns whether the name of a field differs by one byte from that of one that marks the end of a
+/// body. Where that byte is a colon, the rest of the name stands in the value.
+fn is_nearly_framing((name, value): (&HeaderName, &HeaderValue)) -> bool {
     let name = name.as_str().as_bytes();
-    [CONTENT_LENGTH, TRANSFER_ENCODING]
-        .iter()
-        .any(|framing| differs_by_one(name, framing.as_str().as_bytes()))
+    let rest = value.as_bytes().split(|byte| *byte == b':').next().unwrap_or_default();
+    let split = [name, b":", rest].concat().to_ascii_lowercase();
+    [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|framing| {
+        let framing = framing.as_str().as_bytes();
+        differs_by_one(name, framing) || differs_by_one(&split, framing)
+    })
 }
 
 /// Returns whether one text becomes the other when a single byte of it is changed, removed or
