One list of the fields that concern a single connection

It stood three times, each with other fields: requests of own deployments kept Proxy-Connection of their callers. Requests and answers use framing::HOP_BY_HOP now; the gateway's requests are as before (words).

--- a/crates/ports/src/framing.rs
+++ b/crates/ports/src/framing.rs
@@ -24,8 +24,8 @@
 /// [RFC 9110, section 15]: https://www.rfc-editor.org/rfc/rfc9110#section-15
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
-/// The fields that concern one connection only.
-const HOP_BY_HOP: [&str; 7] = [
+/// The fields of requests and answers that concern one connection only.
+pub const HOP_BY_HOP: [&str; 7] = [
     "connection",
     "keep-alive",
     "proxy-connection",
--- a/src/cinderspoke/entry/callers/attempt.rs
+++ b/src/cinderspoke/entry/callers/attempt.rs
@@ -8,10 +8,10 @@
 use axum::response::Response;
 use cinderspoke_core::outcome::{self, Failure, Next};
 use cinderspoke_core::route;
-use cinderspoke_ports::framing;
+use cinderspoke_ports::framing::{self, HOP_BY_HOP};
 use cinderspoke_types::digest::Digest;
 use cinderspoke_types::id::Instance;
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use metrics::counter;
 use tokio::time::timeout;
 
@@ -26,9 +26,8 @@
 /// Timeout for the head of a replica's answer.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Headers that apply to one connection (hop-by-hop) and are not forwarded.
-const HOP_BY_HOP: [&str; 7] =
-    ["connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "host"];
+/// Headers of a request that the next hop gets anew, beside those of one connection.
+const RENEWED: [HeaderName; 2] = [header::HOST, header::CONTENT_LENGTH];
 
 /// The replica that answered, with its counter of requests in progress.
 pub(super) struct Responder {
@@ -142,7 +141,7 @@
         .body(Body::from(parsed.body.clone()))?;
     let headers = request.headers_mut();
     for (name, value) in &parsed.headers {
-        if !HOP_BY_HOP.contains(&name.as_str()) && name != http::header::CONTENT_LENGTH {
+        if !HOP_BY_HOP.contains(&name.as_str()) && !RENEWED.contains(name) {
             headers.append(name.clone(), value.clone());
         }
     }
