A head that ends early behind `Connection: close` is spoilt

What callers saw: the rest of the head as the beginning of the body, in answers that say first that their connection closes.

Cause: the end of the connection marks the end of any body.

Change: where only the connection marks it, a body that begins with fields up to an empty line, a length or a coding among them, is the rest of a head (`early-end`): plain answers, first events, and ports::client.

--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -256,6 +256,7 @@
     async fn exchange(&self, call: Call) -> Result<Response<Bytes>, Error> {
         let Call { address, limit, .. } = call;
         let progress = call.progress.clone();
+        let method = call.method.clone();
         let (head, body) = self.send(address, call.into_request()?).await?.into_parts();
         let counted = body.map_frame(|frame| {
             progress.advance(frame.data_ref().map_or(0, Bytes::len));
@@ -263,6 +264,9 @@
         });
         let bytes = body::collect(counted, limit).await;
         let bytes = bytes.map_err(|error| Error::Broken(address, error.to_string()))?;
+        if let Ok(framing) = Framing::read(&method, &head) {
+            framing.check_body(&bytes).map_err(|fault| spoilt(address, fault, None))?;
+        }
         if head.status.is_success() {
             return Ok(Response::from_parts(head, bytes));
         }
--- a/crates/ports/src/framing.rs
+++ b/crates/ports/src/framing.rs
@@ -35,6 +35,9 @@
     "upgrade",
 ];
 
+/// The fields that a head may have at most, as its parser allows.
+const MAX_FIELDS: usize = 100;
+
 /// How the end of an answer's body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -67,6 +70,8 @@
     Misspelt,
     /// neither a length nor chunks nor the end of the connection marks the end of the body
     NoEnd,
+    /// the head ends early, so that the body begins with the rest of it
+    EarlyEnd,
 }
 
 impl std::error::Error for Fault {}
@@ -84,6 +89,7 @@
             Self::Body => "body",
             Self::Misspelt => "misspelt",
             Self::NoEnd => "no-end",
+            Self::EarlyEnd => "early-end",
         }
     }
 
@@ -124,6 +130,19 @@
         }
     }
 
+    /// Checks the beginning of a body whose end is marked like this, up to its first empty line: if
+    /// only the connection marks it, a head that ended early looks sound.
+    ///
+    /// # Errors
+    ///
+    /// If the body begins with the rest of a head.
+    pub fn check_body(self, body: &[u8]) -> Result<(), Fault> {
+        if self == Self::Connection && begins_with_framing(body) {
+            return Err(Fault::EarlyEnd);
+        }
+        Ok(())
+    }
+
     /// Returns the name for the log.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
@@ -214,6 +233,22 @@
     }
 }
 
+/// Returns whether a text begins with the fields of a head and an empty line, and one of the fields
+/// marks the end of a body.
+fn begins_with_framing(text: &[u8]) -> bool {
+    let mut has_framing = false;
+    for line in text.split(|byte| *byte == b'\n').take(MAX_FIELDS) {
+        let line = line.trim_ascii_end();
+        if line.is_empty() {
+            return has_framing;
+        }
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        let Ok(name) = HeaderName::from_bytes(name) else { return false };
+        has_framing |= [CONTENT_LENGTH, TRANSFER_ENCODING].contains(&name);
+    }
+    false
+}
+
 /// Returns whether the name of a field differs by one byte from that of one that marks the end of a
 /// body. Where that byte is a colon, the rest of the name stands in the value.
 fn is_nearly_framing((name, value): (&HeaderName, &HeaderValue)) -> bool {
--- a/src/cinderspoke/gateway/answer.rs
+++ b/src/cinderspoke/gateway/answer.rs
@@ -16,9 +16,9 @@
 use super::parse::Parsed;
 use super::record::Record;
 use super::send::{
-    Answer, MAX_BUFFERED_ANSWER, keep_alive_timeout, record_refusal, send, start_deadline,
+    Answer, MAX_BUFFERED_ANSWER, keep_alive_timeout, record_refusal, send, spoilt, start_deadline,
 };
-use super::stream::EventStream;
+use super::stream::{EventStream, Interrupted};
 use super::target::Target;
 use crate::util::clock::Deadline;
 
@@ -73,7 +73,7 @@
     if success && parsed.route.kind.streams() {
         begin(context, answer, &until, record).await
     } else {
-        read(context, parsed, answer).await
+        read(context, parsed, answer, record).await
     }
 }
 
@@ -104,6 +104,10 @@
 ) -> Attempt {
     let (head, mut stream) = EventStream::new(context, answer);
     if let Err(interrupted) = stream.wait_first(until).await {
+        if let Interrupted::Spoilt(fault) = interrupted {
+            let outcome = spoilt(context, stream.target(), record, fault, None);
+            return Attempt::Failed(outcome, None);
+        }
         stream.target().observe(Observation::Silence, context.clock.now());
         return Attempt::Failed(interrupted.outcome(), None);
     }
@@ -114,7 +118,7 @@
 }
 
 /// Reads a whole answer.
-async fn read(context: &Context, parsed: &Parsed, answer: Answer) -> Attempt {
+async fn read(context: &Context, parsed: &Parsed, answer: Answer, record: &mut Record) -> Attempt {
     let Answer { mut head, framing, body, connection, sent, .. } = answer;
     let share = context.memory.share(&sent.target.name);
     let read = parsed.deadline.timeout(share.collect(body, MAX_BUFFERED_ANSWER)).await;
@@ -126,6 +130,9 @@
         Ok(Err(memory::Error::Exhausted)) | Err(_) => return lost(context, &sent.target),
     };
     let target = sent.finish();
+    if let Err(fault) = framing.check_body(&body) {
+        return Attempt::Failed(spoilt(context, &target, record, fault, None), None);
+    }
     if framing.allows_reuse() {
         target.pool.check_in(connection, keep_alive_timeout(&head.headers));
     }
--- a/src/cinderspoke/gateway/passthrough.rs
+++ b/src/cinderspoke/gateway/passthrough.rs
@@ -152,6 +152,11 @@
                 self.record.attempt_failed(&stream.target().name, interrupted.outcome());
                 drop(stream);
             }
+            Interrupted::Spoilt(fault) => {
+                self.record.head_spoilt(&stream.target().name, fault, None);
+                self.record.attempt_failed(&stream.target().name, interrupted.outcome());
+                drop(stream);
+            }
             Interrupted::TimedOut => paused = Some(stream),
         }
         // A stream without event numbers cannot be resumed.
--- a/src/cinderspoke/gateway/send.rs
+++ b/src/cinderspoke/gateway/send.rs
@@ -185,7 +185,7 @@
 }
 
 /// Records an answer with a spoilt head.
-fn spoilt(
+pub fn spoilt(
     context: &Context,
     target: &Target,
     record: &Record,
--- a/src/cinderspoke/gateway/stream.rs
+++ b/src/cinderspoke/gateway/stream.rs
@@ -5,7 +5,7 @@
 
 use cinderspoke_core::gateway::attempt::Outcome;
 use cinderspoke_core::gateway::event::{Events, Splitter};
-use cinderspoke_ports::framing::Framing;
+use cinderspoke_ports::framing::{Fault, Framing};
 use http::response;
 use hyper::body::Incoming;
 use tokio::time::error::Elapsed;
@@ -29,6 +29,8 @@
     splitter: Splitter,
     // The memory of the incomplete event that the splitter buffers.
     share: Share,
+    // Whether events were received.
+    has_begun: bool,
     // Whole events that were received by `wait_first` and not yet returned by `next`.
     ready: Option<Events>,
     // The completeness of a stream that ended before any event.
@@ -44,6 +46,8 @@
     TimedOut,
     /// No memory was left for an event that is not whole.
     Exhausted,
+    /// Its first event shows that the head of the answer is spoilt.
+    Spoilt(Fault),
 }
 
 impl Interrupted {
@@ -53,6 +57,7 @@
         match self {
             Self::BrokenOff => Outcome::BrokenOff,
             Self::TimedOut | Self::Exhausted => Outcome::Lost,
+            Self::Spoilt(_) => Outcome::Spoilt,
         }
     }
 }
@@ -87,9 +92,18 @@
         let share = context.memory.share(&answer.sent.target.name);
         let Answer { head, framing, body, connection, sent, .. } = answer;
         let idle_timeout = keep_alive_timeout(&head.headers);
-        let (splitter, ready, ended) = (Splitter::default(), None, None);
-        let stream =
-            Self { sent, body, framing, connection, idle_timeout, splitter, share, ready, ended };
+        let stream = Self {
+            sent,
+            body,
+            framing,
+            connection,
+            idle_timeout,
+            splitter: Splitter::default(),
+            share,
+            has_begun: false,
+            ready: None,
+            ended: None,
+        };
         (head, stream)
     }
 
@@ -141,6 +155,7 @@
             let events = self.splitter.push(&data).map_err(|_| Interrupted::BrokenOff)?;
             let buffered = self.splitter.partial_bytes();
             if let Some(events) = events {
+                self.check_first(&events)?;
                 self.share.release_to(buffered);
                 return Ok(Item::Events(events));
             }
@@ -148,6 +163,14 @@
         }
     }
 
+    /// Checks the first events, which may be the rest of a head that ended early.
+    fn check_first(&mut self, events: &Events) -> Result<(), Interrupted> {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return Ok(());
+        }
+        self.framing.check_body(&events.bytes).map_err(Interrupted::Spoilt)
+    }
+
     /// Finds out whether the stream is complete after its last byte.
     async fn end(&self, until: &Deadline) -> Result<Item, Interrupted> {
         if self.splitter.has_partial() {
--- a/tests/testsuite/heads.rs
+++ b/tests/testsuite/heads.rs
@@ -46,6 +46,7 @@
     early_end = { "200 OK\r\n\r\nContent-Length: 3", BODY },
     switching_protocols = { "101 Switching Protocols\r\nContent-Length: 3", BODY },
     status_above_all = { "600 OK\r\nContent-Length: 3", BODY },
+    early_end_and_close = { "200 OK\r\nConnection: close\r\n\r\nContent-Length: 3", BODY },
     no_content_and_a_length = { "204 No Content\r\nContent-Length: 3", BODY },
 )]
 #[test_macro(tokio::test)]
