--- a/tests/testsuite/operations.rs
+++ b/tests/testsuite/operations.rs
@@ -43,7 +43,7 @@
     let page = std::fs::read_to_string(root.join("docs/OPERATIONS.md")).unwrap();
     let written = sources(&root.join("src"));
     let samples: Vec<_> = page.lines().filter(|line| line.trim().starts_with('{')).collect();
-    assert_eq!(samples.len(), 8);
+    assert_eq!(samples.len(), 10);
     for sample in samples {
         let fields: serde_json::Map<String, serde_json::Value> =
             serde_json::from_str(sample).unwrap();
