--- a/src/cinderspoke/gateway/mod.rs
+++ b/src/cinderspoke/gateway/mod.rs
@@ -22,8 +22,9 @@
 //! - [`serve`] accepts requests and reads each [`head`] within a time limit, and [`forward`]
 //!   sends them to endpoints: [`parse`] reads the request, [`choose`] selects one of the
 //!   [`eligible`] endpoints, under load after a [`query`] to the agents, [`send`] sends over the
-//!   connections of a [`pool`], each a [`socket`], and [`answer`] reads the response, of which [`completeness`]
-//!   says whether it is whole. A request that no endpoint answers gets a [`refusal`].
+//!   connections of a [`pool`], each a [`socket`], and [`answer`] reads the response, of which
+//!   [`completeness`] says whether it is whole. A request that no endpoint answers gets a
+//!   [`refusal`].
 //! - [`stream`] reads an answer that consists of events; [`passthrough`] passes it on and lets
 //!   another endpoint resume it.
 //! - [`crash`] detects that an endpoint ended during a request, [`suspects`] tracks the requests
--- a/src/cinderspoke/gateway/refusal.rs
+++ b/src/cinderspoke/gateway/refusal.rs
@@ -46,10 +46,8 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Self { status, reason, retry_after: Some(retry_after) }
     }
-}
 
-impl Refusal {
-    /// The refusal of a request that has not run while the gateway stops.
+    /// Creates the refusal of a request that has not run while the gateway stops.
     #[must_use]
     pub fn stopping() -> Self {
         Self::not_run(STOPPING, RETRY_AFTER_ELSEWHERE)
