Spoilt heads in refusals, on resumed streams and in own deployments

Cause: asked which readers each spoilt form was shown for, the tests had one row in a refusal, none on a resumed stream and four at the endpoints of own deployments. No fault of the product was found by the new rows.

Conclusion: tests and names only; what the programs do is as before.

--- a/src/cinderspoke/gateway/context.rs
+++ b/src/cinderspoke/gateway/context.rs
@@ -21,7 +21,7 @@
 use super::state::State;
 use crate::util::clock::{Clock, Deadline};
 
-/// What is left between the timeout of the last request and the end of a stop: its response is
+/// What is left between the deadline of the last request and the end of a stop: its response is
 /// written meanwhile.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
@@ -185,11 +185,11 @@
         self.closing.is_cancelled()
     }
 
-    /// Returns whether a request with this timeout can no longer be sent: connections are being
+    /// Returns whether a request with this deadline can no longer be sent: connections are being
     /// closed, and the stop might end before the request does.
     #[must_use]
-    pub fn is_too_late(&self, timeout: &Deadline) -> bool {
-        let is_cut = |end: &Deadline| timeout.left() + RESPONSE_MARGIN > end.left();
+    pub fn is_too_late(&self, deadline: &Deadline) -> bool {
+        let is_cut = |end: &Deadline| deadline.left() + RESPONSE_MARGIN > end.left();
         self.is_closing() && self.stop_end.get().is_none_or(is_cut)
     }
 
--- a/tests/testsuite/heads.rs
+++ b/tests/testsuite/heads.rs
@@ -112,15 +112,20 @@
 }
 
 #[yare::parameterized(
-    unknown_coding = { "Transfer-Encoding: chonked" },
-    coding_and_length = { "Transfer-Encoding: chunked\r\nContent-Length: 3" },
-    no_end = { "Odd: 1" },
-    no_field = { "no field at all" },
+    unknown_coding = { "200 OK\r\nTransfer-Encoding: chonked" },
+    doubled_coding = { "200 OK\r\nTransfer-Encoding: chunked, chunked" },
+    coding_before_chunks = { "200 OK\r\nTransfer-Encoding: gzip, chunked" },
+    coding_and_length = { "200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 3" },
+    no_end = { "200 OK\r\nOdd: 1" },
+    early_end = { "200 OK\r\n\r\nContent-Length: 3" },
+    no_content_and_a_length = { "204 No Content\r\nContent-Length: 3" },
+    status = { "600 Odd\r\nContent-Length: 3" },
+    no_field = { "200 OK\r\nno field at all" },
 )]
 #[test_macro(tokio::test)]
-async fn what_became_of_a_call_with_a_spoilt_head_is_not_known(line: &str) {
+async fn what_became_of_a_call_with_a_spoilt_head_is_not_known(head: &str) {
     let piece = "{\"token\":{\"position\":0,\"text\":\"a\"}}\n{\"done\":{\"tokens\":1}}\n";
-    let address = server(format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n{piece}")).await;
+    let address = server(format!("HTTP/1.1 {head}\r\n\r\n{piece}")).await;
     let endpoint = Endpoint::new(Client::new(), address);
     let request = Request::get("/x").body(Body::empty()).unwrap();
     let called = endpoint.call(request).await.map(drop);
